--- /dev/null
+++ b/chicoryloom/src/host.rs
@@ -0,0 +1,223 @@
+//! An entry host from start to shutdown.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chicoryloom_policy::id;
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+use xtra::Address;
+use xtra::Mailbox;
+
+use crate::admin;
+use crate::admin::Admin;
+use crate::clock::BootClock;
+use crate::clock::Clock;
+use crate::config::Settings;
+use crate::control;
+use crate::control::Control;
+use crate::control::Heard;
+use crate::control::Published;
+use crate::control::Tick;
+use crate::grant::Grants;
+use crate::metrics::Metrics;
+use crate::peer;
+use crate::proxy::Listener;
+use crate::proxy::Proxy;
+use crate::store::HttpStore;
+use crate::store::Store;
+use crate::target::Targets;
+
+/// Heartbeats that one call to the platform may wait for changes.
+const HEARTBEATS_PER_WAIT: u32 = 2;
+
+/// Why a host did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// An address could not be bound.
+    Bind { step: &'static str, address: SocketAddr, error: io::Error },
+    /// The client of the platform could not be built.
+    Platform(reqwest::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind { step, address, error } => write!(f, "{step}: bind {address}: {error}"),
+            Self::Platform(error) => write!(f, "platform client: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct Host {
+    name: id::Host,
+    peer: SocketAddr,
+    admin: Option<SocketAddr>,
+    listener: Arc<Listener>,
+    published: Arc<Published>,
+    settings: Settings,
+    /// Keeps the control actor alive.
+    _control: Address<Control>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Host {
+    /// Starts a host; it runs until it is shut down.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let clock: Arc<dyn Clock> = Arc::new(BootClock);
+        let metrics = Arc::new(Metrics::new());
+        let published = Arc::new(Published::default());
+        let source = settings.listen.peer.ip();
+        let store = HttpStore::new(&settings.platform, source).map_err(Error::Platform)?;
+        let store: Arc<dyn Store> = Arc::new(store);
+        let socket = bind_udp(settings.listen.peer).await?;
+        let peer_address = socket.local_addr().map_err(|error| Error::Bind {
+            step: "peer",
+            address: settings.listen.peer,
+            error,
+        })?;
+
+        let sender = peer::Sender::new(
+            socket.clone(),
+            settings.peers.secret.clone(),
+            settings.host.name.clone(),
+            id::Incarnation(rand::random()),
+            metrics.clone(),
+        );
+        let actor = Control::new(
+            settings.host.name.clone(),
+            settings.policy.fresh_window,
+            clock.clone(),
+            published.clone(),
+            sender,
+        );
+        let control = xtra::spawn_tokio(actor, Mailbox::unbounded());
+        let proxy = Arc::new(Proxy {
+            name: settings.host.name.clone(),
+            settings: settings.proxy,
+            clock: clock.clone(),
+            published: published.clone(),
+            grants: Grants::default(),
+            targets: Targets::new(source, settings.proxy.connect_timeout),
+            metrics: metrics.clone(),
+        });
+        let listener = Listener::start(settings.listen.caller, proxy).await.map_err(|error| {
+            Error::Bind { step: "caller", address: settings.listen.caller, error }
+        })?;
+
+        let mut tasks = vec![
+            tokio::spawn(receive(socket, &settings, metrics.clone(), control.clone())),
+            tokio::spawn(tick(control.clone(), settings.policy.heartbeat)),
+            tokio::spawn(control::watch(
+                store.clone(),
+                clock.clone(),
+                control.clone(),
+                settings.policy.heartbeat * HEARTBEATS_PER_WAIT,
+            )),
+        ];
+        let mut admin_address = None;
+        if let Some(address) = settings.listen.admin {
+            let admin = Arc::new(Admin {
+                settings: settings.admin.clone(),
+                clock,
+                published: published.clone(),
+                store,
+                metrics,
+            });
+            let started = admin::start(address, admin).await;
+            let (address, task) =
+                started.map_err(|error| Error::Bind { step: "admin", address, error })?;
+            admin_address = Some(address);
+            tasks.push(task);
+        }
+        log::info!("host: {} serves callers on {}", settings.host.name, listener.address());
+        Ok(Self {
+            name: settings.host.name.clone(),
+            peer: peer_address,
+            admin: admin_address,
+            listener,
+            published,
+            settings,
+            _control: control,
+            tasks,
+        })
+    }
+
+    /// Returns the host's name.
+    pub fn name(&self) -> &id::Host {
+        &self.name
+    }
+
+    /// Returns the address for callers.
+    pub fn caller(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Returns the address for other hosts.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Returns the address for operators.
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.admin
+    }
+
+    /// Returns the line that tells a supervisor where the host listens.
+    pub fn ready_line(&self) -> String {
+        let admin = self.admin.map(|address| format!(" admin={address}")).unwrap_or_default();
+        format!("ready caller={} peer={}{admin}", self.caller(), self.peer)
+    }
+
+    /// Shuts down without cutting a request.
+    ///
+    /// The host serves on for as long as callers may keep a locator answer that names it.
+    pub async fn shutdown(self) {
+        self.published.leave();
+        tokio::time::sleep(self.settings.proxy.max_age).await;
+        self.listener.close().await;
+        for task in self.tasks {
+            task.abort();
+        }
+        log::info!("host: {} is shut down", self.name);
+    }
+}
+
+async fn bind_udp(address: SocketAddr) -> Result<Arc<UdpSocket>, Error> {
+    let bound = UdpSocket::bind(address).await;
+    bound.map(Arc::new).map_err(|error| Error::Bind { step: "peer", address, error })
+}
+
+fn receive(
+    socket: Arc<UdpSocket>,
+    settings: &Settings,
+    metrics: Arc<Metrics>,
+    control: Address<Control>,
+) -> impl Future<Output = ()> + use<> {
+    let secret = settings.peers.secret.clone();
+    peer::receive(socket, secret, metrics, move |frame| {
+        let control = control.clone();
+        async move {
+            // A gone actor means that the host shuts down.
+            let _ = control.send(Heard(frame)).await;
+        }
+    })
+}
+
+/// Ticks the control actor at each heartbeat.
+async fn tick(control: Address<Control>, heartbeat: std::time::Duration) {
+    let mut interval = tokio::time::interval(heartbeat);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if control.send(Tick).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/lib.rs
@@ -0,0 +1,21 @@
+//! The entry host of chicoryloom: proxy, locator, peer protocol and administration.
+//!
+//! All hosts are equal. Control state lives in actors; the request path reads immutable
+//! snapshots of it and waits for no actor.
+
+pub mod clock;
+pub mod config;
+pub mod host;
+pub mod logging;
+
+pub(crate) mod admin;
+pub(crate) mod control;
+pub(crate) mod grant;
+pub(crate) mod locator;
+pub(crate) mod metrics;
+pub(crate) mod peer;
+pub(crate) mod proxy;
+pub(crate) mod store;
+pub(crate) mod target;
+
+pub use host::Host;
--- /dev/null
+++ b/chicoryloom/src/proxy/answer.rs
@@ -0,0 +1,48 @@
+//! Answers that the fleet itself gives.
+
+use bytes::Bytes;
+use chicoryloom_wire::caller::PROBLEM_TYPE;
+use chicoryloom_wire::caller::Refusal;
+use chicoryloom_wire::generated::caller::Problem;
+use chicoryloom_wire::header;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use serde::Serialize;
+
+use crate::target::Body;
+
+/// Media type of the fleet's other answers.
+const JSON_TYPE: &str = "application/json";
+
+/// Returns a JSON answer.
+pub(super) fn json<T: Serialize>(value: &T) -> Response<Body> {
+    typed(value, JSON_TYPE)
+}
+
+/// Returns the answer to a refused request.
+pub(super) fn refuse(refusal: &Refusal) -> Response<Body> {
+    let mut response = typed(&Problem::from(refusal), PROBLEM_TYPE);
+    let status = StatusCode::from_u16(refusal.code.status());
+    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(header::RUN, HeaderValue::from_static(refusal.run.as_str()));
+    if let Some(wait) = refusal.retry_after {
+        // The header counts whole seconds; rounding down would ask callers back too early.
+        let seconds = wait.as_millis().div_ceil(1000);
+        headers.insert(RETRY_AFTER, HeaderValue::from(u64::try_from(seconds).unwrap_or(u64::MAX)));
+    }
+    response
+}
+
+fn typed<T: Serialize>(value: &T, media_type: &'static str) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let body = Full::new(Bytes::from(bytes)).map_err(|never| match never {}).boxed_unsync();
+    let mut response = Response::new(body);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(media_type));
+    response
+}
--- /dev/null
+++ b/chicoryloom/src/proxy/body.rs
@@ -0,0 +1,61 @@
+//! Bodies of callers' requests.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+
+use crate::target::Body;
+use crate::target::BodyError;
+
+/// Passes a body on up to a bound; trailers are dropped.
+struct Bounded {
+    body: Incoming,
+    /// Bytes that may still come.
+    left: u64,
+}
+
+/// Returns a body that fails once it is longer than `bound` bytes.
+pub(super) fn bounded(body: Incoming, bound: u64) -> Body {
+    Bounded { body, left: bound }.boxed_unsync()
+}
+
+impl hyper::body::Body for Bounded {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => frame,
+            Poll::Ready(Some(Err(error))) => {
+                return Poll::Ready(Some(Err(BodyError::Broken(error))));
+            }
+            Poll::Ready(None) => return Poll::Ready(None),
+            Poll::Pending => return Poll::Pending,
+        };
+        let Ok(data) = frame.into_data() else {
+            return Poll::Ready(None);
+        };
+        match self.left.checked_sub(data.len() as u64) {
+            Some(left) => self.left = left,
+            None => return Poll::Ready(Some(Err(BodyError::TooLong))),
+        }
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/proxy/forward.rs
@@ -0,0 +1,83 @@
+//! Hands a stray request to a home host, one hop at most.
+
+use chicoryloom_policy::document::Target;
+use chicoryloom_policy::id;
+use chicoryloom_policy::unit::Connections;
+use chicoryloom_policy::unit::Slots;
+use chicoryloom_wire::caller::Code;
+use chicoryloom_wire::caller::Refusal;
+use chicoryloom_wire::header;
+use chicoryloom_wire::platform::Host;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use rand::seq::IndexedRandom;
+
+use super::Proxy;
+use super::SOON;
+use super::body;
+use super::headers;
+use super::request::Asked;
+use crate::control::View;
+use crate::target::Body;
+use crate::target::exchange;
+
+/// Connections held to one home host for forwarding.
+const CONNECTIONS: u32 = 64;
+
+impl Proxy {
+    /// Forwards a request to a home host, which admits it by the key that it still carries.
+    pub(super) async fn forward(
+        &self,
+        request: Request<Incoming>,
+        view: &View,
+        asked: &Asked,
+    ) -> Result<Response<Body>, Refusal> {
+        if request.headers().contains_key(header::HOP) {
+            let detail = "this host serves the service no more; ask for its hosts again";
+            return Err(Refusal::not_run(Code::NoCapacity, detail).retry_after(SOON));
+        }
+        let home = choose(view, &asked.document.service);
+        let Some(home) = home else {
+            let detail = "the service has no live host";
+            return Err(Refusal::not_run(Code::NoCapacity, detail).retry_after(SOON));
+        };
+        let backend = self.targets.backend(&as_target(home));
+        let lease = backend.lease(CONNECTIONS).await.map_err(|failure| {
+            Refusal::not_run(Code::NoCapacity, failure.to_string()).retry_after(SOON)
+        })?;
+        let (mut parts, body) = request.into_parts();
+        headers::strip_hop_by_hop(&mut parts.headers);
+        parts.headers.insert(header::HOP, HeaderValue::from_static("1"));
+        let body = body::bounded(body, self.settings.body_bytes);
+        let request = Request::from_parts(parts, body);
+        let sent = exchange(lease, request, self.settings.idle_timeout);
+        match tokio::time::timeout(asked.route.deadline, sent).await {
+            Ok(Ok(answer)) => Ok(answer.map(BodyExt::boxed_unsync)),
+            Ok(Err(failure)) if failure.is_not_run() => {
+                Err(Refusal::not_run(Code::NoCapacity, failure.to_string()).retry_after(SOON))
+            }
+            Ok(Err(failure)) => Err(Refusal::unknown(Code::Answer, failure.to_string())),
+            Err(_) => Err(Refusal::unknown(Code::Deadline, "the home host did not answer")),
+        }
+    }
+}
+
+/// Returns one of a service's home hosts.
+fn choose<'a>(view: &'a View, service: &id::Service) -> Option<&'a Host> {
+    let home = view.homes(service).choose(&mut rand::rng())?;
+    view.hosts.get(home)
+}
+
+/// Describes a home host so that connections to it can be pooled like those to a target.
+fn as_target(home: &Host) -> Target {
+    Target {
+        id: id::Target(home.caller),
+        data_centre: home.data_centre.clone(),
+        slots: Slots(1),
+        connections: Connections(CONNECTIONS),
+        leaving: false,
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/proxy/headers.rs
@@ -0,0 +1,112 @@
+//! Headers between callers and targets.
+
+use std::time::Duration;
+
+use chicoryloom_policy::id;
+use chicoryloom_wire::header;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::header::AUTHORIZATION;
+use http::header::CONNECTION;
+use http::header::EXPECT;
+use http::header::HOST;
+use http::header::TE;
+use http::header::TRAILER;
+use http::header::TRANSFER_ENCODING;
+use http::header::UPGRADE;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes the headers that concern one connection only, those named by `connection` included.
+pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<_> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse::<HeaderName>().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Turns a caller's headers into those for a target.
+pub(super) fn to_target(
+    headers: &mut HeaderMap,
+    target: id::Target,
+    workspace: Option<&id::Workspace>,
+    request_id: &str,
+    left: Duration,
+) {
+    strip_hop_by_hop(headers);
+    strip_reserved(headers);
+    headers.remove(AUTHORIZATION);
+    headers.remove(EXPECT);
+    set(headers, HOST, &target.to_string());
+    set(headers, HeaderName::from_static(header::REQUEST_ID), request_id);
+    let left = left.as_millis().to_string();
+    set(headers, HeaderName::from_static(header::DEADLINE_MS), &left);
+    if let Some(workspace) = workspace {
+        set(headers, HeaderName::from_static(header::WORKSPACE), workspace.as_str());
+    }
+}
+
+/// Turns a target's headers into those for a caller.
+pub(super) fn to_caller(headers: &mut HeaderMap) {
+    strip_hop_by_hop(headers);
+    strip_reserved(headers);
+}
+
+fn strip_reserved(headers: &mut HeaderMap) {
+    let reserved: Vec<_> =
+        headers.keys().filter(|name| name.as_str().starts_with(header::PREFIX)).cloned().collect();
+    for name in reserved {
+        headers.remove(name);
+    }
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn key_and_reserved_headers_stay_behind() {
+        let mut headers = HeaderMap::new();
+        for (name, value) in [
+            ("authorization", "Bearer k"),
+            ("connection", "x-private"),
+            ("x-private", "1"),
+            ("chicory-workspace", "forged"),
+            ("accept", "text/html"),
+        ] {
+            headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+        let workspace = "prairie".parse().unwrap();
+        let target = "127.0.0.1:9".parse().unwrap();
+        to_target(&mut headers, target, Some(&workspace), "r1", Duration::from_secs(1));
+        let mut names: Vec<_> = headers.keys().map(HeaderName::as_str).collect();
+        names.sort_unstable();
+        let expected =
+            ["accept", "chicory-deadline-ms", "chicory-request-id", "chicory-workspace", "host"];
+        assert_eq!(names, expected);
+        assert_eq!(headers["chicory-workspace"], "prairie");
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/proxy/listener.rs
@@ -0,0 +1,115 @@
+//! Connections of callers.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use super::Proxy;
+
+/// How often a shutdown looks for open connections.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Pause after a failed accept, such as when the process has no free descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Accepts callers' connections.
+#[derive(Debug)]
+pub(crate) struct Listener {
+    proxy: Arc<Proxy>,
+    address: SocketAddr,
+    permits: Arc<Semaphore>,
+    /// Turns true when open connections end after their present request.
+    closing: watch::Sender<bool>,
+}
+
+impl Listener {
+    /// Binds the listener and starts to accept.
+    pub(crate) async fn start(address: SocketAddr, proxy: Arc<Proxy>) -> io::Result<Arc<Self>> {
+        let socket = TcpListener::bind(address).await?;
+        let permits = Arc::new(Semaphore::new(proxy.settings.connections));
+        let address = socket.local_addr()?;
+        let listener =
+            Arc::new(Self { proxy, address, permits, closing: watch::Sender::new(false) });
+        tokio::spawn(listener.clone().accept(socket));
+        Ok(listener)
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Ends each connection after its present request and waits until none is open.
+    pub(crate) async fn close(&self) {
+        self.closing.send_replace(true);
+        while self.permits.available_permits() < self.proxy.settings.connections {
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+    }
+
+    async fn accept(self: Arc<Self>, socket: TcpListener) {
+        let mut closing = self.closing.subscribe();
+        loop {
+            let Ok(permit) = self.permits.clone().acquire_owned().await else {
+                return;
+            };
+            let accepted = tokio::select! {
+                accepted = socket.accept() => accepted,
+                () = closed(&mut closing) => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let listener = self.clone();
+            tokio::spawn(async move {
+                listener.serve(stream).await;
+                drop(permit);
+            });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream) {
+        // Small answers would otherwise wait for the caller's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let proxy = self.proxy.clone();
+        let service = service_fn(move |request| {
+            let proxy = proxy.clone();
+            async move { Ok::<_, Infallible>(proxy.answer(request).await) }
+        });
+        let settings = &self.proxy.settings;
+        let mut connection = std::pin::pin!(
+            http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(settings.header_timeout)
+                .max_buf_size(settings.header_bytes)
+                .serve_connection(TokioIo::new(stream), service)
+        );
+        let mut closing = self.closing.subscribe();
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = closed(&mut closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            },
+        };
+        if let Err(error) = ended {
+            log::debug!("proxy: connection of a caller ended: {error}");
+        }
+    }
+}
+
+/// Waits until connections are to end.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    // A dropped listener ends its connections as well.
+    let _ = closing.wait_for(|closing| *closing).await;
+}
--- /dev/null
+++ b/chicoryloom/src/proxy/request.rs
@@ -0,0 +1,134 @@
+//! What a caller asks for.
+
+use std::sync::Arc;
+
+use chicoryloom_policy::document::Document;
+use chicoryloom_policy::document::Route;
+use chicoryloom_policy::id;
+use chicoryloom_wire::caller::Code;
+use chicoryloom_wire::caller::Refusal;
+use http::HeaderMap;
+use http::Request;
+use http::Uri;
+use http::header::AUTHORIZATION;
+
+use crate::control::View;
+
+/// Path prefix of the fleet's own resources.
+const OWN_PREFIX: &str = "/chicory/v1/";
+/// Scheme of the authorization header.
+const SCHEME: &str = "bearer ";
+
+/// A resource of the caller side.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Resource {
+    /// The hosts to use for a service.
+    Hosts { service: id::Service },
+    /// A request for a service; `path` holds the query too.
+    Service { service: id::Service, path: String },
+}
+
+impl Resource {
+    /// Reads the resource that a request names.
+    pub(super) fn of(uri: &Uri) -> Result<Self, Refusal> {
+        if let Some(own) = uri.path().strip_prefix(OWN_PREFIX) {
+            return Self::own(own, uri.query().unwrap_or_default());
+        }
+        let whole = uri.path_and_query().map_or("/", |path| path.as_str());
+        let rest = whole.strip_prefix('/').unwrap_or(whole);
+        let end = rest.find(['/', '?']).unwrap_or(rest.len());
+        let service =
+            rest[..end].parse().map_err(|error| no_route(&format!("service: {error}")))?;
+        let path = match &rest[end..] {
+            "" => "/".to_owned(),
+            query if query.starts_with('?') => format!("/{query}"),
+            path => path.to_owned(),
+        };
+        Ok(Self::Service { service, path })
+    }
+
+    fn own(path: &str, query: &str) -> Result<Self, Refusal> {
+        if path != "hosts" {
+            return Err(no_route("the fleet has no such resource"));
+        }
+        let service = query.split('&').find_map(|pair| pair.strip_prefix("service="));
+        let service = service.ok_or_else(|| no_route("name a service: ?service=NAME"))?;
+        let service = service.parse().map_err(|error| no_route(&format!("service: {error}")))?;
+        Ok(Self::Hosts { service })
+    }
+}
+
+fn no_route(detail: &str) -> Refusal {
+    Refusal::not_run(Code::Route, detail)
+}
+
+/// A request for a service, matched with the service's document.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    pub(super) document: Arc<Document>,
+    pub(super) route: Arc<Route>,
+    /// Path and query at the target.
+    pub(super) path: String,
+    key: Option<id::Digest>,
+}
+
+impl Asked {
+    pub(super) fn new<B>(
+        request: &Request<B>,
+        view: &View,
+        service: id::Service,
+        path: String,
+    ) -> Result<Self, Refusal> {
+        let document = view.documents.get(&service);
+        let document = document.ok_or_else(|| no_route(&format!("no service {service}")))?.clone();
+        let bare = path.split('?').next().unwrap_or_default();
+        let route = document.route(request.method().as_str(), bare);
+        let route = route.ok_or_else(|| no_route(&format!("no route of {service}")))?.clone();
+        let key = key(request.headers()).map(id::Digest::of);
+        Ok(Self { document, route, path, key })
+    }
+
+    /// Returns the workspace of the request's key, or `None` on an open route without a key.
+    pub(super) fn workspace(&self, view: &View) -> Result<Option<id::Workspace>, Refusal> {
+        let workspace = self.key.as_ref().and_then(|key| view.workspace(key));
+        match workspace {
+            Some(workspace) => Ok(Some(workspace.clone())),
+            None if self.route.open => Ok(None),
+            None => Err(Refusal::not_run(Code::Key, "the key is missing, unknown or withdrawn")),
+        }
+    }
+}
+
+/// Returns the key that a request shows.
+fn key(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_at_checked(SCHEME.len())?;
+    scheme.eq_ignore_ascii_case(SCHEME).then(|| key.trim())
+}
+
+/// Returns a number that differs by key, for turning the locator's order.
+pub(super) fn seed(headers: &HeaderMap) -> u64 {
+    let hash = key(headers).map(|key| blake3::hash(key.as_bytes()));
+    hash.map_or_else(rand::random, |hash| {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hash.as_bytes()[..8]);
+        u64::from_le_bytes(bytes)
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case("/calendar/seats?x=1", "/seats?x=1")]
+    #[case("/calendar", "/")]
+    #[case("/calendar?x=1", "/?x=1")]
+    fn service_is_cut_off_the_path(#[case] uri: &str, #[case] path: &str) {
+        let resource = Resource::of(&uri.parse().unwrap()).unwrap();
+        let service = "calendar".parse().unwrap();
+        assert_eq!(resource, Resource::Service { service, path: path.to_owned() });
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/target/exchange.rs
@@ -0,0 +1,195 @@
+//! One request to a target and its answer.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryloom_wire::header;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+use super::pool::Lease;
+
+/// Body of a request to a target, or of an answer to a caller.
+pub(crate) type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Why a body ended before its end.
+#[derive(Debug)]
+pub(crate) enum BodyError {
+    /// The sender's connection broke, or the body was shorter than announced.
+    Broken(hyper::Error),
+    /// The sender paused for too long.
+    Idle,
+    /// The body is longer than the bound.
+    TooLong,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(error) => write!(f, "body: {error}"),
+            Self::Idle => f.write_str("body: paused for too long"),
+            Self::TooLong => f.write_str("body: longer than the bound"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// Why an attempt brought no answer.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// The cap on connections to the target is reached; nothing was sent.
+    Cap,
+    /// No connection came about; nothing was sent.
+    Connect(String),
+    /// The connection was closed before a byte of the request was sent.
+    Unsent,
+    /// The connection broke after the request may have been sent.
+    Lost(String),
+    /// The answer belongs to another request.
+    Crossed,
+    /// The target says that it did not run the request.
+    Shed { draining: bool },
+}
+
+impl Failure {
+    /// Tells whether the target surely didn't run the request.
+    pub(crate) fn is_not_run(&self) -> bool {
+        !matches!(self, Self::Lost(_) | Self::Crossed)
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Cap => f.write_str("connection cap reached"),
+            Self::Connect(reason) => write!(f, "connect: {reason}"),
+            Self::Unsent => f.write_str("closed before the request was sent"),
+            Self::Lost(reason) => write!(f, "answer lost: {reason}"),
+            Self::Crossed => f.write_str("answer belongs to another request"),
+            Self::Shed { draining: true } => f.write_str("shed by a draining target"),
+            Self::Shed { draining: false } => f.write_str("shed by the target"),
+        }
+    }
+}
+
+/// An answer whose body gives its connection back at the end.
+pub(crate) type Answer = Response<AnswerBody>;
+
+/// Sends a request over a leased connection and waits for the answer's head.
+pub(crate) async fn exchange(
+    mut lease: Lease,
+    request: Request<Body>,
+    idle: Duration,
+) -> Result<Answer, Failure> {
+    let id = request.headers().get(header::REQUEST_ID).cloned();
+    let Some(sender) = lease.sender() else {
+        return Err(Failure::Unsent);
+    };
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            // The library gives the request back only if it wrote no byte of it.
+            return Err(match error.take_message() {
+                Some(_) => Failure::Unsent,
+                None => Failure::Lost(error.into_error().to_string()),
+            });
+        }
+    };
+    check(&response, id.as_ref())?;
+    Ok(response.map(|body| AnswerBody::new(body, lease, idle)))
+}
+
+fn check(response: &Response<Incoming>, id: Option<&HeaderValue>) -> Result<(), Failure> {
+    let echoed = response.headers().get(header::REQUEST_ID);
+    if echoed.is_some() && echoed != id {
+        return Err(Failure::Crossed);
+    }
+    if response.headers().contains_key(header::NOT_RUN) {
+        let draining = response.headers().contains_key(header::DRAINING);
+        return Err(Failure::Shed { draining });
+    }
+    Ok(())
+}
+
+/// Body of a target's answer.
+#[derive(Debug)]
+pub(crate) struct AnswerBody {
+    body: Incoming,
+    /// Given back once the body has come whole; dropped, and so closed, otherwise.
+    lease: Option<Lease>,
+    idle: Duration,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl AnswerBody {
+    fn new(body: Incoming, lease: Lease, idle: Duration) -> Self {
+        let mut answer =
+            Self { body, lease: Some(lease), idle, timer: Box::pin(tokio::time::sleep(idle)) };
+        answer.finish_if_ended();
+        answer
+    }
+
+    fn finish_if_ended(&mut self) {
+        if hyper::body::Body::is_end_stream(&self.body)
+            && let Some(lease) = self.lease.take()
+        {
+            lease.give_back();
+        }
+    }
+}
+
+impl hyper::body::Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = &mut *self;
+        match Pin::new(&mut this.body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                this.timer.as_mut().reset(Instant::now() + this.idle);
+                this.finish_if_ended();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                this.lease = None;
+                Poll::Ready(Some(Err(BodyError::Broken(error))))
+            }
+            Poll::Ready(None) => {
+                if let Some(lease) = this.lease.take() {
+                    lease.give_back();
+                }
+                Poll::Ready(None)
+            }
+            Poll::Pending => match this.timer.as_mut().poll(context) {
+                Poll::Ready(()) => {
+                    this.lease = None;
+                    Poll::Ready(Some(Err(BodyError::Idle)))
+                }
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        hyper::body::Body::is_end_stream(&self.body)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        hyper::body::Body::size_hint(&self.body)
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/src/id.rs
@@ -0,0 +1,223 @@
+//! Identifiers as newtypes.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// Longest name of a service, workspace, host, data centre or route, in bytes.
+pub const MAX_NAME: usize = 63;
+
+/// A name that is empty, too long or holds a character other than `a-z`, `0-9` and `-`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct InvalidName(pub SmolStr);
+
+impl fmt::Display for InvalidName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "name {:?} is not 1 to {MAX_NAME} characters of a-z, 0-9 and -", self.0)
+    }
+}
+
+impl std::error::Error for InvalidName {}
+
+fn check_name(text: &str) -> Result<SmolStr, InvalidName> {
+    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    let fits = !text.is_empty() && text.len() <= MAX_NAME;
+    if fits && text.bytes().all(allowed) {
+        Ok(SmolStr::new(text))
+    } else {
+        Err(InvalidName(SmolStr::new(text)))
+    }
+}
+
+/// Defines a newtype around a checked name.
+macro_rules! name {
+    ($(#[$doc:meta])* $type:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        #[derive(Deserialize, Serialize)]
+        #[serde(try_from = "SmolStr", into = "SmolStr")]
+        pub struct $type(SmolStr);
+
+        impl $type {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = InvalidName;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_name(text).map(Self)
+            }
+        }
+
+        impl TryFrom<SmolStr> for $type {
+            type Error = InvalidName;
+
+            fn try_from(text: SmolStr) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$type> for SmolStr {
+            fn from(name: $type) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+name!(
+    /// A service, owned by one team.
+    Service
+);
+name!(
+    /// A customer of the services; callers show a key that belongs to it.
+    Workspace
+);
+name!(
+    /// An entry host.
+    Host
+);
+name!(
+    /// A data centre.
+    DataCentre
+);
+name!(
+    /// A route within a service.
+    Route
+);
+name!(
+    /// A label that groups routes in histograms.
+    Class
+);
+
+/// A target, named by its IP address and port.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct Target(pub SocketAddr);
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Target {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// One life of a host's process; a restarted host has another one.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// A revision of the platform's store; it grows with each change of any object.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+pub struct Revision(pub u64);
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Revision {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// The digest under which a caller's key is kept; the key itself is never stored.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Digest([u8; Digest::SIZE]);
+
+impl Digest {
+    /// Bytes of a digest.
+    pub const SIZE: usize = 32;
+
+    /// Returns the digest of a caller's key.
+    pub fn of(key: &str) -> Self {
+        Self(*blake3::hash(key.as_bytes()).as_bytes())
+    }
+}
+
+/// Shows nothing of the digest, so that it can't reach a log.
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Digest(..)")
+    }
+}
+
+/// Writes the digest in hexadecimal, as its object is named.
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(blake3::Hash::from_bytes(self.0).to_hex().as_str())
+    }
+}
+
+impl FromStr for Digest {
+    type Err = blake3::HexError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(*blake3::Hash::from_hex(text)?.as_bytes()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case("calendar", true)]
+    #[case("north-2", true)]
+    #[case("", false)]
+    #[case("Calendar", false)]
+    #[case("a/b", false)]
+    fn names_are_checked(#[case] text: &str, #[case] valid: bool) {
+        assert_eq!(text.parse::<Service>().is_ok(), valid);
+    }
+
+    #[test]
+    fn digest_is_hidden_from_debug_output() {
+        let digest = Digest::of("k");
+        assert_eq!(format!("{digest:?}"), "Digest(..)");
+        assert_eq!(digest.to_string().parse::<Digest>().unwrap(), digest);
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/src/lib.rs
@@ -0,0 +1,16 @@
+//! Every decision of chicoryloom as plain code.
+//!
+//! Nothing here does I/O, reads a clock or draws random numbers of its own: time comes in as a
+//! [`Moment`], randomness as a generator. The same inputs give the same decisions, so property
+//! tests can drive every module.
+
+pub mod document;
+pub mod freshness;
+pub mod id;
+pub mod limit;
+pub mod moment;
+pub mod pick;
+pub mod placement;
+pub mod unit;
+
+pub use moment::Moment;
--- /dev/null
+++ b/chicoryloom_policy/src/placement.rs
@@ -0,0 +1,66 @@
+//! Rendezvous placement of services on hosts.
+
+use crate::id;
+
+/// Fewest home hosts of a service, as far as hosts exist.
+pub const MIN_HOMES: usize = 4;
+
+/// A host that placement may choose.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    pub host: id::Host,
+    pub data_centre: id::DataCentre,
+}
+
+/// Returns the home hosts of a service, best first, spread over data centres.
+///
+/// Each data centre offers its hosts in rendezvous order; the choice goes round the data centres
+/// until it has `count` hosts, so one data centre's loss leaves homes in the others.
+pub fn homes(service: &id::Service, hosts: &[Candidate], count: usize) -> Vec<id::Host> {
+    let mut ranked: Vec<_> = hosts.iter().map(|host| (score(service, &host.host), host)).collect();
+    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.host.cmp(&b.1.host)));
+    let mut rounds: Vec<(usize, usize, &Candidate)> = Vec::with_capacity(ranked.len());
+    for (rank, (_, host)) in ranked.iter().enumerate() {
+        let earlier = ranked[..rank].iter().filter(|(_, h)| h.data_centre == host.data_centre);
+        rounds.push((earlier.count(), rank, host));
+    }
+    rounds.sort_by_key(|(round, rank, _)| (*round, *rank));
+    rounds.into_iter().take(count).map(|(_, _, host)| host.host.clone()).collect()
+}
+
+/// Returns the rendezvous weight of a host for a service.
+fn score(service: &id::Service, host: &id::Host) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(service.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(host.as_str().as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fleet(count: usize) -> Vec<Candidate> {
+        let host = |n: usize| Candidate {
+            host: format!("host-{n}").parse().unwrap(),
+            data_centre: format!("dc-{}", n % 4).parse().unwrap(),
+        };
+        (0..count).map(host).collect()
+    }
+
+    #[test]
+    fn homes_spread_over_data_centres() {
+        let hosts = fleet(36);
+        let homes = homes(&"calendar".parse().unwrap(), &hosts, 4);
+        let mut centres: Vec<_> = homes
+            .iter()
+            .map(|home| &hosts.iter().find(|h| h.host == *home).unwrap().data_centre)
+            .collect();
+        centres.sort();
+        centres.dedup();
+        assert_eq!(centres.len(), 4);
+    }
+}
--- /dev/null
+++ b/chicoryloom_standin/src/link/tcp.rs
@@ -0,0 +1,137 @@
+//! TCP ports of a link.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::rules::Direction;
+use super::rules::Port;
+use super::rules::State;
+
+/// Bytes read at once.
+const CHUNK: usize = 16 * 1024;
+/// Chunks on the way in one direction.
+const IN_FLIGHT: usize = 64;
+/// How often a held direction looks at the rules again.
+const RECHECK: Duration = Duration::from_millis(5);
+
+/// Opens a TCP port and returns its address.
+pub(super) async fn open(port: Port, state: Arc<State>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(port.listen).await?;
+    let listen = listener.local_addr()?;
+    tokio::spawn(accept(listener, port.upstream, state));
+    Ok(listen)
+}
+
+async fn accept(listener: TcpListener, upstream: SocketAddr, state: Arc<State>) {
+    loop {
+        let Ok((client, peer)) = listener.accept().await else {
+            continue;
+        };
+        let link = Pair { client: peer, upstream, state: state.clone() };
+        tokio::spawn(async move {
+            // A broken connection ends both directions; there is nobody to tell.
+            let _ = link.carry(client).await;
+        });
+    }
+}
+
+/// A client and its upstream.
+struct Pair {
+    client: SocketAddr,
+    upstream: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Pair {
+    async fn carry(self, client: TcpStream) -> io::Result<()> {
+        if self.is_reset() {
+            return Ok(());
+        }
+        client.set_nodelay(true)?;
+        let upstream = TcpStream::connect(self.upstream).await?;
+        upstream.set_nodelay(true)?;
+        let (client_read, client_write) = client.into_split();
+        let (upstream_read, upstream_write) = upstream.into_split();
+        tokio::select! {
+            result = async { tokio::try_join!(
+                self.pump(client_read, upstream_write, Direction::Forth),
+                self.pump(upstream_read, client_write, Direction::Back),
+            ) } => result.map(|_| ()),
+            () = self.until_reset() => Ok(()),
+        }
+    }
+
+    fn is_reset(&self) -> bool {
+        let ways = [Direction::Forth, Direction::Back];
+        ways.iter().any(|way| self.state.fault(self.client.ip(), self.upstream, *way).reset)
+    }
+
+    async fn until_reset(&self) {
+        while !self.is_reset() {
+            tokio::time::sleep(RECHECK).await;
+        }
+    }
+
+    /// Carries one direction until its end of file.
+    async fn pump<R, W>(&self, mut from: R, to: W, way: Direction) -> io::Result<()>
+    where
+        R: AsyncRead + Unpin,
+        W: AsyncWrite + Unpin,
+    {
+        let (sender, receiver) = mpsc::channel(IN_FLIGHT);
+        let read = async move {
+            loop {
+                let mut chunk = vec![0; CHUNK];
+                let length = from.read(&mut chunk).await?;
+                chunk.truncate(length);
+                let last = chunk.is_empty();
+                if sender.send((Instant::now(), chunk)).await.is_err() || last {
+                    return Ok::<_, io::Error>(());
+                }
+            }
+        };
+        tokio::try_join!(read, self.write(receiver, to, way)).map(|_| ())
+    }
+
+    async fn write<W>(
+        &self,
+        mut chunks: mpsc::Receiver<(Instant, Vec<u8>)>,
+        mut to: W,
+        way: Direction,
+    ) -> io::Result<()>
+    where
+        W: AsyncWrite + Unpin,
+    {
+        while let Some((arrived, chunk)) = chunks.recv().await {
+            self.hold(arrived, way).await;
+            if chunk.is_empty() {
+                return to.shutdown().await;
+            }
+            to.write_all(&chunk).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits out a cut and the delay of one chunk.
+    async fn hold(&self, arrived: Instant, way: Direction) {
+        loop {
+            let fault = self.state.fault(self.client.ip(), self.upstream, way);
+            if !fault.cut {
+                tokio::time::sleep_until(arrived + fault.delay()).await;
+                return;
+            }
+            tokio::time::sleep(RECHECK).await;
+        }
+    }
+}
--- /dev/null
+++ b/chicoryloom_standin/src/link/udp.rs
@@ -0,0 +1,106 @@
+//! UDP ports of a link.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::net::UdpSocket;
+
+use super::rules::Direction;
+use super::rules::Port;
+use super::rules::State;
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM: usize = 65_536;
+
+/// Opens a UDP port and returns its address.
+pub(super) async fn open(port: Port, state: Arc<State>) -> io::Result<SocketAddr> {
+    let socket = Arc::new(UdpSocket::bind(port.listen).await?);
+    let listen = socket.local_addr()?;
+    tokio::spawn(forth(socket, port.upstream, state));
+    Ok(listen)
+}
+
+/// Carries datagrams to the upstream, from one socket for each client.
+async fn forth(socket: Arc<UdpSocket>, upstream: SocketAddr, state: Arc<State>) {
+    let mut clients: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let Ok((length, client)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let outward = match clients.get(&client) {
+            Some(outward) => outward.clone(),
+            None => {
+                let Ok(outward) = connect(upstream).await.map(Arc::new) else {
+                    continue;
+                };
+                let way_back = Way { client, upstream, state: state.clone() };
+                tokio::spawn(back(outward.clone(), socket.clone(), way_back));
+                clients.insert(client, outward.clone());
+                outward
+            }
+        };
+        let way = Way { client, upstream, state: state.clone() };
+        way.send(Direction::Forth, buffer[..length].to_vec(), move |bytes| {
+            let outward = outward.clone();
+            // A datagram that can't be sent is a lost one.
+            async move { outward.send(&bytes).await.map_or((), |_| ()) }
+        });
+    }
+}
+
+async fn connect(upstream: SocketAddr) -> io::Result<UdpSocket> {
+    let any = match upstream {
+        SocketAddr::V4(_) => SocketAddr::from(([0, 0, 0, 0], 0)),
+        SocketAddr::V6(_) => SocketAddr::from(([0; 16], 0)),
+    };
+    let socket = UdpSocket::bind(any).await?;
+    socket.connect(upstream).await?;
+    Ok(socket)
+}
+
+/// Carries datagrams back to one client.
+async fn back(outward: Arc<UdpSocket>, socket: Arc<UdpSocket>, way: Way) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let Ok(length) = outward.recv(&mut buffer).await else {
+            continue;
+        };
+        let socket = socket.clone();
+        let client = way.client;
+        way.send(Direction::Back, buffer[..length].to_vec(), move |bytes| {
+            let socket = socket.clone();
+            async move { socket.send_to(&bytes, client).await.map_or((), |_| ()) }
+        });
+    }
+}
+
+/// A client and its upstream.
+struct Way {
+    client: SocketAddr,
+    upstream: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Way {
+    /// Sends as many copies of a datagram as its direction's fault lets pass.
+    fn send<F, S>(&self, direction: Direction, bytes: Vec<u8>, send: S)
+    where
+        S: Fn(Vec<u8>) -> F + Send + 'static,
+        F: Future<Output = ()> + Send,
+    {
+        let fault = self.state.fault(self.client.ip(), self.upstream, direction);
+        let copies = fault.copies();
+        if copies == 0 {
+            return;
+        }
+        tokio::spawn(async move {
+            tokio::time::sleep(fault.delay()).await;
+            for _ in 0..copies {
+                send(bytes.clone()).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/chicoryloom_standin/src/main.rs
@@ -0,0 +1,73 @@
+//! Stand-ins for the platform, targets and links, as a program.
+
+mod cli;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use chicoryloom_standin::link::Link;
+use chicoryloom_standin::platform::Platform;
+use chicoryloom_standin::target::Target;
+use gumdrop::Options;
+
+use crate::cli::Cli;
+use crate::cli::Command;
+
+/// Address taken where none is given.
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let cli = Cli::parse_args_default_or_exit();
+    if cli.version {
+        println!("chicoryloom-standin {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(command) = cli.command else {
+        eprintln!("chicoryloom-standin: name a command: platform, target or link");
+        return ExitCode::from(2);
+    };
+    match run(command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("chicoryloom-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs one stand-in until the process is told to stop.
+async fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
+    match command {
+        Command::Platform(options) => {
+            let platform = Platform::start(options.listen.unwrap_or(ANY)).await?;
+            println!("ready listen={}", platform.address());
+            stopped().await
+        }
+        Command::Target(options) => {
+            let switches = serde_json::from_str(&options.switches)?;
+            let listen = options.listen.unwrap_or(ANY);
+            let target = Target::start(listen, options.control.unwrap_or(ANY), switches).await?;
+            println!("ready listen={} control={}", target.address(), target.control());
+            stopped().await
+        }
+        Command::Link(options) => {
+            let link = Link::start(options.control.unwrap_or(ANY)).await?;
+            println!("ready control={}", link.control());
+            stopped().await
+        }
+    }
+}
+
+/// Waits for an interrupt or a termination signal.
+async fn stopped() -> Result<(), Box<dyn std::error::Error>> {
+    use tokio::signal::unix::SignalKind;
+    use tokio::signal::unix::signal;
+
+    let mut terminated = signal(SignalKind::terminate())?;
+    tokio::select! {
+        result = tokio::signal::ctrl_c() => result?,
+        _ = terminated.recv() => {},
+    }
+    Ok(())
+}
--- /dev/null
+++ b/chicoryloom_standin/src/target/server.rs
@@ -0,0 +1,132 @@
+//! The connections of a target.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use super::journal::Counts;
+use super::journal::Journal;
+use super::switches::Switches;
+use super::work;
+
+/// What all connections of a target share.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) journal: Journal,
+    pub(super) slots: Semaphore,
+    started: Instant,
+    switches: Mutex<Switches>,
+    counts: Mutex<Counts>,
+    /// When the target last came up; changes cut all connections.
+    up_since: watch::Sender<Instant>,
+}
+
+impl State {
+    pub(super) fn new(switches: Switches) -> Self {
+        let now = Instant::now();
+        Self {
+            journal: Journal::default(),
+            slots: Semaphore::new(switches.slots as usize),
+            started: now,
+            switches: Mutex::new(switches),
+            counts: Mutex::default(),
+            up_since: watch::Sender::new(now),
+        }
+    }
+
+    pub(super) fn switches(&self) -> Switches {
+        self.switches.lock().expect("no holder of the lock panics").clone()
+    }
+
+    pub(super) fn switch(&self, switches: Switches) {
+        *self.switches.lock().expect("no holder of the lock panics") = switches;
+    }
+
+    pub(super) fn counts(&self) -> Counts {
+        *self.lock_counts()
+    }
+
+    pub(super) fn lock_counts(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the time since the start, in milliseconds.
+    pub(super) fn at_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Tells whether the target came up too recently to be warm.
+    pub(super) fn is_cold(&self) -> bool {
+        let up = self.up_since.borrow().elapsed();
+        up < Duration::from_millis(self.switches().cold_ms)
+    }
+
+    /// Takes the target down for a while: cuts all connections and refuses new ones.
+    pub(super) fn die(&self) {
+        let away = Duration::from_millis(self.switches().restart_ms);
+        self.lock_counts().deaths += 1;
+        self.up_since.send_replace(Instant::now() + away);
+    }
+
+    fn is_down(&self) -> bool {
+        *self.up_since.borrow() > Instant::now()
+    }
+
+    fn open_connection(&self) -> bool {
+        let limit = self.switches().connections;
+        let mut counts = self.lock_counts();
+        if counts.connections_open >= limit || self.is_down() {
+            counts.connections_refused += 1;
+            return false;
+        }
+        counts.connections_made += 1;
+        counts.connections_open += 1;
+        counts.connections_peak = counts.connections_peak.max(counts.connections_open);
+        true
+    }
+
+    fn close_connection(&self) {
+        self.lock_counts().connections_open -= 1;
+    }
+}
+
+/// Accepts connections until the task is aborted.
+pub(super) async fn run(listener: TcpListener, state: Arc<State>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        if state.open_connection() {
+            tokio::spawn(serve(stream, state.clone()));
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, state: Arc<State>) {
+    // Small answers would otherwise wait for the peer's acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let cost = Duration::from_millis(state.switches().connection_ms);
+    tokio::time::sleep(cost).await;
+    let mut died = state.up_since.subscribe();
+    let shared = state.clone();
+    let service = service_fn(move |request| work::answer(request, shared.clone()));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = connection => {},
+        _ = died.changed() => {},
+    }
+    state.close_connection();
+}
