Make the administration API whole

Cause: operators could put and read a document and grant a key, and no more. Nobody could delete a document, list keys, check a document before writing it, or learn why a request was refused. All operators shared nameless tokens, so no line told who had changed what.

Change: admin/ is one file for each matter (documents, keys, looks, access, audit, answers). Documents go by ETag and If-Match; a conflict is answered 409 with the newer version and its text; a deleted document can be made again from its last version. POST /v1/check runs the checker alone. GET /v1/keys lists digests by workspace, never keys. GET /v1/explain gives the latest refusals by service, workspace and code from a store of at most 4,096 kinds, and the state of the targets. GET /v1/histograms gives counts and quantiles by label. Every change leaves one audit line with the operator's name, done or not done; it holds neither key nor digest. Tokens in the settings are objects with a name.

The document checker refuses routes that no request could match (encoded, with dot or empty segments), methods that are no words, and target addresses without a port. Refusals no longer echo a path segment that is no service, since that segment could be a key.

Ruled out: 412 for a failed If-Match, since one code for a lost race, whether the document is new or not, is easier to script against; If-Match: *, since it would let an operator overwrite what nobody has read.

--- /dev/null
+++ b/chicoryloom/src/admin/audit.rs
@@ -0,0 +1,58 @@
+//! One line for each change that an operator makes or fails to make.
+
+use std::fmt;
+
+use chicoryloom_policy::id;
+use smol_str::SmolStr;
+
+use super::change::Error;
+
+/// A change as its audit line names it; holds no key and no digest.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Change {
+    PutDocument { name: String, expected: id::Revision },
+    DeleteDocument { name: String, expected: id::Revision },
+    GrantKey { workspace: String },
+    WithdrawKey,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::PutDocument { name, expected } => {
+                write!(f, "put document {name:?} over version {expected}")
+            }
+            Self::DeleteDocument { name, expected } => {
+                write!(f, "delete document {name:?} at version {expected}")
+            }
+            Self::GrantKey { workspace } => write!(f, "grant a key to workspace {workspace:?}"),
+            Self::WithdrawKey => f.write_str("withdraw a key"),
+        }
+    }
+}
+
+/// Writes the audit line of a change.
+pub(super) fn write(operator: &SmolStr, change: &Change, made: Result<&Made, &Error>) {
+    match made {
+        Ok(made) => log::info!("audit: {operator}: {change}: done, {made}"),
+        Err(error) => log::info!("audit: {operator}: {change}: not done, {}", error.short()),
+    }
+}
+
+/// What a change led to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Made {
+    pub(super) version: id::Revision,
+    /// Workspace of the key that was changed.
+    pub(super) workspace: Option<id::Workspace>,
+}
+
+impl fmt::Display for Made {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "version {}", self.version)?;
+        match &self.workspace {
+            Some(workspace) => write!(f, ", workspace {workspace}"),
+            None => Ok(()),
+        }
+    }
+}
--- a/chicoryloom/src/admin/change.rs
+++ b/chicoryloom/src/admin/change.rs
@@ -4,6 +4,7 @@
 
 use chicoryloom_policy::id;
 use chicoryloom_wire::document;
+use chicoryloom_wire::document::Checked;
 use chicoryloom_wire::key::Key;
 use chicoryloom_wire::key::parse;
 use chicoryloom_wire::key::render;
@@ -13,6 +14,7 @@
 use serde::Serialize;
 
 use super::Admin;
+use super::audit::Made;
 use crate::proxy::key;
 use crate::store;
 use crate::store::Update;
@@ -21,6 +23,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Error {
     Invalid(String),
+    /// The document has faults.
+    Faulty(document::Error),
+    /// The change of an object names no version.
+    Unversioned,
     Unknown,
     /// Another operator was faster.
     Conflict {
@@ -30,61 +36,112 @@
     Store(store::Error),
 }
 
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Error {
+    /// Returns one sentence that holds no content of an object.
+    pub(super) fn short(&self) -> String {
         match self {
-            Self::Invalid(reason) => f.write_str(reason),
-            Self::Unknown => f.write_str("no such object"),
-            Self::Conflict { version, value } => {
-                write!(f, "version {version} was written meanwhile:\n{value}")
-            }
-            Self::Store(error) => error.fmt(f),
+            Self::Invalid(reason) => reason.clone(),
+            Self::Faulty(error) => format!("the document is not valid: {error}"),
+            Self::Unversioned => "name the version that you change: if-match: \"N\"".to_owned(),
+            Self::Unknown => "no such object".to_owned(),
+            Self::Conflict { version, .. } => format!("version {version} was written meanwhile"),
+            Self::Store(error) => error.to_string(),
         }
     }
 }
 
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.short())
+    }
+}
+
 impl std::error::Error for Error {}
 
 /// A request for a key.
 #[derive(Clone, Debug, Deserialize)]
 pub(super) struct Grant {
-    workspace: String,
+    pub(super) workspace: String,
     /// The key itself; none lets the fleet make one.
     #[serde(default)]
     key: Option<String>,
 }
 
 /// A granted key; it is shown once and never stored.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Serialize)]
 pub(super) struct Granted {
     key: String,
     digest: String,
-    version: id::Revision,
+    pub(super) version: id::Revision,
 }
 
 /// Reads a document from the platform.
 pub(super) async fn document(admin: &Admin, name: &str) -> Result<Object, Error> {
+    check_name(name)?;
     let object = admin.store.get(Kind::Document, name).await.map_err(Error::Store)?;
     object.filter(|object| !object.deleted).ok_or(Error::Unknown)
 }
 
-/// Writes a document if it is valid and nobody else has changed it.
+/// Checks a document without writing it.
+pub(super) fn check(body: &[u8]) -> Result<Checked, Error> {
+    let text = std::str::from_utf8(body).map_err(|error| Error::Invalid(error.to_string()))?;
+    document::parse(text).map_err(Error::Faulty)
+}
+
+/// Writes a document if it is valid and nobody else has changed it; version 0 makes a new one.
 pub(super) async fn put_document(
     admin: &Admin,
     name: &str,
     expected: id::Revision,
     body: &[u8],
-) -> Result<id::Revision, Error> {
-    let text = std::str::from_utf8(body).map_err(|error| Error::Invalid(error.to_string()))?;
-    let checked = document::parse(text).map_err(|error| Error::Invalid(error.to_string()))?;
+) -> Result<Made, Error> {
+    check_name(name)?;
+    let checked = check(body)?;
     if checked.document.service.as_str() != name {
         return Err(Error::Invalid(format!("service: is not {name:?}")));
     }
-    let update =
-        Update { kind: Kind::Document, name: name.to_owned(), value: text.to_owned(), expected };
-    match admin.store.put(update).await {
+    let value = String::from_utf8_lossy(body).into_owned();
+    let mut update = Update { kind: Kind::Document, name: name.to_owned(), value, expected };
+    let mut put = admin.store.put(update.clone()).await;
+    if let Err(store::Error::Conflict(version)) = put
+        && expected == id::Revision::default()
+        && is_deleted(admin, name, version).await?
+    {
+        // A deleted object keeps its version, and a new one starts from there.
+        update.expected = version;
+        put = admin.store.put(update).await;
+    }
+    made(admin, name, put).await
+}
+
+async fn is_deleted(admin: &Admin, name: &str, version: id::Revision) -> Result<bool, Error> {
+    let object = admin.store.get(Kind::Document, name).await.map_err(Error::Store)?;
+    Ok(object.is_some_and(|object| object.deleted && object.version == version))
+}
+
+/// Deletes a document if nobody else has changed it.
+pub(super) async fn delete_document(
+    admin: &Admin,
+    name: &str,
+    expected: id::Revision,
+) -> Result<Made, Error> {
+    if expected == id::Revision::default() {
+        return Err(Error::Unversioned);
+    }
+    document(admin, name).await?;
+    let deleted = admin.store.delete(Kind::Document, name, expected).await;
+    made(admin, name, deleted).await
+}
+
+async fn made(
+    admin: &Admin,
+    name: &str,
+    written: Result<id::Revision, store::Error>,
+) -> Result<Made, Error> {
+    match written {
+        Ok(version) => Ok(Made { version, workspace: None }),
         Err(store::Error::Conflict(version)) => Err(conflict(admin, name, version).await),
-        put => put.map_err(Error::Store),
+        Err(error) => Err(Error::Store(error)),
     }
 }
 
@@ -95,6 +152,12 @@
     }
 }
 
+/// Refuses a name that no service can have, before it becomes a part of an address.
+fn check_name(name: &str) -> Result<(), Error> {
+    let checked = name.parse::<id::Service>();
+    checked.map(|_| ()).map_err(|error| Error::Invalid(error.to_string()))
+}
+
 /// Grants a key to a workspace; a key that any workspace has or had is refused.
 pub(super) async fn grant_key(admin: &Admin, grant: Grant) -> Result<Granted, Error> {
     let workspace = grant.workspace.parse::<id::Workspace>();
@@ -124,21 +187,29 @@
 }
 
 /// Withdraws a key for good.
-pub(super) async fn withdraw_key(admin: &Admin, digest: &str) -> Result<id::Revision, Error> {
+pub(super) async fn withdraw_key(admin: &Admin, digest: &str) -> Result<Made, Error> {
+    let digest = digest.parse::<id::Digest>();
+    let digest = digest.map_err(|_| Error::Invalid("digest: must be 64 hex digits".to_owned()))?;
+    let name = digest.to_string();
     loop {
-        let object = admin.store.get(Kind::Key, digest).await.map_err(Error::Store)?;
+        let object = admin.store.get(Kind::Key, &name).await.map_err(Error::Store)?;
         let object = object.ok_or(Error::Unknown)?;
         let key = parse(&object.value).map_err(|error| Error::Invalid(error.to_string()))?;
+        let workspace = Some(key.workspace.clone());
+        if key.withdrawn {
+            return Ok(Made { version: object.version, workspace });
+        }
         let update = Update {
             kind: Kind::Key,
-            name: digest.to_owned(),
+            name: name.clone(),
             value: render(&Key { withdrawn: true, ..key }),
             expected: object.version,
         };
         match admin.store.put(update).await {
+            Ok(version) => return Ok(Made { version, workspace }),
             // Another operator changed the key meanwhile; it must end up withdrawn all the same.
             Err(store::Error::Conflict(_)) => {}
-            put => return put.map_err(Error::Store),
+            Err(error) => return Err(Error::Store(error)),
         }
     }
 }
--- a/chicoryloom/src/admin/mod.rs
+++ b/chicoryloom/src/admin/mod.rs
@@ -1,19 +1,31 @@
 //! The administration API.
 
-mod api;
+mod access;
+mod answer;
+mod audit;
 mod change;
+mod document;
+mod histogram;
+mod key;
+mod show;
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use warp::Filter;
+use warp::Reply;
+use warp::filters::BoxedFilter;
+use warp::reply::Response;
 
 use crate::clock::Clock;
 use crate::config;
 use crate::control::Published;
 use crate::metrics::Metrics;
+use crate::proxy::Proxy;
 use crate::store::Store;
 
 /// Everything that the administration API uses.
@@ -24,6 +36,7 @@
     pub(crate) published: Arc<Published>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) proxy: Arc<Proxy>,
 }
 
 /// Starts the administration API and returns its address.
@@ -33,6 +46,21 @@
 ) -> io::Result<(SocketAddr, JoinHandle<()>)> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let task = tokio::spawn(warp::serve(api::routes(admin)).incoming(listener).run());
+    let task = tokio::spawn(warp::serve(routes(admin)).incoming(listener).run());
     Ok((address, task))
 }
+
+/// A route whose answers are complete, refusals included.
+type Route = BoxedFilter<(Response,)>;
+
+/// Returns the routes of the administration API.
+fn routes(admin: Arc<Admin>) -> BoxedFilter<(impl Reply,)> {
+    let admin = warp::any().map(move || admin.clone()).boxed();
+    let routes =
+        document::routes(&admin).or(key::routes(&admin)).unify().or(show::routes(&admin)).unify();
+    routes.recover(recover).unify().boxed()
+}
+
+async fn recover(rejection: warp::Rejection) -> Result<Response, Infallible> {
+    Ok(answer::reject(&rejection))
+}
--- /dev/null
+++ b/chicoryloom/src/admin/show.rs
@@ -0,0 +1,143 @@
+//! Calls that look at the fleet: status, explanations, histograms and metrics.
+
+use std::sync::Arc;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::document::Document;
+use chicoryloom_policy::id;
+use chicoryloom_wire::platform::Host;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use warp::Filter;
+use warp::Reply;
+use warp::filters::BoxedFilter;
+use warp::reply::Response;
+
+use super::Admin;
+use super::Route;
+use super::access;
+use super::access::Call;
+use super::answer;
+use super::histogram;
+use crate::refusals::Entry;
+use crate::refusals::Kind;
+
+/// Which refusals and targets to explain; a field that is not given takes all.
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Query {
+    service: Option<String>,
+    workspace: Option<String>,
+    code: Option<String>,
+}
+
+impl Query {
+    fn takes_service(&self, service: &str) -> bool {
+        self.service.as_ref().is_none_or(|asked| asked == service)
+    }
+
+    fn takes(&self, kind: &Kind) -> bool {
+        let workspace = kind.workspace.as_ref().map_or("", id::Workspace::as_str);
+        self.takes_service(kind.service.as_ref().map_or("", id::Service::as_str))
+            && self.workspace.as_ref().is_none_or(|asked| asked == workspace)
+            && self.code.as_ref().is_none_or(|asked| asked == kind.code.as_str())
+    }
+}
+
+/// Returns the routes that show the fleet.
+pub(super) fn routes(admin: &BoxedFilter<(Arc<Admin>,)>) -> Route {
+    let call = access::call(admin);
+    let status = warp::path!("v1" / "status").and(warp::get()).and(call.clone()).map(status);
+    let explain = warp::path!("v1" / "explain")
+        .and(warp::get())
+        .and(call.clone())
+        .and(warp::query())
+        .map(explain);
+    let histograms =
+        warp::path!("v1" / "histograms").and(warp::get()).and(call).map(|call: Call| {
+            answer::json(&json!({ "histograms": histogram::all(&call.admin.metrics) }))
+        });
+    let metrics = warp::path!("metrics")
+        .and(warp::get())
+        .and(admin.clone())
+        .map(|admin: Arc<Admin>| admin.metrics.page().into_response());
+    status.or(explain).unify().or(histograms).unify().or(metrics).unify().boxed()
+}
+
+fn status(call: Call) -> Response {
+    let admin = &call.admin;
+    let view = admin.published.view();
+    let now = admin.clock.now();
+    let mut documents: Vec<_> = view.documents.keys().collect();
+    documents.sort();
+    let mut hosts: Vec<_> = view.hosts.values().collect();
+    hosts.sort_by(|a, b| a.name.cmp(&b.name));
+    let hosts: Vec<_> = hosts.into_iter().map(host).collect();
+    answer::json(&json!({
+        "host": admin.proxy.name,
+        "revision": view.revision,
+        "fresh": admin.published.is_fresh(now),
+        "leaving": admin.published.is_leaving(),
+        "connections": admin.proxy.connections(),
+        "documents": documents,
+        "keys": view.keys.len(),
+        "hosts": view.hosts.len(),
+        "roster": hosts,
+    }))
+}
+
+fn host(host: &Host) -> Value {
+    json!({
+        "name": host.name,
+        "data_centre": host.data_centre,
+        "caller": host.caller.to_string(),
+        "leaving": host.leaving,
+    })
+}
+
+fn explain(call: Call, query: Query) -> Response {
+    let admin = &call.admin;
+    let view = admin.published.view();
+    let mut services: Vec<_> = view.documents.values().collect();
+    services.retain(|document| query.takes_service(document.service.as_str()));
+    services.sort_by(|a, b| a.service.cmp(&b.service));
+    let services: Vec<_> = services.into_iter().map(|document| service(admin, document)).collect();
+    let now = admin.clock.now();
+    let refusals = admin.proxy.refusals.latest(|kind| query.takes(kind));
+    let refusals: Vec<_> = refusals.iter().map(|(kind, entry)| refusal(kind, entry, now)).collect();
+    answer::json(&json!({ "services": services, "refusals": refusals }))
+}
+
+fn service(admin: &Admin, document: &Document) -> Value {
+    let view = admin.published.view();
+    let target = |target: &chicoryloom_policy::document::Target| {
+        let backend = admin.proxy.targets.backend(target);
+        let load = backend.load(target.slots.0);
+        let state = if target.leaving { "leaving, as its document says" } else { "in" };
+        json!({
+            "target": target.id.to_string(),
+            "data_centre": target.data_centre,
+            "state": state,
+            "slots": target.slots,
+            "in_flight": load.in_flight,
+            "latency_s": load.latency,
+        })
+    };
+    json!({
+        "service": document.service,
+        "homes": view.homes(&document.service),
+        "targets": document.targets.iter().map(target).collect::<Vec<_>>(),
+    })
+}
+
+fn refusal(kind: &Kind, entry: &Entry, now: Moment) -> Value {
+    let age = now.since_start().saturating_sub(entry.at.since_start());
+    json!({
+        "service": kind.service,
+        "workspace": kind.workspace,
+        "code": kind.code.as_str(),
+        "count": entry.count,
+        "detail": entry.detail,
+        "age_s": age.as_secs_f64(),
+    })
+}
--- a/chicoryloom/src/config/admin.rs
+++ b/chicoryloom/src/config/admin.rs
@@ -3,20 +3,38 @@
 use std::fmt;
 
 use chicoryloom_wire::generated::settings as raw;
+use smol_str::SmolStr;
 
 use super::Fault;
 use super::secret;
 
-/// Who may use the administration API.
+/// An operator, with the hash of the token that proves it.
+#[derive(Clone)]
+pub struct Operator {
+    /// Name in audit lines; unique.
+    pub name: SmolStr,
+    token: blake3::Hash,
+}
+
+/// Who may use the administration API; nobody if there is no operator.
 #[derive(Clone, Default)]
 pub struct Admin {
-    /// Operator tokens; none means that nobody may.
-    pub tokens: Vec<String>,
+    operators: Vec<Operator>,
+}
+
+impl Admin {
+    /// Returns the operator whose token is shown.
+    pub(crate) fn operator(&self, token: &str) -> Option<&Operator> {
+        // Comparing hashes takes constant time; comparing texts would not.
+        let shown = blake3::hash(token.as_bytes());
+        self.operators.iter().find(|operator| operator.token == shown)
+    }
 }
 
 impl fmt::Debug for Admin {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Admin {{ {} tokens }}", self.tokens.len())
+        let names = self.operators.iter().map(|operator| &operator.name);
+        f.debug_list().entries(names).finish()
     }
 }
 
@@ -24,7 +42,24 @@
     type Error = Fault;
 
     fn try_from(raw: raw::Admin) -> Result<Self, Self::Error> {
-        let read = |text: &String| secret::read("admin.tokens", text);
-        Ok(Self { tokens: raw.tokens.iter().map(read).collect::<Result<_, _>>()? })
+        let mut operators: Vec<Operator> = Vec::with_capacity(raw.tokens.len());
+        for token in raw.tokens {
+            let name = check_name(&token.name)?;
+            if operators.iter().any(|operator| operator.name == name) {
+                return Err(Fault::new("admin.tokens", format!("name {name:?} stands twice")));
+            }
+            let secret = secret::read("admin.tokens", &token.token)?;
+            operators.push(Operator { name, token: blake3::hash(secret.as_bytes()) });
+        }
+        Ok(Self { operators })
+    }
+}
+
+/// Checks a name, which must not break the lines of a log.
+fn check_name(name: &str) -> Result<SmolStr, Fault> {
+    if name.is_empty() || name.chars().any(|c| c.is_control() || c.is_whitespace()) {
+        let reason = format!("name {name:?} is empty or holds a space");
+        return Err(Fault::new("admin.tokens", reason));
     }
+    Ok(SmolStr::new(name))
 }
--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 
 use chicoryloom_policy::id;
 use tokio::net::UdpSocket;
@@ -26,6 +27,7 @@
 use crate::peer;
 use crate::proxy::Listener;
 use crate::proxy::Proxy;
+use crate::refusals::Refusals;
 use crate::store::HttpStore;
 use crate::store::Store;
 use crate::target::Targets;
@@ -106,10 +108,13 @@
             grants: Grants::default(),
             targets: Targets::new(source, settings.proxy.connect_timeout),
             metrics: metrics.clone(),
+            refusals: Refusals::default(),
+            open: AtomicUsize::new(0),
         });
-        let listener = Listener::start(settings.listen.caller, proxy).await.map_err(|error| {
-            Error::Bind { step: "caller", address: settings.listen.caller, error }
-        })?;
+        let listener =
+            Listener::start(settings.listen.caller, proxy.clone()).await.map_err(|error| {
+                Error::Bind { step: "caller", address: settings.listen.caller, error }
+            })?;
 
         let mut tasks = vec![
             tokio::spawn(receive(socket, &settings, metrics.clone(), control.clone())),
@@ -129,6 +134,7 @@
                 published: published.clone(),
                 store,
                 metrics,
+                proxy,
             });
             let started = admin::start(address, admin).await;
             let (address, task) =
--- a/chicoryloom/src/metrics.rs
+++ b/chicoryloom/src/metrics.rs
@@ -13,11 +13,15 @@
 use prometheus::Encoder;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use prometheus::proto::MetricFamily;
 
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 14] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0];
 
+/// Name of the latency histograms.
+pub(crate) const REQUESTS: &str = "chicory_request_seconds";
+
 /// Metrics of one host.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -49,7 +53,7 @@
         let meter = provider.meter("chicoryloom");
         Self {
             requests: meter
-                .f64_histogram("chicory_request_seconds")
+                .f64_histogram(REQUESTS)
                 .with_description("Time to the head of the answer.")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
@@ -88,6 +92,11 @@
         self.peer_bytes.add(bytes as u64, &[]);
     }
 
+    /// Returns all metrics as they are now.
+    pub(crate) fn gather(&self) -> Vec<MetricFamily> {
+        self.registry.gather()
+    }
+
     /// Returns all metrics in Prometheus' text format.
     pub(crate) fn page(&self) -> String {
         let mut page = Vec::new();
--- a/chicoryloom/src/proxy/key.rs
+++ b/chicoryloom/src/proxy/key.rs
@@ -37,7 +37,8 @@
     Ok(first.and_then(of_bearer))
 }
 
-fn of_bearer(value: &HeaderValue) -> Option<&str> {
+/// Returns the key within the value of an authorization header.
+pub(super) fn of_bearer(value: &HeaderValue) -> Option<&str> {
     let (scheme, key) = value.to_str().ok()?.split_at_checked(SCHEME.len())?;
     scheme.eq_ignore_ascii_case(SCHEME).then(|| key.trim())
 }
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -13,6 +13,8 @@
 mod stream;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,6 +35,7 @@
 use crate::locator;
 use crate::metrics::Labels;
 use crate::metrics::Metrics;
+use crate::refusals::Refusals;
 use crate::target::Body;
 use crate::target::Targets;
 
@@ -52,18 +55,29 @@
     pub(crate) grants: Grants,
     pub(crate) targets: Targets,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) refusals: Refusals,
+    /// Connections of callers that are open.
+    pub(crate) open: AtomicUsize,
 }
 
 impl Proxy {
     /// Answers one request of a caller.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let origin = request::Origin::of(&request);
         let answered = self.checked_answer(request).await;
         answered.unwrap_or_else(|refusal| {
             self.metrics.refusal(refusal.code);
+            let kind = origin.kind(&self.published.view(), refusal.code);
+            self.refusals.record(kind, &refusal, self.clock.now());
             answer::refuse(&refusal)
         })
     }
 
+    /// Returns how many connections of callers are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     async fn checked_answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
         form::check(&request, &self.settings)?;
         match Resource::of(request.uri())? {
@@ -81,7 +95,7 @@
         let max_age = u32::try_from(self.settings.max_age.as_secs()).unwrap_or(u32::MAX);
         let seed = request::seed(request.headers());
         let hosts = locator::locate(&view, service, seed, max_age)
-            .ok_or_else(|| Refusal::not_run(Code::Route, format!("no service {service}")))?;
+            .ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
         Ok(answer::json(&hosts))
     }
 
--- a/chicoryloom/src/proxy/request.rs
+++ b/chicoryloom/src/proxy/request.rs
@@ -8,13 +8,16 @@
 use chicoryloom_wire::caller::Code;
 use chicoryloom_wire::caller::Refusal;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Uri;
+use http::header::AUTHORIZATION;
 
 use super::key;
 use super::key::Secret;
 use super::path;
 use crate::control::View;
+use crate::refusals::Kind;
 
 /// Path prefix of the fleet's own resources.
 const OWN_PREFIX: &str = "/chicory/v1/";
@@ -38,7 +41,7 @@
         let rest = whole.strip_prefix('/').unwrap_or(whole);
         let end = rest.find(['/', '?']).unwrap_or(rest.len());
         let service =
-            rest[..end].parse().map_err(|error| no_route(&format!("service: {error}")))?;
+            rest[..end].parse().map_err(|_| no_route("the path starts with no service's name"))?;
         let path = match &rest[end..] {
             "" => "/".to_owned(),
             query if query.starts_with('?') => format!("/{query}"),
@@ -53,7 +56,7 @@
         }
         let service = query.split('&').find_map(|pair| pair.strip_prefix("service="));
         let service = service.ok_or_else(|| no_route("name a service: ?service=NAME"))?;
-        let service = service.parse().map_err(|error| no_route(&format!("service: {error}")))?;
+        let service = service.parse().map_err(|_| no_route("service: not a name"))?;
         Ok(Self::Hosts { service })
     }
 }
@@ -62,6 +65,31 @@
     Refusal::not_run(Code::Route, detail)
 }
 
+/// Where a request came from and went, kept for the case that it is refused.
+#[derive(Clone, Debug)]
+pub(super) struct Origin {
+    uri: Uri,
+    authorization: Option<HeaderValue>,
+}
+
+impl Origin {
+    pub(super) fn of<B>(request: &Request<B>) -> Self {
+        let authorization = request.headers().get(AUTHORIZATION).cloned();
+        Self { uri: request.uri().clone(), authorization }
+    }
+
+    /// Returns what a refusal of the request is recorded under.
+    pub(super) fn kind(&self, view: &View, code: Code) -> Kind {
+        // A segment that names no service could hold anything, a key included.
+        let service = self.uri.path().split('/').nth(1).and_then(|name| name.parse().ok());
+        let service = service.filter(|service| view.documents.contains_key(service));
+        let key = self.authorization.as_ref().and_then(key::of_bearer);
+        let digest = key.map(id::Digest::of);
+        let workspace = digest.and_then(|digest| view.workspace(&digest).cloned());
+        Kind { service, workspace, code }
+    }
+}
+
 /// A request for a service, matched with the service's document.
 #[derive(Clone, Debug)]
 pub(super) struct Asked {
@@ -80,7 +108,7 @@
         path: String,
     ) -> Result<Self, Refusal> {
         let document = view.documents.get(&service);
-        let document = document.ok_or_else(|| no_route(&format!("no service {service}")))?.clone();
+        let document = document.ok_or_else(|| no_route("no service of this name"))?.clone();
         let key = key::shown(request.headers())?;
         let path = Secret::new(key, view).strip_path(path)?;
         let bare = path::decode(path.split('?').next().unwrap_or_default())?;
--- a/chicoryloom/src/store/http.rs
+++ b/chicoryloom/src/store/http.rs
@@ -11,6 +11,7 @@
 use chicoryloom_wire::platform::Kind;
 use chicoryloom_wire::platform::Object;
 use reqwest::Client;
+use reqwest::Method;
 use reqwest::StatusCode;
 use reqwest::Url;
 use serde::de::DeserializeOwned;
@@ -83,14 +84,19 @@
         response.json().await.map_err(|error| self.no_answer(step, &error))
     }
 
-    async fn try_put(&self, update: &Update, write: &str) -> Result<id::Revision, Error> {
+    async fn try_write(
+        &self,
+        method: &Method,
+        update: &Update,
+        write: &str,
+    ) -> Result<id::Revision, Error> {
         let url = self.url(&format!("/v1/objects/{}/{}", update.kind, update.name));
         let body = raw::Put {
             expected: update.expected.0,
             value: update.value.clone(),
             write: write.to_owned(),
         };
-        let request = self.client.put(url).json(&body);
+        let request = self.client.request(method.clone(), url).json(&body);
         let response = self.send(Step::Put, request, self.timeout).await?;
         if response.status() == StatusCode::CONFLICT {
             let version: raw::Version =
@@ -106,23 +112,11 @@
         let object = self.get(update.kind, &update.name).await?;
         Ok(object.filter(|object| object.write == write).map(|object| object.version))
     }
-}
 
-#[async_trait]
-impl Store for HttpStore {
-    async fn get(&self, kind: Kind, name: &str) -> Result<Option<Object>, Error> {
-        let request = self.client.get(self.url(&format!("/v1/objects/{kind}/{name}")));
-        let response = self.send(Step::Get, request, self.timeout).await?;
-        if response.status() == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        let object: raw::Object = self.read(Step::Get, response).await?;
-        Ok(object.try_into().ok())
-    }
-
-    async fn put(&self, update: Update) -> Result<id::Revision, Error> {
+    /// Applies a conditional update, and settles it by reading back if its answer is lost.
+    async fn write(&self, method: &Method, update: Update) -> Result<id::Revision, Error> {
         let write = format!("{:032x}", rand::random::<u128>());
-        let mut last = match self.try_put(&update, &write).await {
+        let mut last = match self.try_write(method, &update, &write).await {
             Err(error @ Error::NoAnswer { .. }) => error,
             settled => return settled,
         };
@@ -131,7 +125,7 @@
                 return Ok(version);
             }
             // The same condition holds for the repeat, so at most one of them takes effect.
-            match self.try_put(&update, &write).await {
+            match self.try_write(method, &update, &write).await {
                 Err(error @ Error::NoAnswer { .. }) => last = error,
                 Err(Error::Conflict(version)) => {
                     let settled = self.settled(&update, &write).await?;
@@ -142,6 +136,33 @@
         }
         Err(last)
     }
+}
+
+#[async_trait]
+impl Store for HttpStore {
+    async fn get(&self, kind: Kind, name: &str) -> Result<Option<Object>, Error> {
+        let request = self.client.get(self.url(&format!("/v1/objects/{kind}/{name}")));
+        let response = self.send(Step::Get, request, self.timeout).await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let object: raw::Object = self.read(Step::Get, response).await?;
+        Ok(object.try_into().ok())
+    }
+
+    async fn put(&self, update: Update) -> Result<id::Revision, Error> {
+        self.write(&Method::PUT, update).await
+    }
+
+    async fn delete(
+        &self,
+        kind: Kind,
+        name: &str,
+        expected: id::Revision,
+    ) -> Result<id::Revision, Error> {
+        let update = Update { kind, name: name.to_owned(), value: String::new(), expected };
+        self.write(&Method::DELETE, update).await
+    }
 
     async fn changes(&self, since: id::Revision, wait: Duration) -> Result<Changes, Error> {
         let mut url = self.url("/v1/changes");
--- a/chicoryloom/src/store/mod.rs
+++ b/chicoryloom/src/store/mod.rs
@@ -78,6 +78,16 @@
     /// A lost answer is settled by reading back, so `NoAnswer` means that the platform is away.
     async fn put(&self, update: Update) -> Result<id::Revision, Error>;
 
+    /// Deletes an object if it has the expected version, and returns the version of the deletion.
+    ///
+    /// A lost answer is settled as with [`Store::put`].
+    async fn delete(
+        &self,
+        kind: Kind,
+        name: &str,
+        expected: id::Revision,
+    ) -> Result<id::Revision, Error>;
+
     /// Returns what has changed after a revision, waiting for a change up to `wait`.
     async fn changes(&self, since: id::Revision, wait: Duration) -> Result<Changes, Error>;
 
--- a/chicoryloom_dev/src/fleet.rs
+++ b/chicoryloom_dev/src/fleet.rs
@@ -159,7 +159,7 @@
         "listen": { "caller": any, "peer": any, "admin": any },
         "platform": { "url": format!("http://{platform}") },
         "peers": { "secret": "development" },
-        "admin": { "tokens": [TOKEN] },
+        "admin": { "tokens": [{ "name": "newcomer", "token": TOKEN }] },
         "log": { "level": "warn" },
     });
     let parsed = yaml::parse::<chicoryloom_wire::generated::settings::Settings>(&text.to_string())?;
--- a/chicoryloom_harness/src/fleet.rs
+++ b/chicoryloom_harness/src/fleet.rs
@@ -182,7 +182,7 @@
              listen: {{ caller: '{source}:0', peer: '{source}:0', admin: '{source}:0' }}\n\
              platform: {{ url: 'http://{platform}', timeout_ms: 1000 }}\n\
              peers: {{ secret: harness, seeds: {} }}\n\
-             admin: {{ tokens: [{TOKEN}] }}\n\
+             admin: {{ tokens: [{{ name: harness, token: {TOKEN} }}] }}\n\
              {}\n",
             json!(seeds),
             self.plan.settings,
--- a/chicoryloom_wire/src/document.rs
+++ b/chicoryloom_wire/src/document.rs
@@ -152,8 +152,13 @@
     }
 
     fn route(&mut self, field: &str, raw: raw::Route) -> Option<Route> {
-        if !raw.path.starts_with('/') {
-            self.fault(format!("{field}.path"), "must start with a slash");
+        if let Some(reason) = path_fault(&raw.path) {
+            self.fault(format!("{field}.path"), reason);
+        }
+        for (index, method) in raw.methods.iter().enumerate() {
+            if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_alphabetic()) {
+                self.fault(format!("{field}.methods[{index}]"), "must be letters only");
+            }
         }
         if raw.deadline_ms == 0 || raw.deadline_ms > MAX_DEADLINE_MS {
             let reason = format!("must be 1 to {MAX_DEADLINE_MS}");
@@ -212,6 +217,9 @@
                 self.fault(format!("{field}.address"), format!("{:?} stands twice", raw.address));
             }
             let id = self.parse(&format!("{field}.address"), &raw.address);
+            if let Some(reason) = id.and_then(address_fault) {
+                self.fault(format!("{field}.address"), reason);
+            }
             let data_centre = self.parse(&format!("{field}.data_centre"), &raw.data_centre);
             let (Some(id), Some(data_centre)) = (id, data_centre) else {
                 continue;
@@ -228,8 +236,31 @@
     }
 }
 
+/// Returns why no request could ever match a path, or `None`.
+fn path_fault(path: &str) -> Option<&'static str> {
+    if !path.starts_with('/') {
+        return Some("must start with a slash");
+    }
+    if path.contains(['%', '?', '#', '\\']) || path.chars().any(char::is_control) {
+        return Some("must be the decoded path, without query or backslash");
+    }
+    if path.contains("//") || path.split('/').any(|segment| matches!(segment, "." | "..")) {
+        return Some("must hold no empty segment and no dot segment");
+    }
+    None
+}
+
+/// Returns why no host could connect to an address, or `None`.
+fn address_fault(address: id::Target) -> Option<&'static str> {
+    let id::Target(address) = address;
+    let cast = address.ip().is_unspecified() || address.ip().is_multicast();
+    (cast || address.port() == 0).then_some("must be the address of one host, with a port")
+}
+
 #[cfg(test)]
 mod tests {
+    use rstest::rstest;
+
     use super::*;
 
     const GOOD: &str = "
@@ -251,6 +282,27 @@
         assert_eq!(document.route("POST", "/seatsale").unwrap().name.as_str(), "all");
     }
 
+    #[rstest]
+    #[case("path: /seats", "path: /%73eats", "routes[1].path")]
+    #[case("path: /seats", "path: /a/../b", "routes[1].path")]
+    #[case("path: /seats", "path: seats", "routes[1].path")]
+    #[case("[post]", "['po st']", "routes[1].methods[0]")]
+    #[case("127.0.0.1:9", "127.0.0.1:0", "targets[0].address")]
+    #[case("127.0.0.1:9", "localhost:9", "targets[0].address")]
+    #[case("slots: 2, connections: 350 }", "slots: 2, connections: 0 }", "targets[0].connections")]
+    #[case("burst: 4", "burst: 0", "workspaces[0].burst")]
+    #[case("service: calendar", "service: Calendar", "service")]
+    #[case("service: calendar", "service: calendar\nfloor: 1.5", "floor")]
+    #[case("name: seats", "name: all", "routes[1].name")]
+    #[case("path: / }", "path: /, deadline_ms: 0 }", "routes[0].deadline_ms")]
+    fn fault_is_named(#[case] from: &str, #[case] to: &str, #[case] field: &str) {
+        let Err(Error::Faults(faults)) = parse(&GOOD.replace(from, to)) else {
+            panic!("document was accepted")
+        };
+        let fields: Vec<_> = faults.iter().map(|fault| fault.field.as_str()).collect();
+        assert_eq!(fields, [field]);
+    }
+
     #[test]
     fn all_faults_are_named() {
         let text = GOOD.replace("rate: 2.5", "rate: 0").replace("slots: 2", "slots: 0");
