--- /dev/null
+++ b/chicoryloom_policy/examples/detection.rs
@@ -0,0 +1,468 @@
+//! Detection time and false ejections of the three ways to find gray targets.
+//!
+//! Home hosts send generated requests to targets with slots and queues, exchange reports, and
+//! decide; every way sees the same seeds. Run with
+//! `cargo run --release -p chicoryloom_policy --example detection -- [seeds] [healthy-seconds]`.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::document::Document;
+use chicoryloom_policy::document::Route;
+use chicoryloom_policy::document::Target;
+use chicoryloom_policy::health::Board;
+use chicoryloom_policy::health::Detection;
+use chicoryloom_policy::health::Failed;
+use chicoryloom_policy::health::Outcome;
+use chicoryloom_policy::health::Standing;
+use chicoryloom_policy::id;
+use chicoryloom_policy::pick;
+use chicoryloom_policy::pick::Load;
+use chicoryloom_policy::unit::Connections;
+use chicoryloom_policy::unit::Share;
+use chicoryloom_policy::unit::Slots;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const HOMES: usize = 4;
+const ROUTES: usize = 2;
+/// Typical time of a run, in microseconds.
+const TYPICAL: f64 = 20_000.0;
+/// Spread of the time of a run, in natural log units.
+const SPREAD: f64 = 0.5;
+/// Deadline of the routes, in microseconds.
+const DEADLINE: u64 = 2_000_000;
+/// Time between reports and decisions, in microseconds.
+const TICK: u64 = 50_000;
+/// Share of requests that fail, and that take long, at healthy targets.
+const NOISE: f64 = 0.001;
+/// Factor on the time of requests that take long at healthy targets.
+const OUTLIER: f64 = 20.0;
+/// When the fault begins, in microseconds.
+const FAULT_AT: u64 = 10_000_000;
+/// When a run with a fault ends, in microseconds.
+const FAULT_END: u64 = 40_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    Slow,
+    Errors,
+    OneRoute,
+    Hang,
+    Refuse,
+    Flap,
+    HalfSlow,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Size {
+    name: &'static str,
+    targets: usize,
+    slots: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Late { attempt: usize, level: u32 },
+    End { attempt: usize },
+    Tick,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    host: usize,
+    target: usize,
+    route: usize,
+    started: u64,
+    failed: Option<Failed>,
+    late: bool,
+    ended: bool,
+}
+
+#[derive(Debug, Default)]
+struct Found {
+    /// When the first and when all hosts had ejected a sick target, since the fault.
+    first: Option<u64>,
+    all: Option<u64>,
+    /// Ejections by one host of targets without a fault.
+    wrong: u64,
+}
+
+struct Run {
+    size: Size,
+    fault: Fault,
+    rng: Pcg64Mcg,
+    boards: Vec<Board>,
+    /// When each slot of each target gets free.
+    free: Vec<Vec<u64>>,
+    in_flight: Vec<Vec<u32>>,
+    latency: Vec<Vec<f64>>,
+    out: Vec<Vec<bool>>,
+    attempts: Vec<Attempt>,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    gap: f64,
+    sequence: u64,
+    found: Found,
+}
+
+fn moment(micros: u64) -> Moment {
+    Moment::from_start(Duration::from_micros(micros + 1_000_000))
+}
+
+fn document(size: Size) -> Document {
+    let route = |n: usize| Route {
+        name: format!("route-{n}").parse().unwrap(),
+        path: format!("/{n}").into(),
+        methods: Vec::new(),
+        repeatable: n == 0,
+        open: false,
+        deadline: Duration::from_micros(DEADLINE),
+        class: "default".parse().unwrap(),
+    };
+    let target = |n: usize| Target {
+        id: format!("10.0.0.{}:80", n + 1).parse().unwrap(),
+        data_centre: "regina".parse().unwrap(),
+        slots: Slots(size.slots),
+        connections: Connections(350),
+        leaving: false,
+    };
+    Document {
+        service: "service".parse().unwrap(),
+        floor: Share::new(0.5).unwrap(),
+        routes: (0..ROUTES).map(|n| Arc::new(route(n))).collect(),
+        grants: HashMap::new(),
+        targets: (0..size.targets).map(target).collect(),
+    }
+}
+
+impl Run {
+    fn new(size: Size, fault: Fault, detection: Detection, load: f64, seed: u64) -> Self {
+        let document = document(size);
+        let boards = (0..HOMES).map(|_| {
+            let mut board = Board::new(detection);
+            board.configure(&document, moment(0));
+            board
+        });
+        let mean = TYPICAL * (SPREAD * SPREAD / 2.0).exp();
+        let capacity = size.targets as f64 * f64::from(size.slots) / mean;
+        Self {
+            size,
+            fault,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            boards: boards.collect(),
+            free: vec![vec![0; size.slots as usize]; size.targets],
+            in_flight: vec![vec![0; size.targets]; HOMES],
+            latency: vec![vec![TYPICAL; size.targets]; HOMES],
+            out: vec![vec![false; size.targets]; HOMES],
+            attempts: Vec::new(),
+            events: BinaryHeap::new(),
+            gap: 1.0 / (load * capacity),
+            sequence: 0,
+            found: Found::default(),
+        }
+    }
+
+    fn sick(&self, target: usize, at: u64) -> bool {
+        let one = target == 0;
+        at >= FAULT_AT
+            && match self.fault {
+                Fault::None => false,
+                Fault::HalfSlow => target < self.size.targets / 2,
+                Fault::Flap => one && (at / 2_000_000).is_multiple_of(2),
+                _ => one,
+            }
+    }
+
+    fn faulty(&self, target: usize) -> bool {
+        match self.fault {
+            Fault::None => false,
+            Fault::HalfSlow => target < self.size.targets / 2,
+            _ => target == 0,
+        }
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.events.push(Reverse((at, event)));
+    }
+
+    fn run(mut self, end: u64) -> Found {
+        self.push(0, Event::Arrive);
+        self.push(TICK, Event::Tick);
+        while let Some(Reverse((at, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            match event {
+                Event::Arrive => self.arrive(at),
+                Event::Late { attempt, level } => self.late(at, attempt, level),
+                Event::End { attempt } => self.end(at, attempt),
+                Event::Tick => self.tick(at),
+            }
+        }
+        self.found
+    }
+
+    fn arrive(&mut self, at: u64) {
+        let draw: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
+        self.push(at + (-draw.ln() * self.gap) as u64 + 1, Event::Arrive);
+        let host = self.rng.random_range(0..HOMES);
+        let route = self.rng.random_range(0..ROUTES);
+        let Some(target) = self.pick(at, host, route) else {
+            return;
+        };
+        let (end, failed) = self.serve(at, target, route);
+        let attempt = self.attempts.len();
+        self.in_flight[host][target] += 1;
+        let limit = self.boards[host].limit(route);
+        let entry = Attempt { host, target, route, started: at, failed, late: false, ended: false };
+        self.attempts.push(entry);
+        self.push(end, Event::End { attempt });
+        let limit = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
+        if limit < end - at {
+            self.push(at + limit, Event::Late { attempt, level: 1 });
+        }
+    }
+
+    fn pick(&mut self, at: u64, host: usize, route: usize) -> Option<usize> {
+        let now = moment(at);
+        let mut usable = Vec::new();
+        let mut loads = Vec::new();
+        for target in 0..self.size.targets {
+            let weight = match self.boards[host].standing(target, route, now) {
+                Standing::In(weight) => weight,
+                Standing::Trial if route == 0 => {
+                    if self.boards[host].take_trial(target, route, now) {
+                        return Some(target);
+                    }
+                    continue;
+                }
+                Standing::Trial | Standing::Out => continue,
+            };
+            if weight < 1.0 && !self.rng.random_bool(weight) {
+                continue;
+            }
+            usable.push(target);
+            loads.push(Load {
+                in_flight: self.in_flight[host][target],
+                slots: self.size.slots,
+                latency: self.latency[host][target],
+            });
+        }
+        pick::choose(&loads, &mut self.rng).map(|chosen| usable[chosen])
+    }
+
+    /// Returns when an attempt ends, and how.
+    fn serve(&mut self, at: u64, target: usize, route: usize) -> (u64, Option<Failed>) {
+        let sick = self.sick(target, at);
+        if sick && self.fault == Fault::Refuse {
+            return (at + 1000, Some(Failed::Refused));
+        }
+        if sick && self.fault == Fault::Hang {
+            return (at + DEADLINE, Some(Failed::Timeout));
+        }
+        let normal: f64 = (0..12).map(|_| self.rng.random::<f64>()).sum::<f64>() - 6.0;
+        let mut took = TYPICAL * (SPREAD * normal).exp();
+        if sick && matches!(self.fault, Fault::Slow | Fault::HalfSlow | Fault::Flap) {
+            took *= 10.0;
+        }
+        if self.rng.random_bool(NOISE) {
+            took *= OUTLIER;
+        }
+        let share = match self.fault {
+            Fault::Errors if sick => 0.5,
+            Fault::OneRoute if sick && route == 1 => 1.0,
+            _ => NOISE,
+        };
+        let failed = self.rng.random_bool(share).then_some(Failed::Error);
+        let slot = self.free[target].iter_mut().min().expect("a target has slots");
+        *slot = (*slot).max(at) + took as u64;
+        match *slot - at {
+            took if took < DEADLINE => (at + took, failed),
+            _ => (at + DEADLINE, Some(Failed::Timeout)),
+        }
+    }
+
+    fn observe(&mut self, at: u64, attempt: usize, outcome: Outcome) {
+        let Attempt { host, target, route, .. } = self.attempts[attempt];
+        if self.boards[host].observe(target, route, outcome, moment(at)) {
+            self.decide(at, host);
+        }
+    }
+
+    fn late(&mut self, at: u64, attempt: usize, level: u32) {
+        let Attempt { started, ended, .. } = self.attempts[attempt];
+        if ended {
+            return;
+        }
+        self.attempts[attempt].late = true;
+        self.observe(at, attempt, Outcome::Late);
+        if level < 3 {
+            self.push(at + (at - started), Event::Late { attempt, level: level + 1 });
+        }
+    }
+
+    fn end(&mut self, at: u64, attempt: usize) {
+        let Attempt { host, target, started, failed, late, .. } = self.attempts[attempt];
+        self.attempts[attempt].ended = true;
+        self.in_flight[host][target] -= 1;
+        let latency = &mut self.latency[host][target];
+        *latency += 0.2 * ((at - started) as f64 - *latency);
+        let took = Duration::from_micros(at - started);
+        let outcome = failed.map_or(Outcome::Ok { took, late }, Outcome::Failed);
+        self.observe(at, attempt, outcome);
+    }
+
+    fn tick(&mut self, at: u64) {
+        self.push(at + TICK, Event::Tick);
+        self.sequence += 1;
+        let now = moment(at);
+        let reports: Vec<_> = self.boards.iter().map(|board| board.reports(now)).collect();
+        for host in 0..HOMES {
+            for (peer, reports) in reports.iter().enumerate().filter(|(peer, _)| *peer != host) {
+                let name = format!("host-{peer}").parse().unwrap();
+                let sequence = (id::Incarnation(1), self.sequence);
+                self.boards[host].hear(name, sequence, reports, now);
+            }
+            self.decide(at, host);
+        }
+    }
+
+    fn decide(&mut self, at: u64, host: usize) {
+        let now = moment(at);
+        if !self.boards[host].decide(now) {
+            return;
+        }
+        for target in 0..self.size.targets {
+            let out = (0..ROUTES).any(|route| {
+                !matches!(self.boards[host].standing(target, route, now), Standing::In(_))
+            });
+            let newly = out && !self.out[host][target];
+            self.out[host][target] = out;
+            if newly && (!self.faulty(target) || at < FAULT_AT) {
+                self.found.wrong += 1;
+            }
+            if newly && self.faulty(target) && at >= FAULT_AT {
+                self.found.first.get_or_insert(at - FAULT_AT);
+            }
+        }
+        let sick: Vec<_> = (0..self.size.targets).filter(|t| self.faulty(*t)).collect();
+        let all = self.out.iter().all(|out| sick.iter().all(|target| out[*target]));
+        if all && !sick.is_empty() && at >= FAULT_AT {
+            self.found.all.get_or_insert(at - FAULT_AT);
+        }
+    }
+}
+
+/// Returns a quantile, with runs that found nothing sorted last.
+fn quantile(values: &mut [Option<u64>], q: f64) -> String {
+    values.sort_by_key(|value| value.unwrap_or(u64::MAX));
+    let index = ((values.len() as f64 * q).ceil() as usize).clamp(1, values.len()) - 1;
+    values[index].map_or("never".to_owned(), |micros| format!("{}", micros / 1000))
+}
+
+fn faults(size: Size, seeds: u64) {
+    let kinds = [
+        Fault::Slow,
+        Fault::Errors,
+        Fault::OneRoute,
+        Fault::Hang,
+        Fault::Refuse,
+        Fault::Flap,
+        Fault::HalfSlow,
+    ];
+    for fault in kinds {
+        for detection in [Detection::Sequential, Detection::Consecutive, Detection::Window] {
+            let runs: Vec<_> = (0..seeds)
+                .map(|seed| Run::new(size, fault, detection, 0.5, seed).run(FAULT_END))
+                .collect();
+            let mut first: Vec<_> = runs.iter().map(|run| run.first).collect();
+            let mut all: Vec<_> = runs.iter().map(|run| run.all).collect();
+            let wrong: u64 = runs.iter().map(|run| run.wrong).sum();
+            println!(
+                "{:<10} {:<9} {:<11} first p50 {:>6} p99 {:>6}  all p50 {:>6} p99 {:>6}  wrong {wrong}",
+                size.name,
+                format!("{fault:?}"),
+                format!("{detection:?}"),
+                quantile(&mut first, 0.5),
+                quantile(&mut first, 0.99),
+                quantile(&mut all, 0.5),
+                quantile(&mut all, 0.99),
+            );
+        }
+    }
+}
+
+fn healthy(size: Size, seeds: u64, seconds: u64) {
+    for load in [0.2, 0.6, 0.9] {
+        for detection in [Detection::Sequential, Detection::Consecutive, Detection::Window] {
+            let wrong: u64 = (0..seeds)
+                .map(|seed| Run::new(size, Fault::None, detection, load, seed))
+                .map(|run| run.run(seconds * 1_000_000).wrong)
+                .sum();
+            let days = seeds as f64 * seconds as f64 * size.targets as f64 / 86_400.0;
+            // Each host decides for itself, so one target can be ejected by each of them.
+            let rate = wrong as f64 / HOMES as f64 / days;
+            println!(
+                "{:<10} healthy at {load:.1} {:<11} {wrong} ejections by a host in {days:.2} target-days: {rate:.2} a target-day",
+                size.name,
+                format!("{detection:?}"),
+            );
+        }
+    }
+}
+
+fn costs(size: Size) {
+    const ROUNDS: u32 = 1_000_000;
+    let mut board = Board::new(Detection::Sequential);
+    board.configure(&document(size), moment(0));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let outcome = Outcome::Ok { took: Duration::from_millis(5), late: false };
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let target = round as usize % size.targets;
+        let now = moment(u64::from(round));
+        black_box(board.observe(target, 0, black_box(outcome), now));
+    }
+    let update = start.elapsed().as_nanos() / u128::from(ROUNDS);
+    let loads: Vec<_> = (0..size.targets)
+        .map(|n| Load { in_flight: n as u32 % 3, slots: size.slots, latency: 0.01 })
+        .collect();
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        black_box(pick::choose(black_box(&loads), &mut rng));
+    }
+    let choice = start.elapsed().as_nanos() / u128::from(ROUNDS);
+    let start = Instant::now();
+    for round in 0..ROUNDS / 100 {
+        black_box(board.decide(moment(2_000_000 + u64::from(round) * TICK)));
+    }
+    let decision = start.elapsed().as_nanos() / u128::from(ROUNDS / 100);
+    println!(
+        "{:<10} evidence update {update} ns, choice {choice} ns, decision {decision} ns",
+        size.name
+    );
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1).map(|text| text.parse::<u64>());
+    let seeds = arguments.next().and_then(Result::ok).unwrap_or(20);
+    let seconds = arguments.next().and_then(Result::ok).unwrap_or(600);
+    let sizes = [
+        Size { name: "highline", targets: 10, slots: 2 },
+        Size { name: "servicio", targets: 13, slots: 6 },
+    ];
+    for size in sizes {
+        costs(size);
+        faults(size, seeds);
+        healthy(size, seeds, seconds);
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/src/health/board.rs
@@ -0,0 +1,319 @@
+//! What one home host knows of one service's targets.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::SICK;
+use super::cell::Cell;
+use super::cell::Detection;
+use super::entry::Entry;
+use super::entry::RouteState;
+use super::entry::Tally;
+use super::floor::Floor;
+use super::gate::Gate;
+use super::gate::Standing;
+use super::gate::State;
+use super::outcome::Failed;
+use super::outcome::Outcome;
+use super::reference::Reference;
+use super::share;
+use super::share::Peers;
+use super::share::Report;
+use super::share::Reports;
+use crate::Moment;
+use crate::document::Document;
+use crate::id;
+
+/// Evidence left after a return, so that a relapse is found sooner.
+const AFTER_RETURN: f64 = SICK / 3.0;
+/// Evidence below which nothing is reported.
+const MIN_REPORT: f64 = 2.0;
+/// Time for which a target's word that it drains holds.
+const DRAINING: Duration = Duration::from_secs(600);
+/// Time between two looks at what the service's targets do.
+const REFRESH: Duration = Duration::from_millis(250);
+
+#[derive(Clone, Debug)]
+pub(super) struct RouteInfo {
+    pub(super) name: id::Route,
+    pub(super) repeatable: bool,
+    pub(super) reference: Reference,
+}
+
+/// What one home host knows of one service's targets.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    pub(super) detection: Detection,
+    pub(super) floor: f64,
+    pub(super) routes: Vec<RouteInfo>,
+    pub(super) entries: Vec<Entry>,
+    by_target: HashMap<id::Target, usize>,
+    by_route: HashMap<id::Route, usize>,
+    pub(super) peers: Peers,
+    refreshed: Option<Moment>,
+    pub(super) suspects_itself: bool,
+}
+
+impl Board {
+    /// Returns a board without targets.
+    pub fn new(detection: Detection) -> Self {
+        Self { detection, ..Self::default() }
+    }
+
+    /// Takes over a document; what is known of targets that stay is kept.
+    pub fn configure(&mut self, document: &Document, now: Moment) {
+        let first = self.entries.is_empty();
+        let old_routes = std::mem::take(&mut self.by_route);
+        let mut old: HashMap<_, _> = self.entries.drain(..).map(|e| (e.id, e)).collect();
+        self.floor = document.floor.get();
+        self.routes = document
+            .routes
+            .iter()
+            .map(|route| RouteInfo {
+                name: route.name.clone(),
+                repeatable: route.repeatable,
+                reference: Reference::default(),
+            })
+            .collect();
+        let names = self.routes.iter().enumerate();
+        self.by_route = names.map(|(index, route)| (route.name.clone(), index)).collect();
+        for target in &document.targets {
+            let known = old.remove(&target.id);
+            let start = match (&known, first) {
+                (None, false) => State::Ramp { since: now, cold: true },
+                _ => State::In,
+            };
+            let mut entry = known.unwrap_or_else(|| Entry {
+                id: target.id,
+                slots: 0,
+                leaving: false,
+                draining_until: None,
+                gate: Gate::new(start, now),
+                whole: Cell::default(),
+                routes: Vec::new(),
+                tally: Tally::default(),
+            });
+            // An operator who takes the mark away says that the target is back.
+            if entry.leaving && !target.leaving {
+                entry.draining_until = None;
+            }
+            entry.slots = target.slots.0;
+            entry.leaving = target.leaving;
+            let states = std::mem::take(&mut entry.routes);
+            let state = |route: &RouteInfo| {
+                let known = old_routes.get(&route.name).and_then(|index| states.get(*index));
+                let new = || RouteState { cell: Cell::default(), gate: Gate::new(State::In, now) };
+                known.cloned().unwrap_or_else(new)
+            };
+            entry.routes = self.routes.iter().map(state).collect();
+            self.entries.push(entry);
+        }
+        let targets = self.entries.iter().enumerate();
+        self.by_target = targets.map(|(index, entry)| (entry.id, index)).collect();
+        self.refreshed = None;
+        self.decide(now);
+    }
+
+    /// Returns the index of a route.
+    pub fn route(&self, name: &id::Route) -> Option<usize> {
+        self.by_route.get(name).copied()
+    }
+
+    /// Returns the index of a target.
+    pub fn target(&self, target: id::Target) -> Option<usize> {
+        self.by_target.get(&target).copied()
+    }
+
+    /// Returns the age past which an attempt on a route is late.
+    pub fn limit(&self, route: usize) -> Duration {
+        self.routes.get(route).map_or(Duration::MAX, |route| route.reference.limit)
+    }
+
+    /// Takes in an outcome; returns whether a decision is due.
+    pub fn observe(&mut self, target: usize, route: usize, outcome: Outcome, now: Moment) -> bool {
+        let Some(info) = self.routes.get(route) else {
+            return false;
+        };
+        let Some(entry) = self.entries.get_mut(target) else {
+            return false;
+        };
+        let slow = match outcome {
+            Outcome::Ok { took, late } => late || info.reference.is_slow(took),
+            Outcome::Late => true,
+            Outcome::Failed(_) => false,
+        };
+        entry.tally.add(outcome, slow);
+        let good = !slow && !outcome.is_failed();
+        let whole_back = entry.gate.tried(good, now);
+        let route_back = entry.routes[route].gate.tried(good, now);
+        if whole_back && good {
+            entry.settle(AFTER_RETURN, now);
+        }
+        if route_back && good {
+            entry.routes[route].cell.settle(AFTER_RETURN, now);
+        }
+        let cold = entry.gate.is_cold();
+        if !(cold && slow) {
+            let refused = matches!(outcome, Outcome::Failed(Failed::Refused));
+            if refused || matches!(outcome, Outcome::Ok { .. }) {
+                entry.whole.observe(connection(outcome), &Reference::default(), now);
+            }
+            if !refused {
+                entry.routes[route].cell.observe(outcome, &info.reference, now);
+            }
+        }
+        let score = entry.routes[route].cell.score(self.detection, now);
+        let whole = entry.whole.score(self.detection, now);
+        let sick = !good && score.max(whole) >= MIN_REPORT;
+        whole_back || route_back || sick
+    }
+
+    /// Records that a target said that it drains; returns whether that is news.
+    pub fn drain(&mut self, target: id::Target, now: Moment) -> bool {
+        let Some(index) = self.target(target) else {
+            return false;
+        };
+        let entry = &mut self.entries[index];
+        let news = !entry.is_draining(now);
+        entry.draining_until = Some(now.after(DRAINING));
+        news
+    }
+
+    /// Takes back the blame of a target for what a request did to it.
+    pub fn forgive(&mut self, target: id::Target, now: Moment) {
+        let Some(index) = self.target(target) else {
+            return;
+        };
+        let entry = &mut self.entries[index];
+        entry.settle(0.0, now);
+        entry.gate.forgive(now);
+        for route in &mut entry.routes {
+            route.gate.forgive(now);
+        }
+    }
+
+    /// Takes in what another home host reports.
+    pub fn hear(
+        &mut self,
+        host: id::Host,
+        sequence: (id::Incarnation, u64),
+        reports: &Reports,
+        now: Moment,
+    ) {
+        if !self.peers.hear(host, sequence, reports, now) {
+            return;
+        }
+        for report in reports.reports.iter().filter(|report| report.draining) {
+            self.drain(report.target, now);
+        }
+    }
+
+    /// Returns what this host tells the other home hosts.
+    pub fn reports(&self, now: Moment) -> Reports {
+        let mut reports = Reports::default();
+        for entry in &self.entries {
+            let cells = std::iter::once((None, &entry.whole))
+                .chain(entry.routes.iter().enumerate().map(|(i, r)| (Some(i), &r.cell)));
+            let mut seen = false;
+            for (route, cell) in cells {
+                let recent = cell.last > Moment::ZERO && now.since(cell.last) < share::LIFE;
+                seen |= recent;
+                let score = cell.score(self.detection, now);
+                let draining = route.is_none() && entry.is_draining(now);
+                if (recent && score >= MIN_REPORT) || draining {
+                    reports.reports.push(Report {
+                        target: entry.id,
+                        route: route.map(|route| self.routes[route].name.clone()),
+                        score,
+                        draining,
+                    });
+                }
+            }
+            reports.seen += u32::from(seen);
+        }
+        reports
+    }
+
+    /// Tells whether this host is likelier to be at fault than the targets that it finds sick.
+    pub fn suspects_itself(&self) -> bool {
+        self.suspects_itself
+    }
+
+    /// Returns how far a target may be used on a route.
+    pub fn standing(&self, target: usize, route: usize, now: Moment) -> Standing {
+        self.entries.get(target).map_or(Standing::Out, |entry| entry.standing(route, now))
+    }
+
+    /// Takes the right to send one trial request to a target.
+    pub fn take_trial(&mut self, target: usize, route: usize, now: Moment) -> bool {
+        let Some(entry) = self.entries.get_mut(target) else {
+            return false;
+        };
+        if entry.standing(route, now) != Standing::Trial {
+            return false;
+        }
+        entry.gate.take_trial(now) || entry.routes[route].gate.take_trial(now)
+    }
+
+    /// Ejects what is sick and lets targets return; returns whether a standing changed.
+    pub fn decide(&mut self, now: Moment) -> bool {
+        self.peers.expire(now);
+        self.refresh(now);
+        let mut changed = self.advance(now);
+        let floor = Floor { share: self.floor, now };
+        changed |= floor.restore(&mut self.entries);
+        let mut candidates = self.candidates(now);
+        candidates.sort_by(|one, two| two.score.total_cmp(&one.score));
+        for candidate in candidates {
+            changed |= self.eject(&floor, candidate);
+        }
+        self.suspect(now);
+        changed
+    }
+
+    fn refresh(&mut self, now: Moment) {
+        let recent = self.refreshed.is_some_and(|at| now.since(at) < REFRESH);
+        if recent {
+            return;
+        }
+        self.refreshed = Some(now);
+        for (index, route) in self.routes.iter_mut().enumerate() {
+            let cells = self.entries.iter().map(|entry| &entry.routes[index].cell);
+            route.reference = Reference::of(cells, now);
+        }
+    }
+
+    fn advance(&mut self, now: Moment) -> bool {
+        let any_repeatable = self.routes.iter().any(|route| route.repeatable);
+        let mut changed = false;
+        for entry in &mut self.entries {
+            let was_out = entry.gate.is_out();
+            if entry.gate.advance(any_repeatable, now) {
+                changed = true;
+                let kept = if entry.gate.is_out() { 0.0 } else { AFTER_RETURN };
+                if was_out {
+                    entry.settle(kept, now);
+                }
+            }
+            for (state, info) in entry.routes.iter_mut().zip(&self.routes) {
+                let was_out = state.gate.is_out();
+                if state.gate.advance(info.repeatable, now) {
+                    changed = true;
+                    let kept = if state.gate.is_out() { 0.0 } else { AFTER_RETURN };
+                    if was_out {
+                        state.cell.settle(kept, now);
+                    }
+                }
+            }
+        }
+        changed
+    }
+}
+
+/// Returns what an outcome says of the connection alone.
+fn connection(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Ok { .. } => Outcome::Ok { took: Duration::ZERO, late: false },
+        other => other,
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/src/health/cell.rs
@@ -0,0 +1,195 @@
+//! Evidence about one target on one route.
+
+use std::time::Duration;
+
+use super::MAX_SCORE;
+use super::SICK;
+use super::outcome::Outcome;
+use super::reference::Reference;
+use crate::Moment;
+
+/// Probability of a slow answer from a healthy target.
+const HEALTHY_SLOW: f64 = 0.05;
+/// Probability of a slow answer from a sick target.
+const SICK_SLOW: f64 = 0.5;
+/// Smallest failure share assumed of healthy targets.
+const MIN_HEALTHY_FAILED: f64 = 0.005;
+/// Failure share of a sick target, at least.
+const SICK_FAILED: f64 = 0.3;
+/// Largest failure share of a sick target.
+const MAX_SICK_FAILED: f64 = 0.9;
+/// Most evidence of one failure.
+const MAX_STEP: f64 = 3.5;
+/// Time in which evidence without new samples halves.
+const HALF_LIFE: Duration = Duration::from_secs(20);
+/// Weight of a new sample in the share of failures.
+const SHARE_WEIGHT: f64 = 0.02;
+/// Step of the streaming quantiles, in natural log units.
+const QUANTILE_STEP: f64 = 0.1;
+/// The high quantile that is tracked.
+const HIGH: f64 = 0.95;
+/// Consecutive failures that eject under the first baseline.
+const CONSECUTIVE: u32 = 5;
+/// Length of the second baseline's window.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Fewest outcomes in the second baseline's window.
+const WINDOW_MIN: u32 = 5;
+/// Share of failures in a window that ejects under the second baseline.
+const WINDOW_SHARE: f64 = 0.5;
+
+/// How gray targets are found.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Detection {
+    /// A sequential test on log-likelihoods.
+    #[default]
+    Sequential,
+    /// A count of consecutive failures.
+    Consecutive,
+    /// An error rate over a fixed window.
+    Window,
+}
+
+/// Evidence about one target on one route, or on its connections.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Cell {
+    /// Sequential test on failures; 0 to [`MAX_SCORE`].
+    failed: f64,
+    /// Sequential test on slow answers; 0 to [`MAX_SCORE`].
+    slow: f64,
+    /// Smoothed share of failures.
+    pub(super) failed_share: f64,
+    /// Streaming median of the time to an answer, as the logarithm of seconds.
+    pub(super) median: f64,
+    /// Streaming high quantile of the time to an answer, as the logarithm of seconds.
+    pub(super) high: f64,
+    /// Answers taken into the quantiles.
+    pub(super) samples: u32,
+    /// When the latest outcome came in.
+    pub(super) last: Moment,
+    consecutive: u32,
+    window: Window,
+}
+
+/// Counts of the second baseline.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    start: Moment,
+    total: u32,
+    failed: u32,
+    /// Whether the latest full window was past the limit.
+    tripped: bool,
+}
+
+impl Cell {
+    /// Takes in one outcome.
+    pub(super) fn observe(&mut self, outcome: Outcome, reference: &Reference, now: Moment) {
+        self.decay(now);
+        self.baseline(outcome, now);
+        match outcome {
+            Outcome::Ok { took, late } => {
+                self.add_failed(ok_step(reference));
+                if !late {
+                    self.add_slow(reference.is_slow(took));
+                }
+                self.learn(took);
+            }
+            Outcome::Late => self.add_slow(true),
+            Outcome::Failed(_) => self.add_failed(failed_step(reference)),
+        }
+        if outcome != Outcome::Late {
+            let failed = f64::from(u8::from(outcome.is_failed()));
+            self.failed_share += SHARE_WEIGHT * (failed - self.failed_share);
+        }
+    }
+
+    fn decay(&mut self, now: Moment) {
+        let halvings = now.since(self.last).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let kept = (-halvings).exp2();
+        self.failed *= kept;
+        self.slow *= kept;
+        self.last = self.last.max(now);
+    }
+
+    fn add_failed(&mut self, step: f64) {
+        self.failed = (self.failed + step).clamp(0.0, MAX_SCORE);
+    }
+
+    fn add_slow(&mut self, slow: bool) {
+        let step = if slow {
+            (SICK_SLOW / HEALTHY_SLOW).ln()
+        } else {
+            ((1.0 - SICK_SLOW) / (1.0 - HEALTHY_SLOW)).ln()
+        };
+        self.slow = (self.slow + step).clamp(0.0, MAX_SCORE);
+    }
+
+    fn learn(&mut self, took: Duration) {
+        let value = took.as_secs_f64().max(1e-6).ln();
+        if self.samples == 0 {
+            self.median = value;
+            self.high = value;
+        }
+        self.samples = self.samples.saturating_add(1);
+        let up = |above: bool, quantile: f64| if above { quantile } else { quantile - 1.0 };
+        self.median += QUANTILE_STEP * up(value > self.median, 0.5);
+        self.high += QUANTILE_STEP * up(value > self.high, HIGH);
+    }
+
+    fn baseline(&mut self, outcome: Outcome, now: Moment) {
+        if outcome == Outcome::Late {
+            return;
+        }
+        self.consecutive = if outcome.is_failed() { self.consecutive + 1 } else { 0 };
+        let window = &mut self.window;
+        if now.since(window.start) >= WINDOW {
+            let share = f64::from(window.failed) / f64::from(window.total.max(1));
+            window.tripped = window.total >= WINDOW_MIN && share >= WINDOW_SHARE;
+            *window = Window { start: now, tripped: window.tripped, ..Window::default() };
+        }
+        window.total += 1;
+        window.failed += u32::from(outcome.is_failed());
+    }
+
+    /// Returns the evidence that the target is sick; [`SICK`] or more means that it is.
+    pub(super) fn score(&self, detection: Detection, now: Moment) -> f64 {
+        match detection {
+            Detection::Sequential => {
+                let halvings = now.since(self.last).as_secs_f64() / HALF_LIFE.as_secs_f64();
+                (self.failed + self.slow).min(MAX_SCORE) * (-halvings).exp2()
+            }
+            Detection::Consecutive => verdict(self.consecutive >= CONSECUTIVE),
+            Detection::Window => verdict(self.window.tripped),
+        }
+    }
+
+    /// Forgets the evidence but for a part, so that a relapse is found sooner.
+    pub(super) fn settle(&mut self, kept: f64, now: Moment) {
+        *self = Self {
+            failed: kept,
+            failed_share: self.failed_share,
+            median: self.median,
+            high: self.high,
+            samples: self.samples,
+            last: now,
+            ..Self::default()
+        };
+    }
+}
+
+fn verdict(sick: bool) -> f64 {
+    if sick { SICK } else { 0.0 }
+}
+
+fn sick_failed(healthy: f64) -> f64 {
+    (3.0 * healthy).clamp(SICK_FAILED, MAX_SICK_FAILED)
+}
+
+fn failed_step(reference: &Reference) -> f64 {
+    let healthy = reference.failed_share.clamp(MIN_HEALTHY_FAILED, SICK_FAILED);
+    (sick_failed(healthy) / healthy).ln().min(MAX_STEP)
+}
+
+fn ok_step(reference: &Reference) -> f64 {
+    let healthy = reference.failed_share.clamp(MIN_HEALTHY_FAILED, SICK_FAILED);
+    ((1.0 - sick_failed(healthy)) / (1.0 - healthy)).ln()
+}
--- /dev/null
+++ b/chicoryloom_policy/src/health/entry.rs
@@ -0,0 +1,99 @@
+//! What is known of one target.
+
+use super::cell::Cell;
+use super::gate::Gate;
+use super::gate::Standing;
+use super::outcome::Failed;
+use super::outcome::Outcome;
+use crate::Moment;
+use crate::id;
+
+/// What is known of one target on one route.
+#[derive(Clone, Debug)]
+pub(super) struct RouteState {
+    pub(super) cell: Cell,
+    pub(super) gate: Gate,
+}
+
+/// What is known of one target.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) id: id::Target,
+    pub(super) slots: u32,
+    pub(super) leaving: bool,
+    pub(super) draining_until: Option<Moment>,
+    pub(super) gate: Gate,
+    /// Evidence about the target's connections, whatever the route.
+    pub(super) whole: Cell,
+    /// By route, in the board's order.
+    pub(super) routes: Vec<RouteState>,
+    pub(super) tally: Tally,
+}
+
+/// Outcomes of a target since the host's start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tally {
+    pub ok: u64,
+    pub slow: u64,
+    pub error: u64,
+    pub refused: u64,
+    pub reset: u64,
+    pub timeout: u64,
+}
+
+impl Entry {
+    pub(super) fn is_draining(&self, now: Moment) -> bool {
+        self.draining_until.is_some_and(|until| now < until)
+    }
+
+    /// Tells whether the target may get new work at all.
+    pub(super) fn is_live(&self, now: Moment) -> bool {
+        !self.leaving && !self.is_draining(now)
+    }
+
+    /// Tells whether the floor counts the target: live, not draining and warm.
+    pub(super) fn counts(&self, now: Moment) -> bool {
+        self.is_live(now) && !self.gate.is_cold()
+    }
+
+    pub(super) fn standing(&self, route: usize, now: Moment) -> Standing {
+        if !self.is_live(now) {
+            return Standing::Out;
+        }
+        let whole = self.gate.standing(now);
+        self.routes.get(route).map_or(whole, |state| whole.and(state.gate.standing(now)))
+    }
+
+    /// Returns the gate of a route, or that of the whole target.
+    pub(super) fn gate(&self, route: Option<usize>) -> &Gate {
+        route.map_or(&self.gate, |route| &self.routes[route].gate)
+    }
+
+    pub(super) fn gate_mut(&mut self, route: Option<usize>) -> &mut Gate {
+        match route {
+            Some(route) => &mut self.routes[route].gate,
+            None => &mut self.gate,
+        }
+    }
+
+    pub(super) fn settle(&mut self, kept: f64, now: Moment) {
+        self.whole.settle(0.0, now);
+        for route in &mut self.routes {
+            route.cell.settle(kept, now);
+        }
+    }
+}
+
+impl Tally {
+    pub(super) fn add(&mut self, outcome: Outcome, slow: bool) {
+        match outcome {
+            Outcome::Ok { .. } if slow => self.slow += 1,
+            Outcome::Ok { .. } => self.ok += 1,
+            Outcome::Late => {}
+            Outcome::Failed(Failed::Error) => self.error += 1,
+            Outcome::Failed(Failed::Refused) => self.refused += 1,
+            Outcome::Failed(Failed::Reset) => self.reset += 1,
+            Outcome::Failed(Failed::Timeout) => self.timeout += 1,
+        }
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/src/health/explain.rs
@@ -0,0 +1,82 @@
+//! Tells operators why a target is out.
+
+use std::time::Duration;
+
+use super::Board;
+use super::entry::Entry;
+use super::entry::Tally;
+use super::gate::Gate;
+use super::gate::Standing;
+use super::gate::State;
+use crate::Moment;
+use crate::id;
+
+/// Why a target is in or out of use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Explanation {
+    pub target: id::Target,
+    /// Route that the line is about; `None` means the whole target.
+    pub route: Option<id::Route>,
+    pub standing: Standing,
+    /// Time in the present state.
+    pub since: Duration,
+    /// Time that the target stays out at least.
+    pub hold_left: Duration,
+    /// This host's evidence; 14 or more means sick.
+    pub score: f64,
+    /// Evidence that other home hosts add.
+    pub peers: f64,
+    pub ejections: u32,
+    pub leaving: bool,
+    pub draining: bool,
+    pub tally: Tally,
+}
+
+impl Board {
+    /// Tells why each target, and each route of it that is out, stands where it does.
+    pub fn explain(&self, now: Moment) -> Vec<Explanation> {
+        let mut lines = Vec::new();
+        for entry in &self.entries {
+            let whole = (None, entry.gate);
+            let routes = entry.routes.iter().enumerate();
+            let routes = routes.filter(|(_, state)| state.gate.state != State::In);
+            for (route, gate) in
+                std::iter::once(whole).chain(routes.map(|(i, r)| (Some(i), r.gate)))
+            {
+                lines.push(self.explanation(entry, route, &gate, now));
+            }
+        }
+        lines
+    }
+
+    fn explanation(
+        &self,
+        entry: &Entry,
+        route: Option<usize>,
+        gate: &Gate,
+        now: Moment,
+    ) -> Explanation {
+        let cell = route.map_or(&entry.whole, |route| &entry.routes[route].cell);
+        let worst = entry.routes.iter().map(|r| r.cell.score(self.detection, now));
+        let own = cell.score(self.detection, now);
+        let score = if route.is_none() { worst.fold(own, f64::max) } else { own };
+        let name = route.map(|route| self.routes[route].name.clone());
+        let hold_left = match gate.state {
+            State::Out { until } => until.since(now),
+            State::In | State::Trial { .. } | State::Ramp { .. } => Duration::ZERO,
+        };
+        Explanation {
+            target: entry.id,
+            standing: if entry.is_live(now) { gate.standing(now) } else { Standing::Out },
+            since: now.since(gate.since),
+            hold_left,
+            score,
+            peers: self.peers.score(entry.id, name.as_ref(), now),
+            route: name,
+            ejections: gate.flaps,
+            leaving: entry.leaving,
+            draining: entry.is_draining(now),
+            tally: entry.tally,
+        }
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/src/health/reference.rs
@@ -0,0 +1,65 @@
+//! What the service's targets do on a route, as the measure for each of them.
+
+use std::time::Duration;
+
+use super::cell::Cell;
+use crate::Moment;
+
+/// Answers that a target needs before it counts towards the reference.
+const MIN_SAMPLES: u32 = 8;
+/// Age past which a target's latencies say nothing.
+const MAX_AGE: Duration = Duration::from_secs(60);
+/// Rank of the reference among the targets; below a half, so that half of them may be sick.
+const RANK: f64 = 0.35;
+/// Factor on the typical time that an answer may take.
+const MEDIAN_FACTOR: f64 = 3.0;
+/// Factor on the high quantile that an answer may take.
+const HIGH_FACTOR: f64 = 1.5;
+/// Time that any answer may take beyond the typical time.
+const GRACE: Duration = Duration::from_millis(5);
+
+/// What the service's targets do on a route.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reference {
+    /// Time past which an answer is slow; [`Duration::MAX`] while nothing is known.
+    pub(super) limit: Duration,
+    pub(super) failed_share: f64,
+}
+
+impl Default for Reference {
+    fn default() -> Self {
+        Self { limit: Duration::MAX, failed_share: 0.0 }
+    }
+}
+
+impl Reference {
+    /// Works out the reference of a route from its targets' cells.
+    pub(super) fn of<'a>(cells: impl Iterator<Item = &'a Cell>, now: Moment) -> Self {
+        let known: Vec<_> = cells
+            .filter(|cell| cell.samples >= MIN_SAMPLES && now.since(cell.last) < MAX_AGE)
+            .collect();
+        let median = rank(known.iter().map(|cell| cell.median));
+        let high = rank(known.iter().map(|cell| cell.high));
+        let (Some(median), Some(high)) = (median, high) else {
+            return Self::default();
+        };
+        let typical = median.exp();
+        let limit = (MEDIAN_FACTOR * typical)
+            .max(HIGH_FACTOR * high.exp())
+            .max(typical + GRACE.as_secs_f64());
+        let failed_share = rank(known.iter().map(|cell| cell.failed_share)).unwrap_or_default();
+        let limit = Duration::try_from_secs_f64(limit).unwrap_or(Duration::MAX);
+        Self { limit, failed_share }
+    }
+
+    pub(super) fn is_slow(&self, took: Duration) -> bool {
+        took > self.limit
+    }
+}
+
+fn rank(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<_> = values.collect();
+    values.sort_by(f64::total_cmp);
+    let last = values.len().checked_sub(1)?;
+    values.get((last as f64 * RANK) as usize).copied()
+}
--- /dev/null
+++ b/chicoryloom_policy/src/holdback.rs
@@ -0,0 +1,158 @@
+//! Requests that take targets down are held back.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::Moment;
+use crate::id;
+
+/// Targets that a request may take down before it is held back.
+const DEATHS: usize = 2;
+/// Time for which the loss of a target counts against a request.
+const MEMORY: Duration = Duration::from_secs(120);
+/// Shortest time for which a request is held back.
+const HOLD: Duration = Duration::from_secs(30);
+/// Longest time for which a request is held back.
+const MAX_HOLD: Duration = Duration::from_secs(600);
+/// Most requests that are remembered.
+const MAX_ENTRIES: usize = 1024;
+
+/// Identifies equal requests: workspace, method, path and body.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request.
+    pub fn of(workspace: &str, method: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [workspace.as_bytes(), method.as_bytes(), path.as_bytes(), body] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(u128::from_le_bytes(bytes))
+    }
+}
+
+/// What is known of one suspected request.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// Targets lost on the request and when; each target once.
+    lost: Vec<(id::Target, Moment)>,
+    held_until: Option<Moment>,
+    /// Times that the request was held back.
+    holds: u32,
+    last: Moment,
+}
+
+/// Requests that took targets down; its memory is bounded.
+#[derive(Clone, Debug, Default)]
+pub struct Holdback {
+    suspects: HashMap<Fingerprint, Suspect>,
+}
+
+impl Holdback {
+    /// Returns the time for which a request is still held back.
+    pub fn held(&self, request: Fingerprint, now: Moment) -> Option<Duration> {
+        let until = self.suspects.get(&request)?.held_until?;
+        (now < until).then(|| until.since(now))
+    }
+
+    /// Records that a target broke the connection on a request without an answer.
+    ///
+    /// Returns the targets to clear of blame, if the request is held back from now on.
+    pub fn lost(
+        &mut self,
+        request: Fingerprint,
+        target: id::Target,
+        now: Moment,
+    ) -> Option<Vec<id::Target>> {
+        self.make_room(request, now);
+        let suspect = self.suspects.entry(request).or_default();
+        suspect.last = now;
+        suspect.lost.retain(|(lost, at)| *lost != target && now.since(*at) < MEMORY);
+        suspect.lost.push((target, now));
+        if suspect.lost.len() < DEATHS || suspect.held_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        let hold = HOLD.saturating_mul(1 << suspect.holds.min(8)).min(MAX_HOLD);
+        suspect.holds += 1;
+        suspect.held_until = Some(now.after(hold));
+        // The next hold needs only one more loss.
+        let cleared = suspect.lost.iter().map(|(lost, _)| *lost).collect();
+        suspect.lost.drain(..suspect.lost.len() - 1);
+        Some(cleared)
+    }
+
+    /// Clears a request that a target answered; returns whether it was suspected.
+    pub fn answered(&mut self, request: Fingerprint) -> bool {
+        !self.suspects.is_empty() && self.suspects.remove(&request).is_some()
+    }
+
+    /// Tells whether any request is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the number of suspected requests.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Forgets suspects that are past their time, and the oldest one if there is no room.
+    fn make_room(&mut self, request: Fingerprint, now: Moment) {
+        if self.suspects.len() < MAX_ENTRIES || self.suspects.contains_key(&request) {
+            return;
+        }
+        self.suspects.retain(|_, suspect| {
+            now.since(suspect.last) < MEMORY || suspect.held_until.is_some_and(|until| now < until)
+        });
+        // A held request goes last; what holds back a caller's repetitions matters most.
+        let oldest = self
+            .suspects
+            .iter()
+            .min_by_key(|(name, suspect)| (suspect.held_until, suspect.last, **name))
+            .map(|(name, _)| *name);
+        if let Some(oldest) = oldest.filter(|_| self.suspects.len() >= MAX_ENTRIES) {
+            self.suspects.remove(&oldest);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn target(n: u8) -> id::Target {
+        format!("127.0.0.{n}:80").parse().unwrap()
+    }
+
+    #[test]
+    fn second_target_holds_the_request_back_and_clears_both() {
+        let mut holdback = Holdback::default();
+        let killer = Fingerprint::of("prairie", "POST", "/x", b"1");
+        let innocent = Fingerprint::of("prairie", "POST", "/x", b"2");
+        let now = Moment::from_millis(1);
+        assert_eq!(holdback.lost(killer, target(1), now), None);
+        assert_eq!(holdback.lost(killer, target(1), now), None);
+        assert_eq!(holdback.held(killer, now), None);
+        assert_eq!(holdback.lost(killer, target(2), now), Some(vec![target(1), target(2)]));
+        assert_eq!(holdback.held(killer, now), Some(HOLD));
+        assert_eq!(holdback.held(innocent, now), None);
+        assert_eq!(holdback.held(killer, now.after(HOLD)), None);
+    }
+
+    #[test]
+    fn answered_request_is_cleared_and_memory_is_bounded() {
+        let mut holdback = Holdback::default();
+        let now = Moment::from_millis(1);
+        for n in 0..10 * MAX_ENTRIES as u128 {
+            holdback.lost(Fingerprint(n), target(1), now.after(Duration::from_millis(n as u64)));
+        }
+        assert_eq!(holdback.len(), MAX_ENTRIES);
+        let newest = Fingerprint(10 * MAX_ENTRIES as u128 - 1);
+        assert!(holdback.answered(newest));
+        assert!(!holdback.answered(newest));
+    }
+}
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -6,11 +6,14 @@
 
 pub mod document;
 pub mod freshness;
+pub mod health;
+pub mod holdback;
 pub mod id;
 pub mod limit;
 pub mod moment;
 pub mod pick;
 pub mod placement;
+pub mod retry;
 pub mod unit;
 
 pub use moment::Moment;
--- /dev/null
+++ b/chicoryloom_policy/src/retry.rs
@@ -0,0 +1,62 @@
+//! Budget of retries and hedges.
+
+/// Retries that each first attempt allows.
+const SHARE: f64 = 0.1;
+/// Retries that may be saved up.
+const BURST: f64 = 10.0;
+
+/// The retry budget of one service on one host.
+///
+/// Over any span, retries and hedges are at most a tenth of the first attempts, and a fixed
+/// burst. So the hosts together add at most a tenth to the load of targets, however many fail.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    /// Retries that are left; 0 to [`BURST`].
+    left: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { left: BURST }
+    }
+}
+
+impl Budget {
+    /// Counts the first attempt of a request.
+    pub fn deposit(&mut self) {
+        self.left = (self.left + SHARE).min(BURST);
+    }
+
+    /// Takes one retry or hedge; returns whether there was one left.
+    pub fn take(&mut self) -> bool {
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+
+    /// Returns the most retries that `requests` first attempts allow.
+    pub fn bound(requests: u64) -> f64 {
+        BURST + SHARE * requests as f64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn retries_stay_within_a_tenth_and_the_burst() {
+        let mut budget = Budget::default();
+        let mut retries = 0;
+        for _ in 0..10_000 {
+            budget.deposit();
+            for _ in 0..3 {
+                retries += u32::from(budget.take());
+            }
+        }
+        assert!(f64::from(retries) <= Budget::bound(10_000));
+        assert!(retries > 900);
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/tests/health.rs
@@ -0,0 +1,379 @@
+//! Properties of detection, ejection and return.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::document::Document;
+use chicoryloom_policy::document::Route;
+use chicoryloom_policy::document::Target;
+use chicoryloom_policy::health::Board;
+use chicoryloom_policy::health::Detection;
+use chicoryloom_policy::health::Failed;
+use chicoryloom_policy::health::Outcome;
+use chicoryloom_policy::health::Report;
+use chicoryloom_policy::health::Reports;
+use chicoryloom_policy::health::Standing;
+use chicoryloom_policy::id;
+use chicoryloom_policy::unit::Connections;
+use chicoryloom_policy::unit::Share;
+use chicoryloom_policy::unit::Slots;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const WARM_UP: Duration = Duration::from_secs(5);
+const STEP: Duration = Duration::from_millis(10);
+
+fn address(n: usize) -> id::Target {
+    format!("10.0.0.{}:80", n + 1).parse().unwrap()
+}
+
+fn document(floor: f64, targets: &[(usize, u32, bool)], routes: usize) -> Document {
+    let route = |n: usize| Route {
+        name: format!("route-{n}").parse().unwrap(),
+        path: format!("/{n}").into(),
+        methods: Vec::new(),
+        repeatable: n == 0,
+        open: false,
+        deadline: Duration::from_secs(1),
+        class: "default".parse().unwrap(),
+    };
+    let target = |(n, slots, leaving): &(usize, u32, bool)| Target {
+        id: address(*n),
+        data_centre: "regina".parse().unwrap(),
+        slots: Slots(*slots),
+        connections: Connections(100),
+        leaving: *leaving,
+    };
+    Document {
+        service: "calendar".parse().unwrap(),
+        floor: Share::new(floor).unwrap(),
+        routes: (0..routes).map(|n| Arc::new(route(n))).collect(),
+        grants: HashMap::new(),
+        targets: targets.iter().map(target).collect(),
+    }
+}
+
+fn ok(millis: u64) -> Outcome {
+    Outcome::Ok { took: Duration::from_millis(millis), late: false }
+}
+
+/// A board with some healthy history, and its clock.
+struct Bench {
+    board: Board,
+    now: Moment,
+    targets: usize,
+    routes: usize,
+}
+
+impl Bench {
+    fn new(detection: Detection, targets: usize, routes: usize) -> Self {
+        let listed: Vec<_> = (0..targets).map(|n| (n, 2, false)).collect();
+        let mut board = Board::new(detection);
+        let now = Moment::from_millis(1000);
+        board.configure(&document(0.5, &listed, routes), now);
+        let mut bench = Self { board, now, targets, routes };
+        bench.run(60, |_, _| ok(5));
+        bench
+    }
+
+    /// Gives each target that is in use one outcome on each route, round after round.
+    fn run<F: FnMut(usize, usize) -> Outcome>(&mut self, rounds: usize, mut outcome: F) {
+        for _ in 0..rounds {
+            self.now = self.now.after(STEP);
+            for target in 0..self.targets {
+                for route in 0..self.routes {
+                    let used = match self.board.standing(target, route, self.now) {
+                        Standing::In(_) => true,
+                        Standing::Trial => self.board.take_trial(target, route, self.now),
+                        Standing::Out => false,
+                    };
+                    if used {
+                        self.board.observe(target, route, outcome(target, route), self.now);
+                    }
+                }
+            }
+            self.board.decide(self.now);
+        }
+    }
+
+    fn is_out(&self, target: usize, route: usize) -> bool {
+        !matches!(self.board.standing(target, route, self.now), Standing::In(_))
+    }
+
+    fn out(&self, route: usize) -> Vec<usize> {
+        (0..self.targets).filter(|target| self.is_out(*target, route)).collect()
+    }
+}
+
+#[rstest]
+#[case::slow(ok(50))]
+#[case::errors(Outcome::Failed(Failed::Error))]
+#[case::refused(Outcome::Failed(Failed::Refused))]
+#[case::late(Outcome::Late)]
+fn only_the_sick_target_is_ejected(#[case] sick: Outcome) {
+    let mut bench = Bench::new(Detection::Sequential, 5, 2);
+    bench.run(20, |target, _| if target == 3 { sick } else { ok(5) });
+    assert_eq!(bench.out(0), [3]);
+    assert_eq!(bench.out(1), [3]);
+}
+
+#[test]
+fn one_sick_route_leaves_the_others_in() {
+    let mut bench = Bench::new(Detection::Sequential, 5, 3);
+    let sick = Outcome::Failed(Failed::Error);
+    bench.run(40, |target, route| if (target, route) == (2, 1) { sick } else { ok(5) });
+    assert_eq!(bench.out(1), [2]);
+    assert!(bench.out(0).is_empty() && bench.out(2).is_empty());
+}
+
+#[test]
+fn slowness_of_all_targets_ejects_none() {
+    let mut bench = Bench::new(Detection::Sequential, 6, 1);
+    // All slow down together over a few seconds, as under overload.
+    let mut millis = 5.0;
+    bench.run(400, |_, _| {
+        millis = f64::min(millis * 1.002, 100.0);
+        ok(millis as u64)
+    });
+    assert!(bench.out(0).is_empty());
+}
+
+#[test]
+fn half_of_the_targets_sick_are_ejected_and_no_more_fit() {
+    let mut bench = Bench::new(Detection::Sequential, 6, 1);
+    let failed = Outcome::Failed(Failed::Error);
+    bench.run(40, |target, _| if target < 3 { failed } else { ok(5) });
+    assert_eq!(bench.out(0), [0, 1, 2]);
+    bench.run(40, |target, _| if target < 4 { failed } else { ok(5) });
+    assert_eq!(bench.out(0).len(), 3);
+}
+
+#[test]
+fn worse_target_takes_the_place_of_a_better_one_at_the_floor() {
+    let mut bench = Bench::new(Detection::Sequential, 2, 1);
+    let mut round = 0;
+    bench.run(300, |target, _| {
+        round += 1;
+        match target {
+            0 if round < 100 && round % 3 > 0 => ok(50),
+            1 if round > 100 => Outcome::Failed(Failed::Refused),
+            _ => ok(5),
+        }
+    });
+    assert_eq!(bench.out(0), [1]);
+}
+
+#[test]
+fn return_needs_real_answers_and_relapses_stay_out_longer() {
+    let mut bench = Bench::new(Detection::Sequential, 4, 1);
+    let sick = Outcome::Failed(Failed::Error);
+    let mut tries = Vec::new();
+    let start = bench.now;
+    for _ in 0..3000 {
+        let now = bench.now;
+        bench.run(1, |target, _| {
+            if target == 0 {
+                tries.push(now.since(start).as_millis());
+                sick
+            } else {
+                ok(5)
+            }
+        });
+    }
+    // Thirty seconds hold trials after 3, 6 and 12 s at the most, and each is one request.
+    let trials = tries.iter().filter(|at| **at > 1000).count();
+    assert_eq!(trials, 3, "{tries:?}");
+    assert!(bench.is_out(0, 0));
+    bench.run(8000, |_, _| ok(5));
+    assert_eq!(bench.board.standing(0, 0, bench.now), Standing::In(1.0));
+}
+
+#[test]
+fn one_peer_cannot_eject_and_three_can() {
+    let mut bench = Bench::new(Detection::Sequential, 4, 1);
+    let report = Report {
+        target: address(1),
+        route: Some("route-0".parse().unwrap()),
+        score: 1000.0,
+        draining: false,
+    };
+    let reports = Reports { seen: 4, reports: vec![report] };
+    for (n, out) in [(1, false), (2, false), (3, true)] {
+        let host = format!("host-{n}").parse().unwrap();
+        bench.board.hear(host, (id::Incarnation(1), 1), &reports, bench.now);
+        bench.board.decide(bench.now);
+        assert_eq!(bench.is_out(1, 0), out, "after {n} peers");
+    }
+}
+
+#[test]
+fn host_that_alone_sees_most_targets_sick_suspects_itself() {
+    let mut bench = Bench::new(Detection::Sequential, 4, 1);
+    let well = Reports { seen: 4, reports: Vec::new() };
+    bench.run(20, |_, _| Outcome::Failed(Failed::Timeout));
+    assert!(!bench.board.suspects_itself(), "nobody contradicts");
+    bench.board.hear("host-2".parse().unwrap(), (id::Incarnation(1), 1), &well, bench.now);
+    bench.board.decide(bench.now);
+    assert!(bench.board.suspects_itself());
+}
+
+#[test]
+fn draining_target_gets_nothing() {
+    let mut bench = Bench::new(Detection::Sequential, 3, 1);
+    assert!(bench.board.drain(address(0), bench.now));
+    assert!(!bench.board.drain(address(0), bench.now));
+    bench.run(100, |_, _| ok(5));
+    assert_eq!(bench.out(0), [0]);
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Observe(usize, usize, u8, usize),
+    Pass(u64),
+    Configure(Vec<(usize, u32, bool)>),
+    Drain(usize),
+    Forgive(usize),
+    Hear(usize, usize, usize),
+}
+
+fn targets() -> impl Strategy<Value = Vec<(usize, u32, bool)>> {
+    let target = (0..8_usize, 1..7_u32, prop::bool::weighted(0.2));
+    prop::collection::vec(target, 1..8).prop_map(|mut targets| {
+        targets.sort_unstable();
+        targets.dedup_by_key(|target| target.0);
+        targets
+    })
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        12 => (0..8_usize, 0..2_usize, 0..6_u8, 1..12_usize)
+            .prop_map(|(t, r, kind, n)| Op::Observe(t, r, kind, n)),
+        4 => (1..4000_u64).prop_map(Op::Pass),
+        1 => targets().prop_map(Op::Configure),
+        1 => (0..8_usize).prop_map(Op::Drain),
+        1 => (0..8_usize).prop_map(Op::Forgive),
+        3 => (0..5_usize, 0..8_usize, 0..2_usize).prop_map(|(h, t, r)| Op::Hear(h, t, r)),
+    ]
+}
+
+/// What the test itself knows, to work out the floor on its own.
+#[derive(Default)]
+struct Model {
+    listed: Vec<(usize, u32, bool)>,
+    added: HashMap<usize, Option<Moment>>,
+    draining: HashMap<usize, Moment>,
+}
+
+impl Model {
+    fn configure(&mut self, targets: &[(usize, u32, bool)], now: Moment) {
+        let first = self.listed.is_empty();
+        let old = std::mem::take(&mut self.added);
+        for (n, _, leaving) in targets {
+            let added = old.get(n).copied().unwrap_or((!first).then_some(now));
+            self.added.insert(*n, added);
+            let left = self.listed.iter().find(|(m, ..)| m == n).is_none_or(|(.., l)| *l);
+            if left && !leaving {
+                self.draining.remove(n);
+            }
+        }
+        self.draining.retain(|n, _| self.added.contains_key(n));
+        self.listed = targets.to_vec();
+    }
+
+    fn counts(&self, target: &(usize, u32, bool), now: Moment) -> bool {
+        let cold = self.added[&target.0].is_some_and(|added| now.since(added) < WARM_UP);
+        let draining = self.draining.get(&target.0);
+        let draining = draining.is_some_and(|at| now.since(*at) < Duration::from_secs(600));
+        !target.2 && !cold && !draining
+    }
+
+    fn check(&self, board: &Board, floor: f64, now: Moment) -> Result<(), TestCaseError> {
+        for route in 0..2 {
+            let mut declared = 0.0;
+            let mut used = 0.0;
+            for target in self.listed.iter().filter(|target| self.counts(target, now)) {
+                let index = board.target(address(target.0)).unwrap();
+                declared += f64::from(target.1);
+                if let Standing::In(weight) = board.standing(index, route, now) {
+                    used += weight * f64::from(target.1);
+                }
+            }
+            let least = floor * declared - 1e-6;
+            prop_assert!(used >= least, "route {route}: {used} of {declared}, floor {floor}");
+        }
+        Ok(())
+    }
+}
+
+fn outcome(kind: u8) -> Outcome {
+    match kind {
+        0 => ok(5),
+        1 => ok(500),
+        2 => Outcome::Late,
+        3 => Outcome::Failed(Failed::Error),
+        4 => Outcome::Failed(Failed::Refused),
+        _ => Outcome::Failed(Failed::Timeout),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn floor_holds_over_any_history(
+        floor in 0.0..=1.0_f64,
+        first in targets(),
+        detection in prop::sample::select(vec![
+            Detection::Sequential,
+            Detection::Consecutive,
+            Detection::Window,
+        ]),
+        ops in prop::collection::vec(op(), 1..120),
+    ) {
+        let mut now = Moment::from_millis(1000);
+        let mut board = Board::new(detection);
+        let mut model = Model::default();
+        board.configure(&document(floor, &first, 2), now);
+        model.configure(&first, now);
+        for (step, op) in ops.into_iter().enumerate() {
+            match op {
+                Op::Observe(t, r, kind, n) => {
+                    if let Some(index) = board.target(address(t)) {
+                        for _ in 0..n {
+                            now = now.after(Duration::from_millis(3));
+                            board.observe(index, r, outcome(kind), now);
+                        }
+                    }
+                }
+                Op::Pass(millis) => now = now.after(Duration::from_millis(millis)),
+                Op::Configure(targets) => {
+                    board.configure(&document(floor, &targets, 2), now);
+                    model.configure(&targets, now);
+                }
+                Op::Drain(t) => {
+                    if board.target(address(t)).is_some() {
+                        board.drain(address(t), now);
+                        model.draining.insert(t, now);
+                    }
+                }
+                Op::Forgive(t) => board.forgive(address(t), now),
+                Op::Hear(h, t, r) => {
+                    let report = Report {
+                        target: address(t),
+                        route: Some(format!("route-{r}").parse().unwrap()),
+                        score: 30.0,
+                        draining: false,
+                    };
+                    let reports = Reports { seen: 3, reports: vec![report] };
+                    let host = format!("host-{h}").parse().unwrap();
+                    board.hear(host, (id::Incarnation(1), step as u64 + 1), &reports, now);
+                }
+            }
+            board.decide(now);
+            model.check(&board, floor, now)?;
+        }
+    }
+}
