Run scenarios under faults and judge them from journals and records

Claims about the fleet need a run that others can take again with one command. chicoryloom-load now reads checked YAML scenarios, starts a fleet of real processes, lets requests arrive open-loop by seed, brings faults about, and writes a JSON result and one page with plots.

The judges look at the targets' journals and at the callers' own records only. Admission is judged without any clock allowance: an attempt that reached a target was admitted between its sending and its answer, so of the attempts that lie wholly within a window there may be no more than burst + rate x window. Each judge is tested on a doctored run that it must reject; the search for the worst window is compared with plain enumeration.

Refusals for rate are final answers for a caller; repeating them would close the loop that open arrivals are to keep open. Times were first counted over windows of one second, which named a target passed over after 0 ms by chance; two seconds and at least twelve peer arrivals leave that to less than one in a hundred windows.

--- a/chicoryloom_harness/src/fleet.rs
+++ b/chicoryloom_harness/src/fleet.rs
@@ -386,6 +386,13 @@
         }
     }
 
+    /// Returns the metrics page of one host.
+    pub async fn metrics(&self, host: usize) -> Result<String, Error> {
+        let url = format!("http://{}/metrics", self.hosts[host].admin);
+        let response = checked(&url, self.client.get(&url).send().await).await?;
+        response.text().await.map_err(|error| Error::Call(url, error))
+    }
+
     /// Returns a client for calls to hosts.
     pub fn client(&self) -> &Client {
         &self.client
--- a/chicoryloom_harness/src/lib.rs
+++ b/chicoryloom_harness/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod fleet;
 mod process;
+mod usage;
 mod wait;
 
 pub use fleet::Fleet;
@@ -15,4 +16,5 @@
 pub use fleet::TargetNode;
 pub use process::Error;
 pub use process::Process;
+pub use usage::Usage;
 pub use wait::until;
--- a/chicoryloom_harness/src/process.rs
+++ b/chicoryloom_harness/src/process.rs
@@ -16,6 +16,8 @@
 use tokio::process::Child;
 use tokio::process::Command;
 
+use crate::usage::Usage;
+
 /// Why a process or a call to it failed.
 #[derive(Debug)]
 pub enum Error {
@@ -89,6 +91,11 @@
         self.child.id()
     }
 
+    /// Returns the processor time and memory that the process has used.
+    pub fn usage(&self) -> Option<Usage> {
+        Usage::of(self.pid()?)
+    }
+
     /// Stops the process in its tracks.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
--- /dev/null
+++ b/chicoryloom_load/src/lib.rs
@@ -0,0 +1,22 @@
+//! Load, experiments and their judges.
+//!
+//! A scenario starts a fleet of real processes, lets requests arrive open-loop, brings faults
+//! about, and judges the run from the targets' journals and the callers' own records.
+
+mod arrival;
+mod caller;
+mod driver;
+mod error;
+mod measure;
+mod report;
+mod run;
+mod sample;
+mod scenario;
+mod stage;
+mod verdict;
+
+pub use error::Error;
+pub use report::write;
+pub use run::Result as RunResult;
+pub use run::run;
+pub use scenario::Scenario;
--- a/chicoryloom_schema/tests/generated.rs
+++ b/chicoryloom_schema/tests/generated.rs
@@ -10,6 +10,7 @@
 #[case("frame")]
 #[case("key")]
 #[case("platform")]
+#[case("scenario")]
 #[case("settings")]
 fn committed_code_is_current(#[case] name: &str) {
     let path = chicoryloom_schema::code(name);
