Count slow answers by spans, since queues bunch them

Cause: the test on slowness took each slow answer as independent.

Change: the answers of one span, two limits long, are one sample; peers' slow evidence adds up to no more than one host could have gathered in that time; the share of slow answers of the other targets is the measure for "healthy"; an answer is slow past four typical times and twice the high quantile. Evidence over all routes of a target is kept as well, so that a sick target needs no route to be sick alone. The choice between two idle targets is now random in proportion to their speed: the strict choice gave a target that was slow once no request any more, an ejection without floor or return.

--- a/chicoryloom_policy/src/health/board.rs
+++ b/chicoryloom_policy/src/health/board.rs
@@ -3,9 +3,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::MIN_REPORT;
 use super::SICK;
 use super::cell::Cell;
 use super::cell::Detection;
+use super::cell::Score;
 use super::entry::Entry;
 use super::entry::RouteState;
 use super::entry::Tally;
@@ -13,7 +15,6 @@
 use super::gate::Gate;
 use super::gate::Standing;
 use super::gate::State;
-use super::outcome::Failed;
 use super::outcome::Outcome;
 use super::reference::Reference;
 use super::share;
@@ -26,8 +27,6 @@
 
 /// Evidence left after a return, so that a relapse is found sooner.
 const AFTER_RETURN: f64 = SICK / 3.0;
-/// Evidence below which nothing is reported.
-const MIN_REPORT: f64 = 2.0;
 /// Time for which a target's word that it drains holds.
 const DRAINING: Duration = Duration::from_secs(600);
 /// Time between two looks at what the service's targets do.
@@ -154,16 +153,11 @@
         }
         let cold = entry.gate.is_cold();
         if !(cold && slow) {
-            let refused = matches!(outcome, Outcome::Failed(Failed::Refused));
-            if refused || matches!(outcome, Outcome::Ok { .. }) {
-                entry.whole.observe(connection(outcome), &Reference::default(), now);
-            }
-            if !refused {
-                entry.routes[route].cell.observe(outcome, &info.reference, now);
-            }
+            entry.whole.observe_as(outcome, slow, &info.reference, now);
+            entry.routes[route].cell.observe_as(outcome, slow, &info.reference, now);
         }
-        let score = entry.routes[route].cell.score(self.detection, now);
-        let whole = entry.whole.score(self.detection, now);
+        let score = entry.routes[route].cell.score(self.detection, now).total();
+        let whole = entry.whole.score(self.detection, now).total();
         let sick = !good && score.max(whole) >= MIN_REPORT;
         whole_back || route_back || sick
     }
@@ -220,7 +214,7 @@
                 seen |= recent;
                 let score = cell.score(self.detection, now);
                 let draining = route.is_none() && entry.is_draining(now);
-                if (recent && score >= MIN_REPORT) || draining {
+                if (recent && score.total() >= MIN_REPORT) || draining {
                     reports.reports.push(Report {
                         target: entry.id,
                         route: route.map(|route| self.routes[route].name.clone()),
@@ -234,6 +228,28 @@
         reports
     }
 
+    /// Returns evidence of this host together with that of its peers.
+    pub(super) fn join(
+        &self,
+        target: id::Target,
+        route: Option<usize>,
+        own: Score,
+        now: Moment,
+    ) -> Score {
+        let info = route.map(|route| &self.routes[route]);
+        let reference = match info {
+            Some(info) => info.reference,
+            None => self.fastest(),
+        };
+        self.peers.join(own, (target, info.map(|info| &info.name)), &reference, now)
+    }
+
+    /// Returns the reference with the shortest limit.
+    fn fastest(&self) -> Reference {
+        let references = self.routes.iter().map(|info| info.reference);
+        references.min_by_key(|reference| reference.limit).unwrap_or_default()
+    }
+
     /// Tells whether this host is likelier to be at fault than the targets that it finds sick.
     pub fn suspects_itself(&self) -> bool {
         self.suspects_itself
@@ -259,6 +275,7 @@
     pub fn decide(&mut self, now: Moment) -> bool {
         self.peers.expire(now);
         self.refresh(now);
+        self.close(now);
         let mut changed = self.advance(now);
         let floor = Floor { share: self.floor, now };
         changed |= floor.restore(&mut self.entries);
@@ -283,6 +300,17 @@
         }
     }
 
+    /// Ends the spans of slow answers that are over.
+    fn close(&mut self, now: Moment) {
+        let fastest = self.fastest();
+        for entry in &mut self.entries {
+            entry.whole.close(&fastest, now);
+            for (state, info) in entry.routes.iter_mut().zip(&self.routes) {
+                state.cell.close(&info.reference, now);
+            }
+        }
+    }
+
     fn advance(&mut self, now: Moment) -> bool {
         let any_repeatable = self.routes.iter().any(|route| route.repeatable);
         let mut changed = false;
@@ -309,11 +337,3 @@
         changed
     }
 }
-
-/// Returns what an outcome says of the connection alone.
-fn connection(outcome: Outcome) -> Outcome {
-    match outcome {
-        Outcome::Ok { .. } => Outcome::Ok { took: Duration::ZERO, late: false },
-        other => other,
-    }
-}
--- a/chicoryloom_policy/src/health/cell.rs
+++ b/chicoryloom_policy/src/health/cell.rs
@@ -8,10 +8,14 @@
 use super::reference::Reference;
 use crate::Moment;
 
-/// Probability of a slow answer from a healthy target.
-const HEALTHY_SLOW: f64 = 0.05;
-/// Probability of a slow answer from a sick target.
+/// Smallest share of slow answers assumed of healthy targets.
+const MIN_HEALTHY_SLOW: f64 = 0.05;
+/// Largest share of slow answers assumed of healthy targets.
+const MAX_HEALTHY_SLOW: f64 = 0.4;
+/// Share of slow answers of a sick target, at least.
 const SICK_SLOW: f64 = 0.5;
+/// Weight of a new span in the share of slow answers.
+const SPAN_WEIGHT: f64 = 0.05;
 /// Smallest failure share assumed of healthy targets.
 const MIN_HEALTHY_FAILED: f64 = 0.005;
 /// Failure share of a sick target, at least.
@@ -49,6 +53,24 @@
     Window,
 }
 
+/// Evidence that a target is sick, as log-likelihoods against a healthy one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Score {
+    /// From failures.
+    pub failed: f64,
+    /// From slow answers and late attempts.
+    pub slow: f64,
+    /// Time for which the target has been slow.
+    pub slow_for: Duration,
+}
+
+impl Score {
+    /// Returns all evidence together; 14 or more means sick.
+    pub fn total(self) -> f64 {
+        self.failed + self.slow
+    }
+}
+
 /// Evidence about one target on one route, or on its connections.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Cell {
@@ -58,6 +80,11 @@
     slow: f64,
     /// Smoothed share of failures.
     pub(super) failed_share: f64,
+    /// Smoothed share of slow answers.
+    pub(super) slow_share: f64,
+    span: Span,
+    /// When the test on slowness last left zero.
+    slow_since: Moment,
     /// Streaming median of the time to an answer, as the logarithm of seconds.
     pub(super) median: f64,
     /// Streaming high quantile of the time to an answer, as the logarithm of seconds.
@@ -70,6 +97,14 @@
     window: Window,
 }
 
+/// Answers that count as one sample, since a queue makes slow answers come in bunches.
+#[derive(Clone, Copy, Debug, Default)]
+struct Span {
+    start: Moment,
+    total: u32,
+    slow: u32,
+}
+
 /// Counts of the second baseline.
 #[derive(Clone, Copy, Debug, Default)]
 struct Window {
@@ -81,19 +116,30 @@
 }
 
 impl Cell {
-    /// Takes in one outcome.
-    pub(super) fn observe(&mut self, outcome: Outcome, reference: &Reference, now: Moment) {
+    /// Tells whether any outcome came in.
+    pub(super) fn is_used(&self) -> bool {
+        self.last > Moment::ZERO
+    }
+
+    /// Takes in one outcome, which was slow or not by the measure of its route.
+    pub(super) fn observe_as(
+        &mut self,
+        outcome: Outcome,
+        slow: bool,
+        reference: &Reference,
+        now: Moment,
+    ) {
         self.decay(now);
         self.baseline(outcome, now);
         match outcome {
             Outcome::Ok { took, late } => {
                 self.add_failed(ok_step(reference));
                 if !late {
-                    self.add_slow(reference.is_slow(took));
+                    self.add_slow(slow, reference, now);
                 }
                 self.learn(took);
             }
-            Outcome::Late => self.add_slow(true),
+            Outcome::Late => self.add_slow(true, reference, now),
             Outcome::Failed(_) => self.add_failed(failed_step(reference)),
         }
         if outcome != Outcome::Late {
@@ -114,13 +160,34 @@
         self.failed = (self.failed + step).clamp(0.0, MAX_SCORE);
     }
 
-    fn add_slow(&mut self, slow: bool) {
-        let step = if slow {
-            (SICK_SLOW / HEALTHY_SLOW).ln()
-        } else {
-            ((1.0 - SICK_SLOW) / (1.0 - HEALTHY_SLOW)).ln()
-        };
+    fn add_slow(&mut self, slow: bool, reference: &Reference, now: Moment) {
+        self.close(reference, now);
+        if self.span.total == 0 {
+            self.span.start = now;
+        }
+        self.span.total += 1;
+        self.span.slow += u32::from(slow);
+    }
+
+    /// Takes the present span into the test on slowness if it is over.
+    pub(super) fn close(&mut self, reference: &Reference, now: Moment) {
+        let Span { start, total, slow } = self.span;
+        let length = reference.span();
+        if total == 0 || now.since(start) < length {
+            return;
+        }
+        let share = f64::from(slow) / f64::from(total);
+        let healthy = healthy_slow(reference);
+        let sick = sick_slow(healthy);
+        let up = slow_step(reference);
+        let down = ((1.0 - sick) / (1.0 - healthy)).ln();
+        let step = share * up + (1.0 - share) * down;
+        if self.slow <= 0.0 {
+            self.slow_since = start;
+        }
         self.slow = (self.slow + step).clamp(0.0, MAX_SCORE);
+        self.slow_share += SPAN_WEIGHT * (share - self.slow_share);
+        self.span = Span::default();
     }
 
     fn learn(&mut self, took: Duration) {
@@ -150,12 +217,21 @@
         window.failed += u32::from(outcome.is_failed());
     }
 
-    /// Returns the evidence that the target is sick; [`SICK`] or more means that it is.
-    pub(super) fn score(&self, detection: Detection, now: Moment) -> f64 {
+    /// Returns the evidence that the target is sick.
+    pub(super) fn score(&self, detection: Detection, now: Moment) -> Score {
         match detection {
             Detection::Sequential => {
                 let halvings = now.since(self.last).as_secs_f64() / HALF_LIFE.as_secs_f64();
-                (self.failed + self.slow).min(MAX_SCORE) * (-halvings).exp2()
+                let kept = (-halvings).exp2();
+                Score {
+                    failed: self.failed * kept,
+                    slow: self.slow * kept,
+                    slow_for: if self.slow > 0.0 {
+                        now.since(self.slow_since)
+                    } else {
+                        Duration::ZERO
+                    },
+                }
             }
             Detection::Consecutive => verdict(self.consecutive >= CONSECUTIVE),
             Detection::Window => verdict(self.window.tripped),
@@ -167,6 +243,7 @@
         *self = Self {
             failed: kept,
             failed_share: self.failed_share,
+            slow_share: self.slow_share,
             median: self.median,
             high: self.high,
             samples: self.samples,
@@ -176,8 +253,22 @@
     }
 }
 
-fn verdict(sick: bool) -> f64 {
-    if sick { SICK } else { 0.0 }
+fn verdict(sick: bool) -> Score {
+    Score { failed: if sick { SICK } else { 0.0 }, ..Score::default() }
+}
+
+fn healthy_slow(reference: &Reference) -> f64 {
+    reference.slow_share.clamp(MIN_HEALTHY_SLOW, MAX_HEALTHY_SLOW)
+}
+
+fn sick_slow(healthy: f64) -> f64 {
+    (2.0 * healthy).max(SICK_SLOW)
+}
+
+/// Returns the evidence of a span in which every answer was slow.
+pub(super) fn slow_step(reference: &Reference) -> f64 {
+    let healthy = healthy_slow(reference);
+    (sick_slow(healthy) / healthy).ln()
 }
 
 fn sick_failed(healthy: f64) -> f64 {
--- a/chicoryloom_policy/src/health/eject.rs
+++ b/chicoryloom_policy/src/health/eject.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Board;
+use super::MIN_REPORT;
 use super::SICK;
 use super::entry::Entry;
 use super::floor::Floor;
@@ -34,28 +35,27 @@
 
     /// Finds whether a target is sick as a whole, or on which routes.
     fn examine(&self, target: usize, entry: &Entry, now: Moment, found: &mut Vec<Candidate>) {
-        let whole = self.score(entry, None, now);
-        if whole >= SICK {
-            found.push(Candidate { target, route: None, score: whole });
-            return;
-        }
         let first = found.len();
         let mut active = 0;
+        let mut suspicious = 0;
         let mut bad = 0;
-        let mut worst: f64 = 0.0;
+        let mut worst = self.score(entry, None, now);
+        let whole = worst >= SICK;
         for (route, state) in entry.routes.iter().enumerate() {
             let score = self.score(entry, Some(route), now);
             let sick = score >= SICK;
             let out = state.gate.is_out();
-            let used = state.cell.samples > 0 && now.since(state.cell.last) < ACTIVE;
+            let used = state.cell.is_used() && now.since(state.cell.last) < ACTIVE;
             active += usize::from(used || sick || out);
             bad += usize::from(sick || out);
+            suspicious += usize::from(score >= MIN_REPORT || out);
             if sick && !out {
                 worst = worst.max(score);
                 found.push(Candidate { target, route: Some(route), score });
             }
         }
-        if found.len() > first && bad * 2 > active {
+        let most_bad = found.len() > first && bad * 2 > active;
+        if most_bad || (whole && suspicious * 2 > active) {
             found.truncate(first);
             found.push(Candidate { target, route: None, score: worst });
         }
@@ -63,8 +63,8 @@
 
     pub(super) fn score(&self, entry: &Entry, route: Option<usize>, now: Moment) -> f64 {
         let cell = route.map_or(&entry.whole, |route| &entry.routes[route].cell);
-        let name = route.map(|route| &self.routes[route].name);
-        cell.score(self.detection, now) + self.peers.score(entry.id, name, now)
+        let own = cell.score(self.detection, now);
+        self.join(entry.id, route, own, now).total()
     }
 
     /// Ejects a candidate if the floor allows, or in place of a much better target.
@@ -103,7 +103,8 @@
         let mut sick = 0;
         for entry in live {
             let cells = entry.routes.iter().map(|route| &route.cell).chain([&entry.whole]);
-            let worst = cells.map(|cell| cell.score(self.detection, now)).fold(0.0, f64::max);
+            let worst =
+                cells.map(|cell| cell.score(self.detection, now).total()).fold(0.0, f64::max);
             total += 1;
             sick += usize::from(worst >= SICK / 2.0 || entry.gate.is_out());
         }
--- a/chicoryloom_policy/src/health/explain.rs
+++ b/chicoryloom_policy/src/health/explain.rs
@@ -57,10 +57,11 @@
         now: Moment,
     ) -> Explanation {
         let cell = route.map_or(&entry.whole, |route| &entry.routes[route].cell);
-        let worst = entry.routes.iter().map(|r| r.cell.score(self.detection, now));
-        let own = cell.score(self.detection, now);
-        let score = if route.is_none() { worst.fold(own, f64::max) } else { own };
+        let worst = entry.routes.iter().map(|r| r.cell.score(self.detection, now).total());
         let name = route.map(|route| self.routes[route].name.clone());
+        let own = cell.score(self.detection, now);
+        let joined = self.join(entry.id, route, own, now);
+        let score = if route.is_none() { worst.fold(own.total(), f64::max) } else { own.total() };
         let hold_left = match gate.state {
             State::Out { until } => until.since(now),
             State::In | State::Trial { .. } | State::Ramp { .. } => Duration::ZERO,
@@ -71,7 +72,7 @@
             since: now.since(gate.since),
             hold_left,
             score,
-            peers: self.peers.score(entry.id, name.as_ref(), now),
+            peers: joined.total() - own.total(),
             route: name,
             ejections: gate.flaps,
             leaving: entry.leaving,
--- a/chicoryloom_policy/src/health/mod.rs
+++ b/chicoryloom_policy/src/health/mod.rs
@@ -20,6 +20,7 @@
 
 pub use board::Board;
 pub use cell::Detection;
+pub use cell::Score;
 pub use entry::Tally;
 pub use explain::Explanation;
 pub use gate::Standing;
@@ -32,5 +33,7 @@
 pub const SICK: f64 = 14.0;
 /// Most evidence that a cell holds, so that a recovered target is not held back by its past.
 const MAX_SCORE: f64 = 2.0 * SICK;
+/// Evidence below which nothing is reported.
+const MIN_REPORT: f64 = 2.0;
 /// Most evidence that one other home host adds; two of them can't eject without own evidence.
 const PEER_WEIGHT: f64 = 0.4 * SICK;
--- a/chicoryloom_policy/src/health/reference.rs
+++ b/chicoryloom_policy/src/health/reference.rs
@@ -11,24 +11,32 @@
 const MAX_AGE: Duration = Duration::from_secs(60);
 /// Rank of the reference among the targets; below a half, so that half of them may be sick.
 const RANK: f64 = 0.35;
+/// Rank of the share of slow answers; above a half, since queues differ.
+const SLOW_RANK: f64 = 0.65;
 /// Factor on the typical time that an answer may take.
-const MEDIAN_FACTOR: f64 = 3.0;
+const MEDIAN_FACTOR: f64 = 4.0;
 /// Factor on the high quantile that an answer may take.
-const HIGH_FACTOR: f64 = 1.5;
+const HIGH_FACTOR: f64 = 2.0;
 /// Time that any answer may take beyond the typical time.
 const GRACE: Duration = Duration::from_millis(5);
 
+/// Span whose answers count as one sample, in limits.
+const SPAN_LIMITS: u32 = 2;
+/// Shortest and longest span whose answers count as one sample of the test on slowness.
+const SPAN: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
 /// What the service's targets do on a route.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Reference {
     /// Time past which an answer is slow; [`Duration::MAX`] while nothing is known.
     pub(super) limit: Duration,
     pub(super) failed_share: f64,
+    pub(super) slow_share: f64,
 }
 
 impl Default for Reference {
     fn default() -> Self {
-        Self { limit: Duration::MAX, failed_share: 0.0 }
+        Self { limit: Duration::MAX, failed_share: 0.0, slow_share: 0.0 }
     }
 }
 
@@ -38,8 +46,8 @@
         let known: Vec<_> = cells
             .filter(|cell| cell.samples >= MIN_SAMPLES && now.since(cell.last) < MAX_AGE)
             .collect();
-        let median = rank(known.iter().map(|cell| cell.median));
-        let high = rank(known.iter().map(|cell| cell.high));
+        let median = rank(known.iter().map(|cell| cell.median), RANK);
+        let high = rank(known.iter().map(|cell| cell.high), RANK);
         let (Some(median), Some(high)) = (median, high) else {
             return Self::default();
         };
@@ -47,9 +55,19 @@
         let limit = (MEDIAN_FACTOR * typical)
             .max(HIGH_FACTOR * high.exp())
             .max(typical + GRACE.as_secs_f64());
-        let failed_share = rank(known.iter().map(|cell| cell.failed_share)).unwrap_or_default();
+        let failed_share = rank(known.iter().map(|cell| cell.failed_share), RANK);
+        let slow_share = rank(known.iter().map(|cell| cell.slow_share), SLOW_RANK);
         let limit = Duration::try_from_secs_f64(limit).unwrap_or(Duration::MAX);
-        Self { limit, failed_share }
+        Self {
+            limit,
+            failed_share: failed_share.unwrap_or_default(),
+            slow_share: slow_share.unwrap_or_default(),
+        }
+    }
+
+    /// Returns the span whose answers count as one sample of the test on slowness.
+    pub(super) fn span(&self) -> Duration {
+        (self.limit.min(SPAN.1) * SPAN_LIMITS).clamp(SPAN.0, SPAN.1)
     }
 
     pub(super) fn is_slow(&self, took: Duration) -> bool {
@@ -57,9 +75,9 @@
     }
 }
 
-fn rank(values: impl Iterator<Item = f64>) -> Option<f64> {
+fn rank(values: impl Iterator<Item = f64>, rank: f64) -> Option<f64> {
     let mut values: Vec<_> = values.collect();
     values.sort_by(f64::total_cmp);
     let last = values.len().checked_sub(1)?;
-    values.get((last as f64 * RANK) as usize).copied()
+    values.get((last as f64 * rank) as usize).copied()
 }
--- a/chicoryloom_policy/src/health/share.rs
+++ b/chicoryloom_policy/src/health/share.rs
@@ -5,6 +5,9 @@
 
 use super::PEER_WEIGHT;
 use super::SICK;
+use super::cell::Score;
+use super::cell::slow_step;
+use super::reference::Reference;
 use crate::Moment;
 use crate::id;
 
@@ -17,8 +20,7 @@
     pub target: id::Target,
     /// Route that the evidence is about; `None` means the target's connections.
     pub route: Option<id::Route>,
-    /// Log-likelihood of sick against healthy.
-    pub score: f64,
+    pub score: Score,
     /// Whether the target said that it drains.
     pub draining: bool,
 }
@@ -37,7 +39,7 @@
     sequence: (id::Incarnation, u64),
     heard: Moment,
     seen: u32,
-    scores: HashMap<(id::Target, Option<id::Route>), (f64, Moment)>,
+    scores: HashMap<(id::Target, Option<id::Route>), (Score, Moment)>,
 }
 
 /// Reports of all other home hosts.
@@ -70,15 +72,32 @@
         true
     }
 
-    /// Returns the bounded evidence of all peers about a target on a route.
-    pub(super) fn score(&self, target: id::Target, route: Option<&id::Route>, now: Moment) -> f64 {
-        if self.by_host.is_empty() {
-            return 0.0;
+    /// Returns this host's evidence about a target together with that of its peers.
+    ///
+    /// Each peer counts up to a bound. Slow answers add up to no more than one host could have
+    /// gathered in the time for which the target has been slow, since all hosts see one queue.
+    pub(super) fn join(
+        &self,
+        own: Score,
+        name: (id::Target, Option<&id::Route>),
+        reference: &Reference,
+        now: Moment,
+    ) -> Score {
+        if self.by_host.values().all(|peer| peer.scores.is_empty()) {
+            return own;
         }
-        let name = (target, route.cloned());
+        let name = (name.0, name.1.cloned());
         let scores = self.by_host.values().filter_map(|peer| peer.scores.get(&name));
-        let live = scores.filter(|(_, at)| now.since(*at) < LIFE);
-        live.map(|(score, _)| score.clamp(0.0, PEER_WEIGHT)).sum()
+        let mut joined = own;
+        for (score, at) in scores.filter(|(_, at)| now.since(*at) < LIFE) {
+            joined.failed += score.failed.clamp(0.0, PEER_WEIGHT);
+            joined.slow += score.slow.clamp(0.0, PEER_WEIGHT);
+            let slow_for = score.slow_for + now.since(*at);
+            joined.slow_for = joined.slow_for.max(slow_for);
+        }
+        let spans = joined.slow_for.as_secs_f64() / reference.span().as_secs_f64();
+        joined.slow = joined.slow.min(spans * slow_step(reference)).max(own.slow);
+        joined
     }
 
     /// Tells whether a peer that sees targets finds most of them well.
@@ -87,7 +106,7 @@
             let mut sick: Vec<_> = peer
                 .scores
                 .iter()
-                .filter(|(_, (score, at))| *score >= SICK / 2.0 && now.since(*at) < LIFE)
+                .filter(|(_, (score, at))| score.total() >= SICK / 2.0 && now.since(*at) < LIFE)
                 .map(|((target, _), _)| *target)
                 .collect();
             sick.sort_unstable();
--- a/chicoryloom_policy/src/pick.rs
+++ b/chicoryloom_policy/src/pick.rs
@@ -21,6 +21,10 @@
 }
 
 /// Returns the index of the better of two random choices, or `None` without targets.
+///
+/// Between two targets that are equally busy, the choice is random in proportion to their speed.
+/// A target that was slow once would otherwise get no request any more, and so no chance to show
+/// whether it still is.
 pub fn choose(loads: &[Load], rng: &mut impl Rng) -> Option<usize> {
     match loads.len() {
         0 => None,
@@ -28,12 +32,21 @@
         len => {
             let first = rng.random_range(0..len);
             let second = (first + rng.random_range(1..len)) % len;
-            let better = loads[second].cost() < loads[first].cost();
+            let better = is_better(&loads[second], &loads[first], rng);
             Some(if better { second } else { first })
         }
     }
 }
 
+fn is_better(one: &Load, other: &Load, rng: &mut impl Rng) -> bool {
+    let busy = |a: &Load, b: &Load| u64::from(a.in_flight + 1) * u64::from(b.slots);
+    if busy(one, other) != busy(other, one) {
+        return one.cost() < other.cost();
+    }
+    let sum = one.latency + other.latency;
+    sum > 0.0 && rng.random_bool((other.latency / sum).clamp(0.0, 1.0))
+}
+
 #[cfg(test)]
 mod tests {
     use rand::SeedableRng;
@@ -50,4 +63,13 @@
             assert_eq!(choose(&[busy, idle], &mut rng), Some(1));
         }
     }
+
+    #[test]
+    fn idle_slow_target_still_gets_its_part() {
+        let fast = Load { in_flight: 0, slots: 2, latency: 0.01 };
+        let slow = Load { in_flight: 0, slots: 2, latency: 0.09 };
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let chosen = (0..10_000).filter(|_| choose(&[fast, slow], &mut rng) == Some(1)).count();
+        assert!((800..1200).contains(&chosen), "a tenth of {chosen}");
+    }
 }
