--- a/chicoryloom/src/admin/show.rs
+++ b/chicoryloom/src/admin/show.rs
@@ -4,6 +4,8 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::document::Document;
+use chicoryloom_policy::health::Explanation;
+use chicoryloom_policy::health::Standing;
 use chicoryloom_policy::id;
 use chicoryloom_wire::platform::Host;
 use serde::Deserialize;
@@ -78,6 +80,7 @@
         "revision": view.revision,
         "fresh": admin.published.is_fresh(now),
         "leaving": admin.published.is_leaving(),
+        "suspects_itself": admin.published.suspects_itself(),
         "connections": admin.proxy.connections(),
         "documents": documents,
         "keys": view.keys.len(),
@@ -127,6 +130,35 @@
         "service": document.service,
         "homes": view.homes(&document.service),
         "targets": document.targets.iter().map(target).collect::<Vec<_>>(),
+        "health": admin.proxy.targets.explain(&document.service).iter().map(health).collect::<Vec<_>>(),
+    })
+}
+
+/// Tells why a target, or one of its routes, is in or out of use.
+fn health(line: &Explanation) -> Value {
+    let (standing, weight) = match line.standing {
+        Standing::In(weight) => ("in", weight),
+        Standing::Trial => ("trial", 0.0),
+        Standing::Out => ("out", 0.0),
+    };
+    json!({
+        "target": line.target.to_string(),
+        "route": line.route,
+        "standing": standing,
+        "weight": weight,
+        "since_s": line.since.as_secs_f64(),
+        "hold_left_s": line.hold_left.as_secs_f64(),
+        "evidence": line.score,
+        "evidence_of_peers": line.peers,
+        "ejections": line.ejections,
+        "leaving": line.leaving,
+        "draining": line.draining,
+        "ok": line.tally.ok,
+        "slow": line.tally.slow,
+        "error": line.tally.error,
+        "refused": line.tally.refused,
+        "reset": line.tally.reset,
+        "timeout": line.tally.timeout,
     })
 }
 
--- a/chicoryloom/src/control/mod.rs
+++ b/chicoryloom/src/control/mod.rs
@@ -31,6 +31,8 @@
     /// Microseconds on the boot-time clock until which the host is fresh; 0 for never.
     fresh_until: AtomicU64,
     leaving: AtomicBool,
+    /// Whether this host finds most targets sick that other hosts find well.
+    suspects_itself: AtomicBool,
 }
 
 impl Published {
@@ -58,6 +60,17 @@
         self.fresh_until.store(micros, Ordering::Release);
     }
 
+    /// Tells whether the host is likelier to be at fault than the targets that it finds sick.
+    pub(crate) fn suspects_itself(&self) -> bool {
+        self.suspects_itself.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_suspects_itself(&self, suspects: bool) {
+        if self.suspects_itself.swap(suspects, Ordering::AcqRel) != suspects {
+            log::warn!("control: this host suspects itself: {suspects}");
+        }
+    }
+
     /// Tells whether the host shuts down.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -30,6 +30,7 @@
 use crate::refusals::Refusals;
 use crate::store::HttpStore;
 use crate::store::Store;
+use crate::target::Share;
 use crate::target::Targets;
 
 /// Heartbeats that one call to the platform may wait for changes.
@@ -92,6 +93,19 @@
             id::Incarnation(rand::random()),
             metrics.clone(),
         );
+        let targets = Arc::new(Targets::new(
+            source,
+            settings.proxy.connect_timeout,
+            settings.policy.detection,
+            clock.clone(),
+        ));
+        let share = Share {
+            name: settings.host.name.clone(),
+            clock: clock.clone(),
+            published: published.clone(),
+            targets: targets.clone(),
+            sender: sender.clone(),
+        };
         let actor = Control::new(
             settings.host.name.clone(),
             settings.policy.fresh_window,
@@ -106,7 +120,7 @@
             clock: clock.clone(),
             published: published.clone(),
             grants: Grants::default(),
-            targets: Targets::new(source, settings.proxy.connect_timeout),
+            targets: targets.clone(),
             metrics: metrics.clone(),
             refusals: Refusals::default(),
             open: AtomicUsize::new(0),
@@ -117,7 +131,8 @@
             })?;
 
         let mut tasks = vec![
-            tokio::spawn(receive(socket, &settings, metrics.clone(), control.clone())),
+            tokio::spawn(receive(socket, &settings, metrics.clone(), control.clone(), targets)),
+            tokio::spawn(share.run()),
             tokio::spawn(tick(control.clone(), settings.policy.heartbeat)),
             tokio::spawn(control::watch(
                 store.clone(),
@@ -205,11 +220,16 @@
     settings: &Settings,
     metrics: Arc<Metrics>,
     control: Address<Control>,
+    targets: Arc<Targets>,
 ) -> impl Future<Output = ()> + use<> {
     let secret = settings.peers.secret.clone();
     peer::receive(socket, secret, metrics, move |frame| {
         let control = control.clone();
+        let heard = targets.hear(&frame);
         async move {
+            if heard {
+                return;
+            }
             // A gone actor means that the host shuts down.
             let _ = control.send(Heard(frame)).await;
         }
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -1,112 +1,211 @@
-//! Attempts of a request at targets.
+//! One attempt of a request at a target.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use chicoryloom_policy::document::Target;
+use chicoryloom_policy::health::Failed;
+use chicoryloom_policy::health::Outcome;
+use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
-use chicoryloom_policy::pick;
-use chicoryloom_wire::caller::Code;
-use chicoryloom_wire::caller::Refusal;
+use chicoryloom_wire::header;
 use http::Request;
-use http::Response;
-use http::Uri;
+use http::StatusCode;
 use http::Version;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use http::request::Parts;
 use tokio::time::Instant;
 
 use super::Proxy;
-use super::SOON;
-use super::body;
 use super::headers;
+use super::payload::Payload;
 use super::request::Asked;
-use crate::target::Backend;
-use crate::target::Body;
+use crate::target::Answer;
 use crate::target::Failure;
+use crate::target::Lease;
+use crate::target::Member;
+use crate::target::Service;
 use crate::target::exchange;
 
-impl Proxy {
-    /// Sends a request to a target and returns the answer.
-    pub(super) async fn attempt(
-        &self,
-        request: Request<Incoming>,
-        asked: &Asked,
-        workspace: Option<id::Workspace>,
-    ) -> Result<Response<Body>, Refusal> {
-        let deadline = Instant::now() + asked.route.deadline;
-        let (target, backend) = self.pick(asked)?;
-        let cap = self.connection_cap(asked, target);
-        let lease = backend.lease(cap).await.map_err(|failure| refusal(&failure))?;
-        let request = self.request(request, asked, &backend, workspace.as_ref())?;
-        // The host may have slept since it admitted the request.
-        self.check_fresh()?;
-        let started = Instant::now();
-        let exchange = exchange(lease, request, self.settings.idle_timeout);
-        let answer = match tokio::time::timeout_at(deadline, exchange).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(failure)) => {
-                log::debug!("proxy: target {}: {failure}", backend.target());
-                return Err(refusal(&failure));
-            }
-            Err(_) => {
-                let detail = "the target did not answer before the deadline";
-                return Err(Refusal::unknown(Code::Deadline, detail));
+/// Times that an attempt in flight counts as late, each at twice the age before.
+const LATE_LEVELS: u32 = 3;
+
+/// A request on its way to some target.
+#[derive(Debug)]
+pub(super) struct Job<'a> {
+    pub(super) proxy: &'a Proxy,
+    pub(super) asked: &'a Asked,
+    pub(super) service: Arc<Service>,
+    pub(super) workspace: Option<id::Workspace>,
+    /// Head of the request as targets get it, but for the headers that the fleet sets.
+    pub(super) parts: Parts,
+    pub(super) payload: Payload,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) deadline: Instant,
+    /// Whether the deadline is the route's and not an earlier one of the caller.
+    pub(super) is_route_deadline: bool,
+    /// Whether a target may have run the request already.
+    pub(super) may_have_run: AtomicBool,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug)]
+pub(super) enum Stopped {
+    Failure(Failure),
+    /// The host may have missed a change since it admitted the request; nothing was sent.
+    NotFresh,
+    /// The body was spent by an earlier attempt; nothing was sent.
+    Spent,
+}
+
+impl Job<'_> {
+    /// Sends the request to one target and takes in what that shows of the target.
+    pub(super) async fn attempt(&self, member: &Member) -> Result<Answer, Stopped> {
+        let answer = self.lease_and_send(member).await;
+        if let Err(Stopped::Failure(failure)) = &answer {
+            log::debug!("proxy: target {}: {failure}", member.target.id);
+            if !failure.is_not_run() {
+                self.may_have_run.store(true, Ordering::Relaxed);
             }
-        };
-        backend.sample(started.elapsed());
-        let mut response = answer.map(BodyExt::boxed_unsync);
-        *response.version_mut() = Version::HTTP_11;
-        headers::to_caller(response.headers_mut());
-        Ok(response)
+        }
+        answer
     }
 
-    fn pick<'a>(&self, asked: &'a Asked) -> Result<(&'a Target, Arc<Backend>), Refusal> {
-        let targets: Vec<_> = asked.document.targets.iter().filter(|t| !t.leaving).collect();
-        let backends: Vec<_> = targets.iter().map(|target| self.targets.backend(target)).collect();
-        let loads: Vec<_> =
-            targets.iter().zip(&backends).map(|(t, backend)| backend.load(t.slots.0)).collect();
-        let chosen = pick::choose(&loads, &mut rand::rng());
-        let chosen = chosen.ok_or_else(|| {
-            Refusal::not_run(Code::NoCapacity, "no target is live").retry_after(SOON)
-        })?;
-        Ok((targets[chosen], backends[chosen].clone()))
+    async fn lease_and_send(&self, member: &Member) -> Result<Answer, Stopped> {
+        let lease = tokio::time::timeout_at(self.deadline, member.backend.lease()).await;
+        let lease = lease.unwrap_or(Err(Failure::Connect("deadline".to_owned())));
+        let lease = lease.inspect_err(|failure| self.observe_failure(member, failure, true));
+        let lease = lease.map_err(Stopped::Failure)?;
+        let fresh = lease.is_fresh();
+        match self.send(member, lease).await {
+            // The target closed an idle connection; that says nothing of its health.
+            Err(Stopped::Failure(Failure::Unsent)) if !fresh && self.payload.is_left() => {
+                let lease = member.backend.lease_fresh().await;
+                let lease = lease.inspect_err(|error| self.observe_failure(member, error, true));
+                self.send(member, lease.map_err(Stopped::Failure)?).await
+            }
+            sent => sent,
+        }
     }
 
-    /// Returns how many connections this host may hold to a target.
-    fn connection_cap(&self, asked: &Asked, target: &Target) -> u32 {
-        let homes = self.published.view().homes(&asked.document.service).len();
-        let homes = u32::try_from(homes.max(1)).unwrap_or(u32::MAX);
-        (target.connections.0 / homes).max(1)
+    async fn send(&self, member: &Member, lease: Lease) -> Result<Answer, Stopped> {
+        let fresh = lease.is_fresh();
+        let request = self.request(member)?;
+        // The host may have slept since it admitted the request.
+        self.proxy.check_fresh().map_err(|_| Stopped::NotFresh)?;
+        let started = Instant::now();
+        let mut late = false;
+        let exchange = exchange(lease, request, self.proxy.settings.idle_timeout);
+        let sent = self.watched(member, exchange, started, &mut late).await;
+        match sent {
+            Ok(mut answer) => {
+                self.observe_answer(member, &answer, started.elapsed(), late);
+                self.watch_body(member, &mut answer);
+                Ok(answer)
+            }
+            Err(failure) => {
+                self.observe_failure(member, &failure, fresh);
+                Err(Stopped::Failure(failure))
+            }
+        }
     }
 
-    fn request(
+    /// Waits for an answer until the deadline and reports an attempt in flight that is late.
+    async fn watched(
         &self,
-        request: Request<Incoming>,
-        asked: &Asked,
-        backend: &Backend,
-        workspace: Option<&id::Workspace>,
-    ) -> Result<Request<Body>, Refusal> {
-        let (mut parts, body) = request.into_parts();
-        let uri: Result<Uri, _> = asked.path.parse();
-        parts.uri = uri.map_err(|error| Refusal::not_run(Code::Route, error.to_string()))?;
+        member: &Member,
+        exchange: impl Future<Output = Result<Answer, Failure>>,
+        started: Instant,
+        late: &mut bool,
+    ) -> Result<Answer, Failure> {
+        let mut exchange = std::pin::pin!(exchange);
+        let limit = self.service.limit(&self.asked.route.name);
+        for level in 0..LATE_LEVELS {
+            let age = limit.saturating_mul(1 << level);
+            let Some(at) = started.checked_add(age).filter(|at| *at < self.deadline) else {
+                break;
+            };
+            match tokio::time::timeout_at(at, exchange.as_mut()).await {
+                Ok(sent) => return sent,
+                Err(_) => {
+                    *late = true;
+                    self.observe(member, Outcome::Late);
+                }
+            }
+        }
+        let last = tokio::time::timeout_at(self.deadline, exchange).await;
+        last.unwrap_or(Err(Failure::Deadline))
+    }
+
+    fn request(&self, member: &Member) -> Result<Request<crate::target::Body>, Stopped> {
+        let body = self.payload.body().ok_or(Stopped::Spent)?;
+        let mut parts = self.parts.clone();
         let id = format!("{:016x}", rand::random::<u64>());
-        let left: Duration = asked.route.deadline;
-        headers::to_target(&mut parts.headers, backend.target(), workspace, &id, left);
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let workspace = self.workspace.as_ref();
+        headers::to_target(&mut parts.headers, member.target.id, workspace, &id, left);
         // A caller's older version would have the target answer in it.
         parts.version = Version::HTTP_11;
-        let body = body::bounded(body, self.settings.body_bytes, self.settings.idle_timeout);
         Ok(Request::from_parts(parts, body))
     }
-}
 
-/// Turns a failed attempt into the caller's answer.
-fn refusal(failure: &Failure) -> Refusal {
-    if failure.is_not_run() {
-        Refusal::not_run(Code::NoCapacity, failure.to_string()).retry_after(SOON)
-    } else if let Failure::Body(reason) = failure {
-        Refusal::unknown(Code::Bound, reason.clone())
-    } else {
-        Refusal::unknown(Code::Answer, failure.to_string())
+    fn observe(&self, member: &Member, outcome: Outcome) {
+        let now = self.proxy.clock.now();
+        self.service.observe(member.target.id, &self.asked.route.name, outcome, now);
+    }
+
+    fn observe_answer(&self, member: &Member, answer: &Answer, took: Duration, late: bool) {
+        let slots = member.target.slots.0;
+        member.backend.gauge().answered(took, late, slots);
+        self.service.answered(self.fingerprint, member.target.id);
+        if answer.headers().contains_key(header::DRAINING) {
+            self.service.drain(member.target.id, self.proxy.clock.now());
+        }
+        if is_error(answer.status()) {
+            self.observe(member, Outcome::Failed(Failed::Error));
+        } else {
+            self.observe(member, Outcome::Ok { took, late });
+        }
+    }
+
+    /// Has an answer that is cut count against the target.
+    fn watch_body(&self, member: &Member, answer: &mut Answer) {
+        let service = self.service.clone();
+        let target = member.target.id;
+        let route = self.asked.route.name.clone();
+        let clock = self.proxy.clock.clone();
+        answer.body_mut().on_cut(move || {
+            service.observe(target, &route, Outcome::Failed(Failed::Reset), clock.now());
+        });
     }
+
+    fn observe_failure(&self, member: &Member, failure: &Failure, fresh: bool) {
+        let now = self.proxy.clock.now();
+        let failed = match failure {
+            Failure::Cap | Failure::Body(_) => return,
+            Failure::Unsent if !fresh => return,
+            Failure::Connect(_) | Failure::Unsent => Failed::Refused,
+            Failure::Shed { draining } => {
+                member.backend.gauge().shed(now);
+                if *draining {
+                    self.service.drain(member.target.id, now);
+                }
+                return;
+            }
+            Failure::Lost(_) => {
+                self.service.lost(self.fingerprint, member.target.id, now);
+                Failed::Reset
+            }
+            Failure::Crossed | Failure::Endless => Failed::Error,
+            // A caller that waits for a moment only must not have targets ejected.
+            Failure::Deadline if !self.is_route_deadline => return,
+            Failure::Deadline => Failed::Timeout,
+        };
+        self.observe(member, Outcome::Failed(failed));
+    }
+}
+
+/// Tells whether a status says that the target failed.
+pub(super) fn is_error(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 500 | 502 | 503 | 504)
 }
--- /dev/null
+++ b/chicoryloom/src/proxy/attempts.rs
@@ -0,0 +1,233 @@
+//! Retries and hedges of a request.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chicoryloom_policy::holdback::Fingerprint;
+use chicoryloom_policy::id;
+use chicoryloom_wire::caller::Code;
+use chicoryloom_wire::caller::Refusal;
+use chicoryloom_wire::caller::Run;
+use chicoryloom_wire::header;
+use futures::future::Either;
+use futures::future::select;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::Version;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::Proxy;
+use super::SOON;
+use super::attempt::Job;
+use super::attempt::Stopped;
+use super::attempt::is_error;
+use super::headers;
+use super::payload::Payload;
+use super::request::Asked;
+use crate::control::View;
+use crate::target::Answer;
+use crate::target::Body;
+use crate::target::Failure;
+use crate::target::Member;
+use crate::target::Place;
+
+/// Most targets that one request is sent to, hedges included.
+const MAX_TARGETS: usize = 4;
+
+impl Proxy {
+    /// Sends a request to a target, or to several in turn, and returns the answer.
+    pub(super) async fn attempt(
+        &self,
+        request: Request<Incoming>,
+        view: &View,
+        asked: &Asked,
+        workspace: Option<id::Workspace>,
+    ) -> Result<Response<Body>, Refusal> {
+        let started = Instant::now();
+        let budget = budget(request.headers(), asked.route.deadline);
+        let deadline = started + budget;
+        let place = Place::of(view, &asked.document.service, &self.name);
+        let service = self.targets.service(&asked.document, place);
+        let (mut parts, body) = request.into_parts();
+        let uri: Result<Uri, _> = asked.path.parse();
+        parts.uri = uri.map_err(|error| Refusal::not_run(Code::Route, error.to_string()))?;
+        let payload = self.payload(body, deadline).await?;
+        let name = workspace.as_ref().map_or("", id::Workspace::as_str);
+        let method = parts.method.as_str();
+        let fingerprint = Fingerprint::of(name, method, &asked.path, payload.head());
+        if let Some(wait) = service.held(fingerprint, self.clock.now()) {
+            let detail = "requests like this one took targets down";
+            return Err(Refusal::not_run(Code::HeldBack, detail).retry_after(wait));
+        }
+        let job = Job {
+            proxy: self,
+            asked,
+            service,
+            workspace,
+            parts,
+            payload,
+            fingerprint,
+            deadline,
+            is_route_deadline: budget == asked.route.deadline,
+            may_have_run: AtomicBool::new(false),
+        };
+        let answer = job.run().await?;
+        let mut response = answer.map(BodyExt::boxed_unsync);
+        *response.version_mut() = Version::HTTP_11;
+        headers::to_caller(response.headers_mut());
+        Ok(response)
+    }
+
+    async fn payload(&self, body: Incoming, deadline: Instant) -> Result<Payload, Refusal> {
+        let read = Payload::read(body, self.settings.body_bytes, self.settings.idle_timeout);
+        match tokio::time::timeout_at(deadline, read).await {
+            Ok(Ok(payload)) => Ok(payload),
+            Ok(Err(error)) => Err(Refusal::not_run(Code::Bound, error.to_string())),
+            Err(_) => Err(Refusal::not_run(Code::Deadline, "the body did not come in time")),
+        }
+    }
+}
+
+/// Returns the time that is left for a request: the route's, or less if the caller says so.
+fn budget(headers: &HeaderMap, route: Duration) -> Duration {
+    let value = headers.get(header::DEADLINE_MS).and_then(|value| value.to_str().ok());
+    let asked = value.and_then(|value| value.trim().parse().ok()).map(Duration::from_millis);
+    asked.map_or(route, |asked| asked.min(route))
+}
+
+impl Job<'_> {
+    /// Sends the request until a target answers or nothing more may be tried.
+    async fn run(&self) -> Result<Answer, Refusal> {
+        self.service.deposit();
+        let mut tried = Vec::new();
+        let mut last = None;
+        while tried.len() < MAX_TARGETS {
+            let Some(member) = self.pick(&tried) else {
+                break;
+            };
+            tried.push(member.target.id);
+            let answer = self.hedged(&member, &mut tried).await;
+            if !self.may_retry(&answer) {
+                return answer.map_err(|stopped| self.refusal(&stopped));
+            }
+            last = Some(answer);
+        }
+        match last {
+            Some(answer) => answer.map_err(|stopped| self.refusal(&stopped)),
+            None => {
+                let detail = "no target that is in use can take the request";
+                Err(Refusal::not_run(Code::NoCapacity, detail).retry_after(SOON))
+            }
+        }
+    }
+
+    fn pick(&self, tried: &[id::Target]) -> Option<Member> {
+        self.service.pick(&self.asked.route, tried, self.proxy.clock.now())
+    }
+
+    /// Tells whether to try another target, and takes the try out of the budget.
+    fn may_retry(&self, answer: &Result<Answer, Stopped>) -> bool {
+        if Instant::now() >= self.deadline || !self.payload.is_left() {
+            return false;
+        }
+        let repeatable = self.asked.route.repeatable;
+        match answer {
+            Ok(answer) if repeatable && is_error(answer.status()) => {
+                self.may_have_run.store(true, Ordering::Relaxed);
+                self.service.take_retry()
+            }
+            Ok(_) => false,
+            Err(Stopped::NotFresh | Stopped::Spent) => false,
+            // Nothing reached a target, so another try adds no load.
+            Err(Stopped::Failure(Failure::Cap | Failure::Connect(_) | Failure::Unsent)) => true,
+            Err(Stopped::Failure(failure)) => {
+                let held = self.service.held(self.fingerprint, self.proxy.clock.now());
+                (repeatable || failure.is_not_run()) && held.is_none() && self.service.take_retry()
+            }
+        }
+    }
+
+    /// Sends the request to a target, and to a second one if the first is late.
+    async fn hedged(
+        &self,
+        member: &Member,
+        tried: &mut Vec<id::Target>,
+    ) -> Result<Answer, Stopped> {
+        let mut first = std::pin::pin!(self.attempt(member));
+        if !self.asked.route.repeatable || !self.payload.is_whole() {
+            return first.await;
+        }
+        let limit = self.service.limit(&self.asked.route.name);
+        let wait = self.deadline.saturating_duration_since(Instant::now()).min(limit);
+        if let Ok(answer) = tokio::time::timeout(wait, first.as_mut()).await {
+            return answer;
+        }
+        let Some(second) = self.second(tried) else {
+            return first.await;
+        };
+        tried.push(second.target.id);
+        let second = std::pin::pin!(self.attempt(&second));
+        // The attempt that loses is dropped, which closes its connection.
+        match select(first, second).await {
+            Either::Left((answer, other)) if is_bad(&answer) => better(answer, other.await),
+            Either::Right((answer, other)) if is_bad(&answer) => better(answer, other.await),
+            Either::Left((answer, _)) | Either::Right((answer, _)) => answer,
+        }
+    }
+
+    /// Turns the last failed attempt into the caller's answer.
+    ///
+    /// "Not run" is said only if it is true of all attempts.
+    fn refusal(&self, stopped: &Stopped) -> Refusal {
+        let mut refusal = refusal(stopped);
+        if self.may_have_run.load(Ordering::Relaxed) {
+            refusal.run = Run::Unknown;
+        }
+        refusal
+    }
+
+    /// Chooses a target for a hedge, within the budget.
+    fn second(&self, tried: &[id::Target]) -> Option<Member> {
+        if Instant::now() >= self.deadline || tried.len() >= MAX_TARGETS {
+            return None;
+        }
+        let member = self.pick(tried)?;
+        self.service.take_retry().then_some(member)
+    }
+}
+
+fn is_bad(answer: &Result<Answer, Stopped>) -> bool {
+    answer.as_ref().map_or(true, |answer| is_error(answer.status()))
+}
+
+fn better(one: Result<Answer, Stopped>, other: Result<Answer, Stopped>) -> Result<Answer, Stopped> {
+    if is_bad(&other) { one } else { other }
+}
+
+/// Turns a failed attempt into the caller's answer.
+fn refusal(stopped: &Stopped) -> Refusal {
+    let failure = match stopped {
+        Stopped::Failure(failure) => failure,
+        Stopped::NotFresh => {
+            let detail = "this host may have missed a change; use another one";
+            return Refusal::not_run(Code::NotFresh, detail).retry_after(SOON);
+        }
+        Stopped::Spent => {
+            let detail = "the body is longer than what is kept for another try";
+            return Refusal::not_run(Code::NoCapacity, detail).retry_after(SOON);
+        }
+    };
+    match failure {
+        Failure::Deadline => Refusal::unknown(Code::Deadline, failure.to_string()),
+        Failure::Body(reason) => Refusal::unknown(Code::Bound, reason.clone()),
+        failure if failure.is_not_run() => {
+            Refusal::not_run(Code::NoCapacity, failure.to_string()).retry_after(SOON)
+        }
+        failure => Refusal::unknown(Code::Answer, failure.to_string()),
+    }
+}
--- a/chicoryloom/src/proxy/forward.rs
+++ b/chicoryloom/src/proxy/forward.rs
@@ -48,7 +48,8 @@
             return Err(Refusal::not_run(Code::NoCapacity, detail).retry_after(SOON));
         };
         let backend = self.targets.backend(&as_target(home));
-        let lease = backend.lease(CONNECTIONS).await.map_err(|failure| {
+        backend.set_cap(CONNECTIONS);
+        let lease = backend.lease().await.map_err(|failure| {
             Refusal::not_run(Code::NoCapacity, failure.to_string()).retry_after(SOON)
         })?;
         let (mut parts, body) = request.into_parts();
--- a/chicoryloom/src/proxy/listener.rs
+++ b/chicoryloom/src/proxy/listener.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,8 +16,10 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::Proxy;
 use super::answer;
@@ -24,6 +27,12 @@
 
 /// How often a shutdown looks for open connections.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Time without a new connection after which a shutdown accepts no more.
+const LAST_ACCEPT: Duration = Duration::from_millis(50);
+/// Longest time for which a shutdown accepts connections of callers that should be gone.
+const ACCEPT_END: Duration = Duration::from_secs(3);
+/// Time that a shutdown gives a new connection for its first request.
+const FIRST_REQUEST: Duration = Duration::from_secs(1);
 /// Pause after a failed accept, such as when the process has no free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Bytes past the bound on a head that are still read, so that its refusal can be explained.
@@ -43,6 +52,8 @@
     refusals: Arc<Semaphore>,
     /// Turns true when open connections end after their present request.
     closing: watch::Sender<bool>,
+    /// Whether no more connections are accepted.
+    drained: AtomicBool,
 }
 
 impl Listener {
@@ -57,6 +68,7 @@
             permits,
             refusals: Arc::new(Semaphore::new(REFUSALS)),
             closing: watch::Sender::new(false),
+            drained: AtomicBool::new(false),
         });
         tokio::spawn(listener.clone().accept(socket));
         Ok(listener)
@@ -69,6 +81,9 @@
     /// Ends each connection after its present request and waits until none is open.
     pub(crate) async fn close(&self) {
         self.closing.send_replace(true);
+        while !self.drained.load(Ordering::Acquire) {
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
         while self.permits.available_permits() < self.proxy.settings.connections {
             tokio::time::sleep(DRAIN_CHECK).await;
         }
@@ -79,7 +94,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = socket.accept() => accepted,
-                () = closed(&mut closing) => return,
+                () = closed(&mut closing) => break,
             };
             let Ok((stream, _)) = accepted else {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -87,6 +102,14 @@
             };
             self.take(stream);
         }
+        // Callers whose connections wait to be accepted may have sent their requests already.
+        let end = Instant::now() + ACCEPT_END;
+        while let Ok(Ok((stream, _))) = tokio::time::timeout(LAST_ACCEPT, socket.accept()).await
+            && Instant::now() < end
+        {
+            self.take(stream);
+        }
+        self.drained.store(true, Ordering::Release);
     }
 
     /// Serves a connection, or tells its caller that the host holds too many.
@@ -115,8 +138,11 @@
         // Small answers would otherwise wait for the caller's acknowledgement.
         let _ = stream.set_nodelay(true);
         let proxy = self.proxy.clone();
+        let asked = Arc::new(Notify::new());
+        let first = asked.clone();
         let service = service_fn(move |request| {
             let proxy = proxy.clone();
+            first.notify_one();
             async move { Ok::<_, Infallible>(proxy.answer(request).await) }
         });
         let settings = &self.proxy.settings;
@@ -134,8 +160,15 @@
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
             () = closed(&mut closing) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                // The first request of a new connection may be on its way.
+                let asked = tokio::time::timeout(FIRST_REQUEST, asked.notified());
+                tokio::select! {
+                    ended = connection.as_mut() => ended,
+                    _ = asked => {
+                        connection.as_mut().graceful_shutdown();
+                        connection.await
+                    },
+                }
             },
         };
         if let Err(error) = ended {
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod attempts;
 mod body;
 mod form;
 mod forward;
@@ -9,6 +10,7 @@
 pub(crate) mod key;
 mod listener;
 mod path;
+mod payload;
 mod request;
 mod stream;
 
@@ -21,8 +23,10 @@
 use chicoryloom_policy::id;
 use chicoryloom_wire::caller::Code;
 use chicoryloom_wire::caller::Refusal;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header::CONNECTION;
 use hyper::body::Incoming;
 
 pub(crate) use listener::Listener;
@@ -53,7 +57,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) published: Arc<Published>,
     pub(crate) grants: Grants,
-    pub(crate) targets: Targets,
+    pub(crate) targets: Arc<Targets>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) refusals: Refusals,
     /// Connections of callers that are open.
@@ -65,12 +69,17 @@
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let origin = request::Origin::of(&request);
         let answered = self.checked_answer(request).await;
-        answered.unwrap_or_else(|refusal| {
+        let mut response = answered.unwrap_or_else(|refusal| {
             self.metrics.refusal(refusal.code);
             let kind = origin.kind(&self.published.view(), refusal.code);
             self.refusals.record(kind, &refusal, self.clock.now());
             answer::refuse(&refusal)
-        })
+        });
+        if self.published.is_leaving() {
+            // The caller turns to another host before this one ends.
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
 
     /// Returns how many connections of callers are open.
@@ -94,8 +103,12 @@
         let view = self.published.view();
         let max_age = u32::try_from(self.settings.max_age.as_secs()).unwrap_or(u32::MAX);
         let seed = request::seed(request.headers());
-        let hosts = locator::locate(&view, service, seed, max_age)
+        let mut hosts = locator::locate(&view, service, seed, max_age)
             .ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
+        if self.published.suspects_itself() && hosts.hosts.len() > 1 {
+            let own = view.hosts.get(&self.name).map(|host| host.caller.to_string());
+            hosts.hosts.retain(|host| Some(&host.address) != own.as_ref());
+        }
         Ok(answer::json(&hosts))
     }
 
@@ -119,7 +132,7 @@
             workspace: workspace.clone(),
             class: asked.route.class.clone(),
         };
-        let response = self.attempt(request, &asked, workspace).await?;
+        let response = self.attempt(request, &view, &asked, workspace).await?;
         self.metrics.request(&labels, response.status().as_u16(), started.elapsed());
         Ok(response)
     }
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -12,6 +12,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -62,6 +63,10 @@
     Body(String),
     /// The answer belongs to another request.
     Crossed,
+    /// The answer has no end of its own, so a cut could not be told from it.
+    Endless,
+    /// No answer came before the deadline.
+    Deadline,
     /// The target says that it did not run the request.
     Shed { draining: bool },
 }
@@ -69,7 +74,10 @@
 impl Failure {
     /// Tells whether the target surely didn't run the request.
     pub(crate) fn is_not_run(&self) -> bool {
-        !matches!(self, Self::Lost(_) | Self::Body(_) | Self::Crossed)
+        !matches!(
+            self,
+            Self::Lost(_) | Self::Body(_) | Self::Crossed | Self::Endless | Self::Deadline
+        )
     }
 }
 
@@ -82,6 +90,8 @@
             Self::Lost(reason) => write!(f, "answer lost: {reason}"),
             Self::Body(reason) => f.write_str(reason),
             Self::Crossed => f.write_str("answer belongs to another request"),
+            Self::Endless => f.write_str("answer without a length or chunks"),
+            Self::Deadline => f.write_str("the target did not answer before the deadline"),
             Self::Shed { draining: true } => f.write_str("shed by a draining target"),
             Self::Shed { draining: false } => f.write_str("shed by the target"),
         }
@@ -136,13 +146,26 @@
         let draining = response.headers().contains_key(header::DRAINING);
         return Err(Failure::Shed { draining });
     }
+    if is_endless(response) {
+        return Err(Failure::Endless);
+    }
     Ok(())
 }
 
+/// Tells whether only the close of the connection would end the body.
+fn is_endless(response: &Response<Incoming>) -> bool {
+    let has_length = hyper::body::Body::size_hint(response.body()).exact().is_some();
+    let has_chunks = response.headers().contains_key(TRANSFER_ENCODING);
+    !has_length && !has_chunks && !hyper::body::Body::is_end_stream(response.body())
+}
+
+/// Told once when an answer's body ends before its end.
+type Report = Box<dyn FnOnce() + Send>;
+
 /// Body of a target's answer.
-#[derive(Debug)]
 pub(crate) struct AnswerBody {
     body: Incoming,
+    report: Option<Report>,
     /// Given back once the body has come whole; dropped, and so closed, otherwise.
     lease: Option<Lease>,
     idle: Duration,
@@ -151,12 +174,29 @@
 
 impl AnswerBody {
     fn new(body: Incoming, lease: Lease, idle: Duration) -> Self {
-        let mut answer =
-            Self { body, lease: Some(lease), idle, timer: Box::pin(tokio::time::sleep(idle)) };
+        let mut answer = Self {
+            body,
+            report: None,
+            lease: Some(lease),
+            idle,
+            timer: Box::pin(tokio::time::sleep(idle)),
+        };
         answer.finish_if_ended();
         answer
     }
 
+    /// Sets what is told if the body ends before its end.
+    pub(crate) fn on_cut(&mut self, report: impl FnOnce() + Send + 'static) {
+        self.report = Some(Box::new(report));
+    }
+
+    fn cut(&mut self) {
+        self.lease = None;
+        if let Some(report) = self.report.take() {
+            report();
+        }
+    }
+
     fn finish_if_ended(&mut self) {
         if hyper::body::Body::is_end_stream(&self.body)
             && let Some(lease) = self.lease.take()
@@ -182,7 +222,7 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
-                this.lease = None;
+                this.cut();
                 Poll::Ready(Some(Err(BodyError::Broken(error))))
             }
             Poll::Ready(None) => {
@@ -193,7 +233,7 @@
             }
             Poll::Pending => match this.timer.as_mut().poll(context) {
                 Poll::Ready(()) => {
-                    this.lease = None;
+                    this.cut();
                     Poll::Ready(Some(Err(BodyError::Idle)))
                 }
                 Poll::Pending => Poll::Pending,
--- a/chicoryloom/src/target/mod.rs
+++ b/chicoryloom/src/target/mod.rs
@@ -1,7 +1,10 @@
-//! Connections and exchanges with targets.
+//! Connections and exchanges with targets, and the targets' health.
 
 mod exchange;
+mod gauge;
 mod pool;
+mod service;
+mod share;
 
 use std::collections::HashMap;
 use std::net::IpAddr;
@@ -10,26 +13,62 @@
 use std::time::Duration;
 
 use chicoryloom_policy::document;
+use chicoryloom_policy::document::Document;
+use chicoryloom_policy::health;
+use chicoryloom_policy::health::Explanation;
 use chicoryloom_policy::id;
+use tokio::sync::Notify;
 
+pub(crate) use exchange::Answer;
 pub(crate) use exchange::Body;
 pub(crate) use exchange::BodyError;
 pub(crate) use exchange::Failure;
 pub(crate) use exchange::exchange;
 pub(crate) use pool::Backend;
+pub(crate) use pool::Lease;
+pub(crate) use service::Member;
+pub(crate) use service::Service;
+pub(crate) use share::Place;
+pub(crate) use share::Share;
 
-/// What this host knows of the targets, by address.
+use crate::clock::Clock;
+use crate::config::policy::Detection;
+
+/// What this host knows of the targets.
 #[derive(Debug)]
 pub(crate) struct Targets {
     /// Address that connections come from.
     source: IpAddr,
     connect_timeout: Duration,
+    detection: health::Detection,
+    clock: Arc<dyn Clock>,
     by_address: Mutex<HashMap<id::Target, Arc<Backend>>>,
+    services: Mutex<HashMap<id::Service, Arc<Service>>>,
+    /// Wakes the task that tells other hosts.
+    news: Arc<Notify>,
 }
 
 impl Targets {
-    pub(crate) fn new(source: IpAddr, connect_timeout: Duration) -> Self {
-        Self { source, connect_timeout, by_address: Mutex::default() }
+    pub(crate) fn new(
+        source: IpAddr,
+        connect_timeout: Duration,
+        detection: Detection,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let detection = match detection {
+            Detection::Sequential => health::Detection::Sequential,
+            Detection::Consecutive => health::Detection::Consecutive,
+            Detection::Window => health::Detection::Window,
+        };
+        Self {
+            source,
+            connect_timeout,
+            detection,
+            clock,
+            by_address: Mutex::default(),
+            services: Mutex::default(),
+            news: Arc::default(),
+        }
     }
 
     /// Returns the target's state on this host, new if it is first used.
@@ -38,4 +77,51 @@
         let new = || Arc::new(Backend::new(target.id, self.source, self.connect_timeout));
         by_address.entry(target.id).or_insert_with(new).clone()
     }
+
+    /// Returns the state of a service's targets, brought up to its document and to this host's
+    /// place among the home hosts.
+    pub(crate) fn service(&self, document: &Arc<Document>, place: Place) -> Arc<Service> {
+        let mut services = self.services.lock().expect("no holder of the lock panics");
+        let name = &document.service;
+        let new = || Arc::new(Service::new(name.clone(), self.detection, self.news.clone()));
+        let service = services.entry(name.clone()).or_insert_with(new).clone();
+        if !service.is_under(document) {
+            let member = |target: &document::Target| Member {
+                target: target.clone(),
+                backend: self.backend(target),
+            };
+            let members = document.targets.iter().map(member).collect();
+            service.configure(document, members, self.clock.now());
+        }
+        service.arrange(place);
+        service
+    }
+
+    /// Tells why each target of a service stands where it does; empty if this host is no home.
+    pub(crate) fn explain(&self, service: &id::Service) -> Vec<Explanation> {
+        let now = self.clock.now();
+        self.known(service.as_str()).map(|service| service.explain(now)).unwrap_or_default()
+    }
+
+    fn services(&self) -> Vec<Arc<Service>> {
+        let services = self.services.lock().expect("no holder of the lock panics");
+        services.values().cloned().collect()
+    }
+
+    fn known(&self, name: &str) -> Option<Arc<Service>> {
+        let name = name.parse().ok()?;
+        self.services.lock().expect("no holder of the lock panics").get(&name).cloned()
+    }
+
+    /// Forgets services without a document, and targets that nothing uses any more.
+    fn forget<F: Fn(&id::Service) -> bool>(&self, is_known: F) {
+        let mut services = self.services.lock().expect("no holder of the lock panics");
+        services.retain(|name, _| is_known(name));
+        drop(services);
+        let mut by_address = self.by_address.lock().expect("no holder of the lock panics");
+        by_address.retain(|_, backend| {
+            backend.sweep();
+            Arc::strong_count(backend) > 1 || backend.connections() > 0
+        });
+    }
 }
--- a/chicoryloom/src/target/pool.rs
+++ b/chicoryloom/src/target/pool.rs
@@ -7,25 +7,27 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chicoryloom_policy::id;
-use chicoryloom_policy::pick::Load;
+use chicoryloom_policy::pick;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use super::exchange::Body;
 use super::exchange::Failure;
+use super::gauge::Gauge;
 
-/// Weight of the newest sample in the smoothed latency.
-const LATENCY_WEIGHT: f64 = 0.2;
-/// Latency assumed before the first sample.
-const FIRST_LATENCY: Duration = Duration::from_millis(10);
+/// Longest time that a connection is kept without a request.
+const IDLE: Duration = Duration::from_secs(10);
+/// Longest wait for a pooled connection to end its previous exchange.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// One target as this host sees it.
 #[derive(Debug)]
@@ -34,12 +36,19 @@
     /// Address that connections come from.
     source: IpAddr,
     connect_timeout: Duration,
-    idle: Mutex<Vec<SendRequest<Body>>>,
+    idle: Mutex<Vec<Idle>>,
     /// Connections that are open or being opened.
     open: Arc<AtomicU32>,
-    in_flight: AtomicU32,
-    /// Smoothed time to the head of an answer, in microseconds.
-    latency: AtomicU64,
+    /// Connections that this host may hold at present.
+    cap: AtomicU32,
+    gauge: Gauge,
+}
+
+/// A connection that awaits its next request.
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
 }
 
 impl Backend {
@@ -50,52 +59,73 @@
             connect_timeout,
             idle: Mutex::default(),
             open: Arc::default(),
-            in_flight: AtomicU32::new(0),
-            latency: AtomicU64::new(FIRST_LATENCY.as_micros() as u64),
+            cap: AtomicU32::new(0),
+            gauge: Gauge::default(),
         }
     }
 
-    pub(crate) fn target(&self) -> id::Target {
-        self.target
+    /// Returns what this host measures of the target's load.
+    pub(crate) fn gauge(&self) -> &Gauge {
+        &self.gauge
     }
 
     /// Returns what the choice of a target goes by.
-    pub(crate) fn load(&self, slots: u32) -> Load {
-        let latency = Duration::from_micros(self.latency.load(Ordering::Relaxed));
-        Load {
-            in_flight: self.in_flight.load(Ordering::Relaxed),
-            slots,
-            latency: latency.as_secs_f64(),
+    pub(crate) fn load(&self, slots: u32) -> pick::Load {
+        self.gauge.load(slots)
+    }
+
+    /// Returns how many connections are open or being opened.
+    pub(crate) fn connections(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Sets how many connections this host may hold, and closes idle ones past it.
+    pub(crate) fn set_cap(&self, cap: u32) {
+        if self.cap.swap(cap, Ordering::AcqRel) <= cap {
+            return;
         }
+        let mut idle = self.idle();
+        let excess = self.connections().saturating_sub(cap) as usize;
+        let closed = excess.min(idle.len());
+        drop(idle.drain(..closed));
     }
 
-    /// Takes a sample into the smoothed latency.
-    pub(crate) fn sample(&self, took: Duration) {
-        let old = self.latency.load(Ordering::Relaxed) as f64;
-        let new = old + LATENCY_WEIGHT * (took.as_micros() as f64 - old);
-        self.latency.store(new as u64, Ordering::Relaxed);
+    /// Closes connections that have been idle for too long.
+    pub(super) fn sweep(&self) {
+        self.idle().retain(|idle| idle.since.elapsed() < IDLE && !idle.connection.is_closed());
     }
 
-    fn idle(&self) -> MutexGuard<'_, Vec<SendRequest<Body>>> {
+    fn idle(&self) -> MutexGuard<'_, Vec<Idle>> {
         self.idle.lock().expect("no holder of the lock panics")
     }
 
     /// Takes an idle connection, or opens one within the cap.
-    pub(crate) async fn lease(self: &Arc<Self>, cap: u32) -> Result<Lease, Failure> {
+    pub(crate) async fn lease(self: &Arc<Self>) -> Result<Lease, Failure> {
         let busy = Busy::new(self.clone());
         loop {
-            let Some(sender) = self.idle().pop() else {
+            let Some(idle) = self.idle().pop() else {
                 break;
             };
-            if sender.is_ready() {
-                return Ok(Lease { sender: Some(sender), busy });
+            let mut connection = idle.connection;
+            if idle.since.elapsed() < IDLE && connection.is_ready().await {
+                return Ok(Lease { connection: Some(connection), busy, fresh: false });
             }
         }
-        let sender = self.connect(cap).await?;
-        Ok(Lease { sender: Some(sender), busy })
+        self.open(busy).await
     }
 
-    async fn connect(&self, cap: u32) -> Result<SendRequest<Body>, Failure> {
+    /// Opens a connection within the cap.
+    pub(crate) async fn lease_fresh(self: &Arc<Self>) -> Result<Lease, Failure> {
+        self.open(Busy::new(self.clone())).await
+    }
+
+    async fn open(&self, busy: Busy) -> Result<Lease, Failure> {
+        let connection = self.connect().await?;
+        Ok(Lease { connection: Some(connection), busy, fresh: true })
+    }
+
+    async fn connect(&self) -> Result<Connection, Failure> {
+        let cap = self.cap.load(Ordering::Acquire);
         let open = Open::new(&self.open, cap).ok_or(Failure::Cap)?;
         let connecting = connect_from(self.source, self.target.0);
         let stream = match tokio::time::timeout(self.connect_timeout, connecting).await {
@@ -108,13 +138,13 @@
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
             handshake.map_err(|error| Failure::Connect(error.to_string()))?;
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("target: connection ended: {error}");
             }
             drop(open);
         });
-        Ok(sender)
+        Ok(Connection { sender, task })
     }
 }
 
@@ -130,6 +160,33 @@
     socket.connect(address).await
 }
 
+/// A connection; dropping it closes it at once, whatever is under way.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Body>,
+    task: JoinHandle<()>,
+}
+
+impl Connection {
+    fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until the previous exchange is over; tells whether the connection is usable.
+    async fn is_ready(&mut self) -> bool {
+        if self.sender.is_ready() {
+            return true;
+        }
+        matches!(tokio::time::timeout(READY_TIMEOUT, self.sender.ready()).await, Ok(Ok(())))
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// Counts a connection while it is open.
 struct Open(Arc<AtomicU32>);
 
@@ -153,35 +210,44 @@
 
 impl Busy {
     fn new(backend: Arc<Backend>) -> Self {
-        backend.in_flight.fetch_add(1, Ordering::Relaxed);
+        backend.gauge.begin();
         Self(backend)
     }
 }
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.0.gauge.end();
     }
 }
 
 /// A connection in use by one attempt; it is closed unless it is given back.
 #[derive(Debug)]
 pub(crate) struct Lease {
-    sender: Option<SendRequest<Body>>,
+    connection: Option<Connection>,
     busy: Busy,
+    fresh: bool,
 }
 
 impl Lease {
+    /// Tells whether the connection carried no request before.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
     pub(super) fn sender(&mut self) -> Option<&mut SendRequest<Body>> {
-        self.sender.as_mut()
+        self.connection.as_mut().map(|connection| &mut connection.sender)
     }
 
     /// Gives the connection back after a whole answer.
     pub(super) fn give_back(mut self) {
-        if let Some(sender) = self.sender.take()
-            && !sender.is_closed()
+        let backend = &self.busy.0;
+        let within = backend.connections() <= backend.cap.load(Ordering::Acquire);
+        if let Some(connection) = self.connection.take()
+            && !connection.is_closed()
+            && within
         {
-            self.busy.0.idle().push(sender);
+            backend.idle().push(Idle { connection, since: Instant::now() });
         }
     }
 }
--- /dev/null
+++ b/chicoryloom/src/target/service.rs
@@ -0,0 +1,321 @@
+//! A service's targets: health, choice, retry budget and requests held back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::document;
+use chicoryloom_policy::document::Document;
+use chicoryloom_policy::health::Board;
+use chicoryloom_policy::health::Detection;
+use chicoryloom_policy::health::Explanation;
+use chicoryloom_policy::health::Outcome;
+use chicoryloom_policy::health::Reports;
+use chicoryloom_policy::health::Standing;
+use chicoryloom_policy::holdback::Fingerprint;
+use chicoryloom_policy::holdback::Holdback;
+use chicoryloom_policy::id;
+use chicoryloom_policy::pick;
+use chicoryloom_policy::retry::Budget;
+use rand::Rng;
+use tokio::sync::Notify;
+
+use super::Place;
+use super::pool::Backend;
+
+/// Attempts in flight past which a target gets no more, in limits.
+const HARD_LIMIT: u32 = 4;
+
+/// One target and this host's connections to it.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) target: document::Target,
+    pub(crate) backend: Arc<Backend>,
+}
+
+/// How the targets stand at one moment.
+#[derive(Debug, Default)]
+pub(crate) struct Snapshot {
+    document: Option<Arc<Document>>,
+    members: Vec<Member>,
+    routes: HashMap<id::Route, usize>,
+    /// By route and member.
+    standings: Vec<Vec<Standing>>,
+    /// By route.
+    limits: Vec<Duration>,
+}
+
+/// A loss of a target, or an answer to a suspected request, to tell the other home hosts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Crash {
+    pub(crate) request: Fingerprint,
+    pub(crate) target: id::Target,
+    pub(crate) answered: bool,
+}
+
+/// What this host knows of one service's targets.
+#[derive(Debug)]
+pub(crate) struct Service {
+    name: id::Service,
+    board: Mutex<Board>,
+    snapshot: ArcSwap<Snapshot>,
+    budget: Mutex<Budget>,
+    holdback: Mutex<Holdback>,
+    crashes: Mutex<Vec<Crash>>,
+    /// This host's place that the connections are bounded by.
+    place: Mutex<Option<Place>>,
+    /// Wakes the task that tells other hosts.
+    news: Arc<Notify>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
+}
+
+impl Service {
+    pub(super) fn new(name: id::Service, detection: Detection, news: Arc<Notify>) -> Self {
+        Self {
+            name,
+            board: Mutex::new(Board::new(detection)),
+            snapshot: ArcSwap::default(),
+            budget: Mutex::default(),
+            holdback: Mutex::default(),
+            crashes: Mutex::default(),
+            place: Mutex::default(),
+            news,
+        }
+    }
+
+    pub(crate) fn name(&self) -> &id::Service {
+        &self.name
+    }
+
+    /// Tells whether a document is the one in use.
+    pub(super) fn is_under(&self, document: &Arc<Document>) -> bool {
+        let snapshot = self.snapshot.load();
+        snapshot.document.as_ref().is_some_and(|held| Arc::ptr_eq(held, document))
+    }
+
+    /// Takes over a document.
+    pub(super) fn configure(&self, document: &Arc<Document>, members: Vec<Member>, now: Moment) {
+        let mut board = lock(&self.board);
+        board.configure(document, now);
+        *lock(&self.place) = None;
+        self.show(&board, Some(document.clone()), members, now);
+    }
+
+    /// Ejects what is sick, lets targets return, and brings the snapshot up to date.
+    pub(super) fn decide(&self, now: Moment) {
+        let mut board = lock(&self.board);
+        board.decide(now);
+        let old = self.snapshot.load_full();
+        self.show(&board, old.document.clone(), old.members.clone(), now);
+    }
+
+    fn show(
+        &self,
+        board: &Board,
+        document: Option<Arc<Document>>,
+        members: Vec<Member>,
+        now: Moment,
+    ) {
+        let names = document.iter().flat_map(|document| &document.routes);
+        let routes: HashMap<_, _> =
+            names.enumerate().map(|(index, route)| (route.name.clone(), index)).collect();
+        let by_member = |route: usize| {
+            let indices = 0..members.len();
+            indices.map(|member| board.standing(member, route, now)).collect()
+        };
+        let standings = (0..routes.len()).map(by_member).collect();
+        let limits = (0..routes.len()).map(|route| board.limit(route)).collect();
+        self.snapshot.store(Arc::new(Snapshot { document, members, routes, standings, limits }));
+    }
+
+    /// Applies this host's place among the home hosts, if it is a new one.
+    pub(super) fn arrange(&self, place: Place) {
+        let mut placed = lock(&self.place);
+        if *placed == Some(place) {
+            return;
+        }
+        let snapshot = self.snapshot.load();
+        snapshot.members.iter().for_each(|member| place.apply(member));
+        *placed = Some(place);
+    }
+
+    /// Returns the age past which an attempt on a route is late.
+    pub(crate) fn limit(&self, route: &id::Route) -> Duration {
+        let snapshot = self.snapshot.load();
+        let index = snapshot.routes.get(route);
+        index.and_then(|index| snapshot.limits.get(*index)).copied().unwrap_or(Duration::MAX)
+    }
+
+    /// Chooses a target for one attempt, other than those tried already.
+    pub(crate) fn pick(
+        &self,
+        route: &document::Route,
+        tried: &[id::Target],
+        now: Moment,
+    ) -> Option<Member> {
+        let snapshot = self.snapshot.load();
+        let index = *snapshot.routes.get(&route.name)?;
+        let standings = &snapshot.standings[index];
+        let mut rng = rand::rng();
+        let mut usable = Vec::with_capacity(standings.len());
+        for (member, standing) in snapshot.members.iter().zip(standings) {
+            if member.target.leaving || tried.contains(&member.target.id) {
+                continue;
+            }
+            match standing {
+                Standing::In(weight) => usable.push((member, *weight)),
+                Standing::Trial if route.repeatable && tried.is_empty() => {
+                    if self.take_trial(member.target.id, index, now) {
+                        return Some(member.clone());
+                    }
+                }
+                Standing::Trial | Standing::Out => {}
+            }
+        }
+        let roomy: Vec<_> = usable
+            .iter()
+            .filter(|(member, _)| member.backend.gauge().has_room(now))
+            .filter(|(_, weight)| *weight >= 1.0 || rng.random_bool(*weight))
+            .map(|(member, _)| *member)
+            .collect();
+        let hard = |member: &&Member| {
+            let gauge = member.backend.gauge();
+            gauge.in_flight() < gauge.limit().saturating_mul(HARD_LIMIT)
+        };
+        let candidates = if roomy.is_empty() {
+            usable.into_iter().map(|(member, _)| member).filter(hard).collect()
+        } else {
+            roomy
+        };
+        let loads: Vec<_> =
+            candidates.iter().map(|member| member.backend.load(member.target.slots.0)).collect();
+        pick::choose(&loads, &mut rng).map(|chosen| candidates[chosen].clone())
+    }
+
+    fn take_trial(&self, target: id::Target, route: usize, now: Moment) -> bool {
+        let mut board = lock(&self.board);
+        let index = board.target(target);
+        index.is_some_and(|index| board.take_trial(index, route, now))
+    }
+
+    /// Takes in the outcome of an attempt.
+    pub(crate) fn observe(
+        &self,
+        target: id::Target,
+        route: &id::Route,
+        outcome: Outcome,
+        now: Moment,
+    ) {
+        let mut board = lock(&self.board);
+        let (Some(target), Some(route)) = (board.target(target), board.route(route)) else {
+            return;
+        };
+        let due = board.observe(target, route, outcome, now);
+        drop(board);
+        if due {
+            self.decide(now);
+            self.news.notify_one();
+        }
+    }
+
+    /// Records that a target said that it drains.
+    pub(crate) fn drain(&self, target: id::Target, now: Moment) {
+        if lock(&self.board).drain(target, now) {
+            log::info!("target: {target} of {} says that it drains", self.name);
+            self.decide(now);
+            self.news.notify_one();
+        }
+    }
+
+    /// Counts the first attempt of a request towards the retry budget.
+    pub(crate) fn deposit(&self) {
+        lock(&self.budget).deposit();
+    }
+
+    /// Takes one retry or hedge out of the budget.
+    pub(crate) fn take_retry(&self) -> bool {
+        lock(&self.budget).take()
+    }
+
+    /// Returns the time for which a request is still held back.
+    pub(crate) fn held(&self, request: Fingerprint, now: Moment) -> Option<Duration> {
+        lock(&self.holdback).held(request, now)
+    }
+
+    /// Records that a target broke the connection on a request without an answer.
+    pub(crate) fn lost(&self, request: Fingerprint, target: id::Target, now: Moment) {
+        self.hear_crash(Crash { request, target, answered: false }, now);
+        self.tell(Crash { request, target, answered: false });
+    }
+
+    /// Records that a target answered a request.
+    pub(crate) fn answered(&self, request: Fingerprint, target: id::Target) {
+        if lock(&self.holdback).answered(request) {
+            self.tell(Crash { request, target, answered: true });
+        }
+    }
+
+    fn tell(&self, crash: Crash) {
+        lock(&self.crashes).push(crash);
+        self.news.notify_one();
+    }
+
+    /// Takes in what this or another home host saw of a suspected request.
+    pub(super) fn hear_crash(&self, crash: Crash, now: Moment) {
+        let mut holdback = lock(&self.holdback);
+        if crash.answered {
+            holdback.answered(crash.request);
+            return;
+        }
+        let cleared = holdback.lost(crash.request, crash.target, now);
+        drop(holdback);
+        let Some(cleared) = cleared else {
+            return;
+        };
+        log::warn!("target: a request took down {} targets of {}", cleared.len(), self.name);
+        let mut board = lock(&self.board);
+        for target in cleared {
+            board.forgive(target, now);
+        }
+    }
+
+    /// Takes in what another home host reports.
+    pub(super) fn hear(
+        &self,
+        host: id::Host,
+        sequence: (id::Incarnation, u64),
+        reports: &Reports,
+        now: Moment,
+    ) {
+        lock(&self.board).hear(host, sequence, reports, now);
+        if !reports.reports.is_empty() {
+            self.decide(now);
+        }
+    }
+
+    /// Returns what to tell the other home hosts.
+    pub(super) fn reports(&self, now: Moment) -> Reports {
+        lock(&self.board).reports(now)
+    }
+
+    /// Takes the crashes that the other home hosts don't know yet.
+    pub(super) fn take_crashes(&self) -> Vec<Crash> {
+        std::mem::take(&mut lock(&self.crashes))
+    }
+
+    pub(super) fn suspects_itself(&self) -> bool {
+        lock(&self.board).suspects_itself()
+    }
+
+    /// Tells why each target stands where it does.
+    pub(crate) fn explain(&self, now: Moment) -> Vec<Explanation> {
+        lock(&self.board).explain(now)
+    }
+}
--- a/chicoryloom_harness/tests/edge/bound.rs
+++ b/chicoryloom_harness/tests/edge/bound.rs
@@ -58,8 +58,10 @@
     let headers = "host: h\r\nconnection: close\r\ncontent-length: 10\r\n\r\nhalf";
     let answer = edge.raw("POST /calendar/paused HTTP/1.1", headers).await;
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
-    assert!(answer.contains("chicory-run: unknown"), "{answer}");
+    assert!(answer.contains("chicory-run: not-run"), "{answer}");
     assert!(answer.contains("paused"), "{answer}");
+    let runs = edge.fleet.journals().await.unwrap();
+    assert!(runs.iter().all(|run| run.path != "/paused"), "a target saw the request");
 }
 
 #[tokio::test]
--- a/chicoryloom_policy/src/health/share.rs
+++ b/chicoryloom_policy/src/health/share.rs
@@ -11,6 +11,8 @@
 use crate::Moment;
 use crate::id;
 
+/// Part of a span's evidence that all hosts together add at most in one span.
+const PACE: f64 = 0.7;
 /// Time for which a report counts.
 pub(super) const LIFE: Duration = Duration::from_secs(3);
 
@@ -96,7 +98,7 @@
             joined.slow_for = joined.slow_for.max(slow_for);
         }
         let spans = joined.slow_for.as_secs_f64() / reference.span().as_secs_f64();
-        joined.slow = joined.slow.min(spans * slow_step(reference)).max(own.slow);
+        joined.slow = joined.slow.min(spans * PACE * slow_step(reference)).max(own.slow);
         joined
     }
 
