--- a/chicoryloom/src/target/service.rs
+++ b/chicoryloom/src/target/service.rs
@@ -76,6 +76,10 @@
     mutex.lock().expect("no holder of the lock panics")
 }
 
+fn is_in(standing: Standing) -> bool {
+    matches!(standing, Standing::In(_))
+}
+
 impl Service {
     pub(super) fn new(name: id::Service, detection: Detection, news: Arc<Notify>) -> Self {
         Self {
@@ -114,6 +118,26 @@
         board.decide(now);
         let old = self.snapshot.load_full();
         self.show(&board, old.document.clone(), old.members.clone(), now);
+        self.log_changes(&old, &self.snapshot.load());
+    }
+
+    /// Logs each target that went out of use on a route, or came back.
+    fn log_changes(&self, old: &Snapshot, new: &Snapshot) {
+        for (route, index) in &new.routes {
+            let standings = old.standings[*index].iter().zip(&new.standings[*index]);
+            for ((before, after), member) in standings.zip(&new.members) {
+                let target = member.target.id;
+                match (is_in(*before), is_in(*after)) {
+                    (true, false) => {
+                        log::warn!("target: {target} of {} is out on route {route}", self.name);
+                    }
+                    (false, true) => {
+                        log::info!("target: {target} of {} is back on route {route}", self.name);
+                    }
+                    _ => {}
+                }
+            }
+        }
     }
 
     fn show(
--- a/chicoryloom_harness/tests/gray/whole.rs
+++ b/chicoryloom_harness/tests/gray/whole.rs
@@ -1,8 +1,16 @@
 //! Cut and crossed answers are never passed on as whole ones.
 
+use std::net::SocketAddr;
+
+use chicoryloom_harness::Fleet;
+use chicoryloom_harness::Plan;
+use chicoryloom_harness::until;
 use chicoryloom_standin::content::Content;
 use chicoryloom_standin::target::Switches;
 use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use super::support::Gray;
 
@@ -35,3 +43,37 @@
     }
     assert!(whole > 0, "no answer came whole");
 }
+
+/// Answers each request with a body that only the close of the connection ends.
+async fn endless_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0; 4096];
+            let _ = stream.read(&mut head).await;
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf").await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn answer_without_an_end_of_its_own_is_refused() {
+    let target = endless_target().await;
+    let fleet = Fleet::start(Plan { hosts: 1, targets: vec![], ..Plan::default() }).await.unwrap();
+    let grant = "  - { workspace: prairie, rate: 1000, burst: 1000 }";
+    let text = format!(
+        "{}  - {{ address: '{target}', data_centre: regina, slots: 4, connections: 40 }}\n",
+        fleet.document("calendar", "  - { name: all, path: / }", grant),
+    );
+    let version = fleet.put_document(0, "calendar", 0, &text).await.unwrap();
+    let key = fleet.grant_key(0, "prairie").await.unwrap().key;
+    fleet.in_force(version + 1).await;
+    let url = format!("http://{}/calendar/x", fleet.hosts[0].caller);
+    let get = async || fleet.client().get(&url).bearer_auth(&key).send().await.unwrap();
+    until("the bucket fills", async || get().await.status() != 429).await;
+    let answer = get().await;
+    assert_eq!(answer.status(), 502);
+    assert_eq!(answer.headers()["chicory-run"], "unknown");
+}
