--- a/chicoryloom/src/admin/change.rs
+++ b/chicoryloom/src/admin/change.rs
@@ -41,7 +41,10 @@
     pub(super) fn short(&self) -> String {
         match self {
             Self::Invalid(reason) => reason.clone(),
-            Self::Faulty(error) => format!("the document is not valid: {error}"),
+            Self::Faulty(error) => {
+                let faults = error.to_string().replace('\n', "; ");
+                format!("the document is not valid: {faults}")
+            }
             Self::Unversioned => "name the version that you change: if-match: \"N\"".to_owned(),
             Self::Unknown => "no such object".to_owned(),
             Self::Conflict { version, .. } => format!("version {version} was written meanwhile"),
--- /dev/null
+++ b/chicoryloom_ctl/src/command/document.rs
@@ -0,0 +1,127 @@
+//! Commands about documents.
+
+use std::io;
+use std::path::PathBuf;
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::Done;
+use crate::cli;
+use crate::client::Client;
+use crate::client::Document;
+use crate::error::Error;
+use crate::file;
+use crate::file::Saved;
+use crate::table::cell;
+
+pub(super) async fn check(client: &Client, options: &cli::Check) -> Result<Done, Error> {
+    let saved = file::read(&options.file)?;
+    let value = client.check(saved.text).await?;
+    let mut text = format!(
+        "{}: valid: {} routes, {} workspaces, {} targets with {} slots",
+        cell(&value["service"]),
+        value["routes"],
+        value["workspaces"],
+        value["targets"],
+        value["slots"],
+    );
+    for field in value["unknown"].as_array().into_iter().flatten() {
+        text.push_str(&format!("\nwarning: unknown field {}", cell(field)));
+    }
+    Ok(Done { value, text })
+}
+
+pub(super) async fn get(client: &Client, options: &cli::Get) -> Result<Done, Error> {
+    let document = client.document(&options.service).await?;
+    let value = json!({ "version": document.version, "text": document.text });
+    let Some(path) = &options.output else {
+        return Ok(Done { value, text: document.text });
+    };
+    file::write(path, &document)?;
+    let text = format!("version {} is in {}", document.version, path.display());
+    Ok(Done { value, text })
+}
+
+pub(super) async fn put(client: &Client, options: &cli::Put) -> Result<Done, Error> {
+    let saved = file::read(&options.file)?;
+    let service = saved.service().ok_or_else(|| {
+        Error::Usage(format!("{}: no line says service: NAME", options.file.display()))
+    })?;
+    let service = service.to_owned();
+    let version = options.expect.or(saved.version).filter(|version| *version > 0);
+    let value = put_saved(client, &service, version, saved).await?;
+    // The file goes on from the new version, so that it can be edited and put again.
+    remember(client, &options.file, &service, &value).await?;
+    Ok(written(&service, value))
+}
+
+async fn remember(
+    client: &Client,
+    path: &std::path::Path,
+    service: &str,
+    value: &Value,
+) -> Result<(), Error> {
+    let document = client.document(service).await?;
+    if Some(document.version) == value["version"].as_u64() {
+        file::write(path, &document)?;
+    }
+    Ok(())
+}
+
+async fn put_saved(
+    client: &Client,
+    service: &str,
+    version: Option<u64>,
+    saved: Saved,
+) -> Result<Value, Error> {
+    match client.put(service, version, saved.text).await {
+        Err(Error::Refused { status: 409, body }) => Err(keep_newer(service, &body)?),
+        put => put,
+    }
+}
+
+/// Keeps the newer version of a conflict in a file.
+fn keep_newer(service: &str, body: &Value) -> Result<Error, Error> {
+    let version = body["version"].as_u64().unwrap_or_default();
+    let kept = PathBuf::from(format!("{service}.{version}.yaml"));
+    let text = body["value"].as_str().unwrap_or_default().to_owned();
+    file::write(&kept, &Document { version, text })?;
+    Ok(Error::Conflict { version, kept })
+}
+
+fn written(service: &str, value: Value) -> Done {
+    let text = format!("{service}: version {} is written", value["version"]);
+    Done { value, text }
+}
+
+pub(super) async fn edit(client: &Client, options: &cli::Edit) -> Result<Done, Error> {
+    let service = &options.service;
+    let path = PathBuf::from(format!("{service}.yaml"));
+    let document = client.document(service).await?;
+    file::write(&path, &document)?;
+    loop {
+        eprintln!("edit {} and press Enter, or end the input to give up", path.display());
+        wait_for_enter()?;
+        let saved = file::read(&path)?;
+        match put_saved(client, service, Some(document.version), saved).await {
+            Err(error @ Error::Refused { status: 422, .. }) => eprintln!("{error}"),
+            put => return Ok(written(service, put?)),
+        }
+    }
+}
+
+fn wait_for_enter() -> Result<(), Error> {
+    let mut line = String::new();
+    match io::stdin().read_line(&mut line) {
+        Ok(0) => Err(Error::Usage("given up; nothing was written".to_owned())),
+        Ok(_) => Ok(()),
+        Err(error) => Err(Error::File(PathBuf::from("standard input"), error)),
+    }
+}
+
+pub(super) async fn delete(client: &Client, options: &cli::Delete) -> Result<Done, Error> {
+    let value = client.delete(&options.service, options.expect).await?;
+    let text = format!("{}: deleted as version {}", options.service, value["version"]);
+    Ok(Done { value, text })
+}
--- /dev/null
+++ b/chicoryloom_ctl/src/command/mod.rs
@@ -0,0 +1,36 @@
+//! The commands.
+
+mod document;
+mod key;
+mod look;
+
+use serde_json::Value;
+
+use crate::cli::Command;
+use crate::client::Client;
+use crate::error::Error;
+
+/// Runs a command and returns what it prints.
+pub(crate) async fn run(client: &Client, command: Command, json: bool) -> Result<String, Error> {
+    let done = match command {
+        Command::Check(options) => document::check(client, &options).await?,
+        Command::Get(options) => document::get(client, &options).await?,
+        Command::Put(options) => document::put(client, &options).await?,
+        Command::Edit(options) => document::edit(client, &options).await?,
+        Command::Delete(options) => document::delete(client, &options).await?,
+        Command::Grant(options) => key::grant(client, &options).await?,
+        Command::Withdraw(options) => key::withdraw(client, &options).await?,
+        Command::Keys(options) => key::list(client, options).await?,
+        Command::Status(_) => look::status(client).await?,
+        Command::Histograms(options) => look::histograms(client, &options).await?,
+        Command::Explain(options) => look::explain(client, options).await?,
+    };
+    Ok(if json { done.value.to_string() } else { done.text })
+}
+
+/// What a command has found or done.
+struct Done {
+    value: Value,
+    /// The same for people.
+    text: String,
+}
--- /dev/null
+++ b/chicoryloom_ctl/src/file.rs
@@ -0,0 +1,68 @@
+//! Files of documents that remember their version.
+
+use std::fs;
+use std::path::Path;
+
+use crate::client::Document;
+use crate::error::Error;
+
+/// Start of the comment line that remembers the version.
+const VERSION_LINE: &str = "# chicoryctl version ";
+
+/// A document from a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Saved {
+    /// Version that the file was got with, or `None` if it never was.
+    pub(crate) version: Option<u64>,
+    /// Text without the line of the version.
+    pub(crate) text: String,
+}
+
+impl Saved {
+    fn of(text: &str) -> Self {
+        let first = text.lines().next().unwrap_or_default();
+        let version = first.strip_prefix(VERSION_LINE).and_then(|text| text.trim().parse().ok());
+        let rest = match version {
+            Some(_) => text.split_once('\n').map_or("", |(_, rest)| rest),
+            None => text,
+        };
+        Self { version, text: rest.to_owned() }
+    }
+
+    /// Returns the service that the document names, as far as one line tells.
+    pub(crate) fn service(&self) -> Option<&str> {
+        let value = self.text.lines().find_map(|line| line.strip_prefix("service:"))?;
+        let value = value.split('#').next().unwrap_or_default().trim();
+        Some(value.trim_matches(['"', '\'']))
+    }
+}
+
+/// Reads a document from a file.
+pub(crate) fn read(path: &Path) -> Result<Saved, Error> {
+    let text = fs::read_to_string(path).map_err(|error| Error::File(path.to_owned(), error))?;
+    Ok(Saved::of(&text))
+}
+
+/// Writes a document to a file, with its version.
+pub(crate) fn write(path: &Path, document: &Document) -> Result<(), Error> {
+    let text = format!("{VERSION_LINE}{}\n{}", document.version, document.text);
+    fs::write(path, text).map_err(|error| Error::File(path.to_owned(), error))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn version_line_is_taken_off() {
+        let saved = Saved::of("# chicoryctl version 7\nservice: 'calendar' # ours\n");
+        assert_eq!(saved.version, Some(7));
+        assert_eq!((saved.text.lines().count(), saved.service()), (1, Some("calendar")));
+    }
+
+    #[test]
+    fn other_comments_stay() {
+        let saved = Saved::of("# ours\nservice: calendar\n");
+        assert_eq!((saved.version, saved.text.lines().count()), (None, 2));
+    }
+}
