Make the stand-ins do what their switches say

Cause: the target's queue bound was not enforced, deadlines in headers were ignored, a probe and a load question could not mislead with a delay, and a new connection cost time but no slot.

Change: slot.rs holds slots and a bounded queue, and estimates how long a new request would take; a request that can't meet its deadline is shed with "not run" on arrival, and one whose time is over after its wait as well. The target only reckons with its declared time of a run, so a gray one, which does not know that it is slow, takes the work. health.rs answers probes and load questions, truly, falsely or late.

Ruled out: having a new connection wait for a slot. Connections would then hang behind requests that hang, which no kernel does; it takes a free slot if there is one.

--- a/chicoryloom_standin/src/target/mod.rs
+++ b/chicoryloom_standin/src/target/mod.rs
@@ -1,8 +1,10 @@
 //! A target with slots, a connection limit and gray faults.
 
 mod control;
+mod health;
 mod journal;
 mod server;
+mod slot;
 mod switches;
 mod work;
 
@@ -17,6 +19,7 @@
 pub use journal::Outcome;
 pub use journal::Run;
 pub use switches::Health;
+pub use switches::Load;
 pub use switches::Switches;
 
 /// A running target; it stops when dropped.
--- a/chicoryloom_standin/src/target/switches.rs
+++ b/chicoryloom_standin/src/target/switches.rs
@@ -16,6 +16,19 @@
     Sick,
 }
 
+/// What the load endpoint says.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Load {
+    /// The free slots.
+    #[default]
+    True,
+    /// Always that all slots are free.
+    Idle,
+    /// Always that no slot is free.
+    Busy,
+}
+
 /// Size and faults of a target, switched under live traffic.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
@@ -28,7 +41,7 @@
     pub queue: u32,
     /// Time of one run, in milliseconds.
     pub service_ms: u64,
-    /// Time that a new connection costs, in milliseconds.
+    /// Time for which a new connection holds a slot, if one is free, in milliseconds.
     pub connection_ms: u64,
     /// Time that a probe holds a slot, in milliseconds.
     pub probe_ms: u64,
@@ -54,6 +67,11 @@
     pub cold_ms: u64,
     pub cold_factor: f64,
     pub health: Health,
+    pub load: Load,
+    /// Time by which the health endpoint is behind the switches, in milliseconds.
+    pub lag_ms: u64,
+    /// Whether requests are shed that can't end before the deadline in their headers.
+    pub deadlines: bool,
     /// Whether all requests are shed with "not run".
     pub shed: bool,
     /// Whether the target says that it drains.
@@ -81,6 +99,9 @@
             cold_ms: 0,
             cold_factor: 3.0,
             health: Health::True,
+            load: Load::True,
+            lag_ms: 0,
+            deadlines: true,
             shed: false,
             draining: false,
         }
