Bound the metrics, add gauges, and keep keys out of all logs

Cause: the latency histograms had one series for each workspace and status, so 29,000 workspaces would have run into the library's silent limit of 2,000.

Change: a host keeps 1,024 label sets with a workspace of their own; later ones share the workspace label _other of their service and class, so no count is lost. The status label has one value for each hundred. The attributes of a label set are made once and not for each request. Gauges show connections, requests in flight, freshness, revision and roster. Logs of libraries below a warning are held back at every level, and audit lines name a document only if it exists.

Ruled out: hashing workspaces into a fixed number of labels, since an operator could not read them; the library's own overflow, since it drops the service and the class as well.

--- a/chicoryloom/src/admin/change.rs
+++ b/chicoryloom/src/admin/change.rs
@@ -101,7 +101,7 @@
     check_name(name)?;
     let checked = check(body)?;
     if checked.document.service.as_str() != name {
-        return Err(Error::Invalid(format!("service: is not {name:?}")));
+        return Err(Error::Invalid("service: is not the name in the address".to_owned()));
     }
     let value = String::from_utf8_lossy(body).into_owned();
     let mut update = Update { kind: Kind::Document, name: name.to_owned(), value, expected };
@@ -158,7 +158,7 @@
 /// Refuses a name that no service can have, before it becomes a part of an address.
 fn check_name(name: &str) -> Result<(), Error> {
     let checked = name.parse::<id::Service>();
-    checked.map(|_| ()).map_err(|error| Error::Invalid(error.to_string()))
+    checked.map(|_| ()).map_err(|_| Error::Invalid("the address names no service".to_owned()))
 }
 
 /// Grants a key to a workspace; a key that any workspace has or had is refused.
--- a/chicoryloom/src/admin/document.rs
+++ b/chicoryloom/src/admin/document.rs
@@ -73,6 +73,7 @@
         Err(error) => return answer::reply(Err(error)),
     };
     let made = change::put_document(&call.admin, &name, expected, &body).await;
+    let name = shown(&call, &name, made.is_ok());
     audit::write(&call.operator, &Change::PutDocument { name, expected }, made.as_ref());
     answer::reply(made.map(|made| written(made.version)))
 }
@@ -83,10 +84,18 @@
         Err(error) => return answer::reply(Err(error)),
     };
     let made = change::delete_document(&call.admin, &name, expected).await;
+    let name = shown(&call, &name, made.is_ok());
     audit::write(&call.operator, &Change::DeleteDocument { name, expected }, made.as_ref());
     answer::reply(made.map(|made| written(made.version)))
 }
 
+/// Returns a name for an audit line; one that no document has could be a misplaced key.
+fn shown(call: &Call, name: &str, made: bool) -> String {
+    let documents = &call.admin.published.view().documents;
+    let known = documents.keys().any(|service| service.as_str() == name);
+    if made || known { name.to_owned() } else { "unknown".to_owned() }
+}
+
 fn written(version: id::Revision) -> Response {
     answer::tagged(answer::json(&json!({ "version": version })), version)
 }
--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use chicoryloom_policy::id;
 use tokio::net::UdpSocket;
@@ -110,7 +111,9 @@
             metrics: metrics.clone(),
             refusals: Refusals::default(),
             open: AtomicUsize::new(0),
+            in_flight: AtomicUsize::new(0),
         });
+        observe(&metrics, &proxy);
         let listener =
             Listener::start(settings.listen.caller, proxy.clone()).await.map_err(|error| {
                 Error::Bind { step: "caller", address: settings.listen.caller, error }
@@ -195,6 +198,40 @@
     }
 }
 
+/// Shows the present numbers of the host among its metrics.
+fn observe(metrics: &Metrics, proxy: &Arc<Proxy>) {
+    // The metrics are part of the proxy, so they must not keep it alive.
+    let read = |value: fn(&Proxy) -> u64| {
+        let proxy = Arc::downgrade(proxy);
+        move || proxy.upgrade().map_or(0, |proxy| value(&proxy))
+    };
+    metrics.observe(
+        "chicory_connections",
+        "Open connections of callers.",
+        read(|proxy| proxy.connections() as u64),
+    );
+    metrics.observe(
+        "chicory_in_flight",
+        "Requests that have no head of an answer yet.",
+        read(|proxy| proxy.in_flight.load(Ordering::Relaxed) as u64),
+    );
+    metrics.observe(
+        "chicory_fresh",
+        "Whether the host may serve: 1 or 0.",
+        read(|proxy| u64::from(proxy.published.is_fresh(proxy.clock.now()))),
+    );
+    metrics.observe(
+        "chicory_revision",
+        "Revision of the state in force.",
+        read(|proxy| proxy.published.view().revision.0),
+    );
+    metrics.observe(
+        "chicory_roster_hosts",
+        "Hosts of the roster, leaving ones included.",
+        read(|proxy| proxy.published.view().hosts.len() as u64),
+    );
+}
+
 async fn bind_udp(address: SocketAddr) -> Result<Arc<UdpSocket>, Error> {
     let bound = UdpSocket::bind(address).await;
     bound.map(Arc::new).map_err(|error| Error::Bind { step: "peer", address, error })
--- a/chicoryloom/src/logging.rs
+++ b/chicoryloom/src/logging.rs
@@ -1,13 +1,37 @@
 //! Log output.
 
+use logforth::Diagnostic;
+use logforth::Filter;
 use logforth::append;
+use logforth::filter::FilterResult;
 use logforth::layout;
+use logforth::record::FilterCriteria;
 use logforth::record::Level;
 use logforth::record::LevelFilter;
 
 use crate::config::log::Format;
 use crate::config::log::Log;
 
+/// Prefix of the modules whose logs go out at every level.
+const OWN: &str = "chicoryloom";
+
+/// Holds back what libraries log below a warning.
+///
+/// They log paths and headers there, and so keys and digests.
+#[derive(Clone, Copy, Debug)]
+struct Libraries;
+
+impl Filter for Libraries {
+    fn enabled(&self, criteria: &FilterCriteria<'_>, _: &[Box<dyn Diagnostic>]) -> FilterResult {
+        let passes = LevelFilter::MoreSevereEqual(Level::Warn).test(criteria.level());
+        if passes || criteria.target().starts_with(OWN) {
+            FilterResult::Neutral
+        } else {
+            FilterResult::Reject
+        }
+    }
+}
+
 /// Sends all logs to standard error in the format and from the level that the settings ask for.
 ///
 /// A second call in one process has no effect.
@@ -17,7 +41,8 @@
         Format::Text => append::Stderr::default().with_layout(layout::TextLayout::default()),
         Format::Json => append::Stderr::default().with_layout(layout::JsonLayout::default()),
     };
-    let started = logforth::starter_log::builder().dispatch(|d| d.filter(level).append(appender));
+    let started = logforth::starter_log::builder()
+        .dispatch(|d| d.filter(level).filter(Libraries).append(appender));
     // Another host of the same process may have set the logs up.
     let _ = started.try_apply();
 }
--- a/chicoryloom/src/metrics.rs
+++ b/chicoryloom/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics of the host.
 
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::RwLock;
 use std::time::Duration;
 
 use chicoryloom_policy::id;
@@ -8,8 +11,11 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::Instrument;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::metrics::Stream;
 use prometheus::Encoder;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -22,20 +28,34 @@
 /// Name of the latency histograms.
 pub(crate) const REQUESTS: &str = "chicory_request_seconds";
 
+/// Most label sets with a workspace of their own; the workspaces after them share a label.
+const MAX_SERIES: usize = 1024;
+/// Workspace label shared by those past the bound; no workspace can have this name.
+const OTHER: &str = "_other";
+/// Label sets of one instrument; above what [`MAX_SERIES`] and the statuses lead to.
+const CARDINALITY: usize = 8 * MAX_SERIES;
+/// Values of the status label, by the first digit of the status.
+const STATUSES: [&str; 6] = ["other", "1xx", "2xx", "3xx", "4xx", "5xx"];
+
 /// Metrics of one host.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
     /// Keeps the instruments alive.
     _provider: SdkMeterProvider,
+    meter: Meter,
+    series: RwLock<HashMap<Labels, Arc<Series>>>,
     requests: Histogram<f64>,
     refusals: Counter<u64>,
     frames_dropped: Counter<u64>,
     peer_bytes: Counter<u64>,
 }
 
+/// Attributes of one label set, by status.
+type Series = [[KeyValue; 4]; STATUSES.len()];
+
 /// What a request is counted under.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct Labels {
     pub(crate) service: id::Service,
     pub(crate) workspace: Option<id::Workspace>,
@@ -49,7 +69,9 @@
             .with_registry(registry.clone())
             .build()
             .expect("an empty registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let limited =
+            |_: &Instrument| Stream::builder().with_cardinality_limit(CARDINALITY).build().ok();
+        let provider = SdkMeterProvider::builder().with_reader(exporter).with_view(limited).build();
         let meter = provider.meter("chicoryloom");
         Self {
             requests: meter
@@ -61,20 +83,49 @@
             frames_dropped: meter.u64_counter("chicory_frames_dropped").build(),
             peer_bytes: meter.u64_counter("chicory_peer_bytes_sent").build(),
             registry,
+            series: RwLock::default(),
+            meter,
             _provider: provider,
         }
     }
 
     /// Counts an answered request.
     pub(crate) fn request(&self, labels: &Labels, status: u16, took: Duration) {
-        let workspace = labels.workspace.as_ref().map_or("", id::Workspace::as_str).to_owned();
-        let values = [
-            KeyValue::new("service", labels.service.to_string()),
-            KeyValue::new("workspace", workspace),
-            KeyValue::new("class", labels.class.to_string()),
-            KeyValue::new("status", i64::from(status)),
-        ];
-        self.requests.record(took.as_secs_f64(), &values);
+        let series = self.series(labels);
+        let status = usize::from(status / 100);
+        let attributes = series.get(status).unwrap_or(&series[0]);
+        self.requests.record(took.as_secs_f64(), attributes);
+    }
+
+    fn series(&self, labels: &Labels) -> Arc<Series> {
+        let known = self.series.read().expect("no holder of the lock panics").get(labels).cloned();
+        known.unwrap_or_else(|| self.add_series(labels))
+    }
+
+    /// Adds a label set, or takes the shared one of its service and class past the bound.
+    fn add_series(&self, labels: &Labels) -> Arc<Series> {
+        let mut series = self.series.write().expect("no holder of the lock panics");
+        if series.len() < MAX_SERIES {
+            let workspace = labels.workspace.as_ref().map_or("", id::Workspace::as_str);
+            return series
+                .entry(labels.clone())
+                .or_insert_with(|| attributes(labels, workspace))
+                .clone();
+        }
+        drop(series);
+        attributes(labels, OTHER)
+    }
+
+    /// Shows a number that is read whenever the metrics are.
+    pub(crate) fn observe<F>(&self, name: &'static str, description: &'static str, read: F)
+    where
+        F: Fn() -> u64 + Send + Sync + 'static,
+    {
+        self.meter
+            .u64_observable_gauge(name)
+            .with_description(description)
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
     }
 
     /// Counts a refusal.
@@ -106,3 +157,40 @@
         }
     }
 }
+
+fn attributes(labels: &Labels, workspace: &str) -> Arc<Series> {
+    Arc::new(STATUSES.map(|status| {
+        [
+            KeyValue::new("service", labels.service.to_string()),
+            KeyValue::new("workspace", workspace.to_owned()),
+            KeyValue::new("class", labels.class.to_string()),
+            KeyValue::new("status", status),
+        ]
+    }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Workspaces of the target size.
+    const WORKSPACES: usize = 29_000;
+
+    #[test]
+    fn workspaces_past_the_bound_share_a_series_and_lose_no_count() {
+        let metrics = Metrics::new();
+        for index in 0..WORKSPACES {
+            let labels = Labels {
+                service: "calendar".parse().unwrap(),
+                workspace: Some(format!("w{index}").parse().unwrap()),
+                class: "default".parse().unwrap(),
+            };
+            metrics.request(&labels, 200, Duration::from_millis(1));
+        }
+        let families = metrics.gather();
+        let family = families.iter().find(|family| family.name() == REQUESTS).unwrap();
+        let counts = family.get_metric().iter().map(|one| one.get_histogram().get_sample_count());
+        assert_eq!(family.get_metric().len(), MAX_SERIES + 1);
+        assert_eq!(counts.sum::<u64>(), WORKSPACES as u64);
+    }
+}
--- a/chicoryloom/src/proxy/listener.rs
+++ b/chicoryloom/src/proxy/listener.rs
@@ -4,8 +4,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chicoryloom_wire::caller::Code;
@@ -18,6 +16,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use super::Counted;
 use super::Proxy;
 use super::answer;
 use super::stream::Stream;
@@ -94,7 +93,7 @@
         let listener = self.clone();
         if let Ok(permit) = self.permits.clone().try_acquire_owned() {
             tokio::spawn(async move {
-                let open = Open::new(&listener.proxy.open);
+                let open = Counted::new(&listener.proxy.open);
                 listener.serve(stream).await;
                 drop(open);
                 drop(permit);
@@ -144,22 +143,6 @@
     }
 }
 
-/// Counts a connection while it is open.
-struct Open<'a>(&'a AtomicUsize);
-
-impl<'a> Open<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
-    }
-}
-
-impl Drop for Open<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Answers one request with the news that the host holds too many connections.
 async fn refuse(stream: TcpStream) {
     let service = service_fn(|_| async { Ok::<_, Infallible>(answer::refuse_connection()) });
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -58,11 +58,14 @@
     pub(crate) refusals: Refusals,
     /// Connections of callers that are open.
     pub(crate) open: AtomicUsize,
+    /// Requests that have no head of an answer yet.
+    pub(crate) in_flight: AtomicUsize,
 }
 
 impl Proxy {
     /// Answers one request of a caller.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let _counted = Counted::new(&self.in_flight);
         let origin = request::Origin::of(&request);
         let answered = self.checked_answer(request).await;
         answered.unwrap_or_else(|refusal| {
@@ -155,3 +158,19 @@
         Ok(Some(workspace))
     }
 }
+
+/// Counts something while it lives.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
