Measure the cost of one hop and the slopes of control

"chicoryloom-load hop" sends requests direct and through one host in turns, at 64 and 2,000 a second on each path, and reads the host's memory while ten answers of 200 MB pass. "chicoryloom-load slopes" starts fleets of 4, 12 and 36 hosts, and fleets of four hosts with 1,000 to 29,000 keys or with 37 to 370 documents of the target size, and takes bytes to peers, processor time, memory, platform calls and the time until an edit is in force everywhere.

--- a/chicoryloom_load/src/caller/mod.rs
+++ b/chicoryloom_load/src/caller/mod.rs
@@ -24,12 +24,12 @@
 pub(crate) use answer::READ_PATH;
 pub(crate) use answer::identity;
 pub(crate) use exchange::ATTEMPT;
+pub(crate) use pool::Pool;
 pub(crate) use record::Attempt;
 pub(crate) use record::End;
 pub(crate) use record::Record;
 
 use exchange::Request;
-use pool::Pool;
 use series::Keys;
 
 /// Time that a caller waits for a whole answer, over all attempts.
--- a/chicoryloom_load/src/cli.rs
+++ b/chicoryloom_load/src/cli.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use chicoryloom_load::Part;
 use gumdrop::Options;
 
 /// Options of the program.
@@ -24,6 +25,10 @@
     Run(RunOptions),
     #[options(help = "run a scenario with each choice of a decision, and print the ratios")]
     Compare(CompareOptions),
+    #[options(help = "measure what one hop through a host costs")]
+    Hop(HopOptions),
+    #[options(help = "measure how the costs of control grow with hosts, keys and documents")]
+    Slopes(SlopesOptions),
 }
 
 /// Options of `check`.
@@ -62,3 +67,21 @@
     #[options(help = "seed in place of the scenario's")]
     pub(crate) seed: Option<u64>,
 }
+
+/// Options of `hop`.
+#[derive(Debug, Options)]
+pub(crate) struct HopOptions {
+    #[options(help = "print help")]
+    pub(crate) help: bool,
+    #[options(help = "seconds of each round", default = "5")]
+    pub(crate) seconds: u64,
+}
+
+/// Options of `slopes`.
+#[derive(Debug, Options)]
+pub(crate) struct SlopesOptions {
+    #[options(help = "print help")]
+    pub(crate) help: bool,
+    #[options(free, help = "parts: hosts, keys, documents; none means all")]
+    pub(crate) parts: Vec<Part>,
+}
--- a/chicoryloom_load/src/lib.rs
+++ b/chicoryloom_load/src/lib.rs
@@ -4,6 +4,7 @@
 //! about, and judges the run from the targets' journals and the callers' own records.
 
 mod arrival;
+mod bench;
 mod caller;
 mod driver;
 mod error;
@@ -15,6 +16,11 @@
 mod stage;
 mod verdict;
 
+pub use bench::Hop;
+pub use bench::Part;
+pub use bench::Slopes;
+pub use bench::hop;
+pub use bench::slopes;
 pub use error::Error;
 pub use report::write;
 pub use run::Result as RunResult;
--- a/chicoryloom_load/src/main.rs
+++ b/chicoryloom_load/src/main.rs
@@ -6,8 +6,10 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use chicoryloom_load::Error;
+use chicoryloom_load::Part;
 use chicoryloom_load::Scenario;
 use gumdrop::Options;
 
@@ -22,7 +24,7 @@
         return ExitCode::SUCCESS;
     }
     let Some(command) = cli.command else {
-        eprintln!("chicoryloom-load: name a command: check, run or compare");
+        eprintln!("chicoryloom-load: name a command: check, run, compare, hop or slopes");
         return ExitCode::from(2);
     };
     match carry_out(command).await {
@@ -58,6 +60,17 @@
             };
             compare::compare(&scenario, by_detection, &options.out).await
         }
+        Command::Hop(options) => {
+            let hop = chicoryloom_load::hop(Duration::from_secs(options.seconds)).await?;
+            println!("{hop}");
+            Ok(hop.rounds.iter().all(|round| round.failed == 0))
+        }
+        Command::Slopes(options) => {
+            let all = [Part::Hosts, Part::Keys, Part::Documents];
+            let parts = if options.parts.is_empty() { &all } else { options.parts.as_slice() };
+            print!("{}", chicoryloom_load::slopes(parts).await?);
+            Ok(true)
+        }
     }
 }
 
--- a/chicoryloom_load/src/measure/mod.rs
+++ b/chicoryloom_load/src/measure/mod.rs
@@ -17,6 +17,7 @@
 
 pub use detection::Detection;
 pub use fleet::Usage;
+pub(crate) use fleet::usage;
 
 /// Quantiles of a set of times, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
