--- a/chicoryloom_harness/src/fleet.rs
+++ b/chicoryloom_harness/src/fleet.rs
@@ -12,6 +12,7 @@
 use chicoryloom_standin::link;
 use chicoryloom_standin::platform;
 use chicoryloom_standin::target;
+use chicoryloom_wire::generated::caller::Hosts;
 use chicoryloom_wire::generated::platform as raw;
 use reqwest::Client;
 use serde::Deserialize;
@@ -386,6 +387,13 @@
         }
     }
 
+    /// Asks one host's locator for the hosts of a service.
+    pub async fn locate(&self, host: usize, service: &str) -> Result<Hosts, Error> {
+        let caller = self.hosts[host].caller;
+        let url = format!("http://{caller}/chicory/v1/hosts?service={service}");
+        self.get(&url).await
+    }
+
     /// Returns the metrics page of one host.
     pub async fn metrics(&self, host: usize) -> Result<String, Error> {
         let url = format!("http://{}/metrics", self.hosts[host].admin);
--- a/chicoryloom_load/src/driver.rs
+++ b/chicoryloom_load/src/driver.rs
@@ -1,5 +1,6 @@
 //! Brings faults about at their times and samples the fleet meanwhile.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -94,11 +95,20 @@
     pub(crate) log: Log,
     /// Faults of the link that are on, by index of the fault.
     links: Vec<(usize, Vec<link::Rule>)>,
+    /// Hosts that a fault struck, by index of the fault.
+    struck: HashMap<usize, Vec<usize>>,
 }
 
 impl<'a> Driver<'a> {
     pub(crate) fn new(scenario: &'a Scenario, world: Arc<World>, stage: Stage) -> Self {
-        Self { scenario, world, stage, log: Log::default(), links: Vec::new() }
+        Self {
+            scenario,
+            world,
+            stage,
+            log: Log::default(),
+            links: Vec::new(),
+            struck: HashMap::new(),
+        }
     }
 
     /// Brings all faults about until the end of the run.
@@ -131,7 +141,7 @@
             raw::Action::Target(action) => self.targets(action, step.on).await,
             raw::Action::Link(action) => self.link(step.fault, action, step.on).await,
             raw::Action::Platform(switches) => self.platform(switches, step.on).await,
-            raw::Action::Host(action) => self.hosts(action, step.on).await,
+            raw::Action::Host(action) => self.hosts(step.fault, action, step.on).await,
             raw::Action::Withdraw(action) if step.on => self.withdraw(action).await,
             raw::Action::Leave(action) => self.leave(action, step.on).await,
             raw::Action::Poison(action) => self.poison(action, step.on).await,
@@ -225,21 +235,55 @@
         Ok(vec![What::Platform { on }])
     }
 
-    async fn hosts(&mut self, action: &raw::HostAction, on: bool) -> Result<Vec<What>, Error> {
-        let first = action.index as usize;
+    async fn hosts(
+        &mut self,
+        fault: usize,
+        action: &raw::HostAction,
+        on: bool,
+    ) -> Result<Vec<What>, Error> {
+        let indices = match self.struck.remove(&fault) {
+            Some(indices) => indices,
+            None => self.choose(action).await?,
+        };
         let mut whats = Vec::new();
-        for index in first..first + action.count as usize {
+        for index in &indices {
             let change = if on {
-                self.strike(index, action.signal).await
+                self.strike(*index, action.signal).await
             } else {
-                self.restore(index, action.signal).await?
+                self.restore(*index, action.signal).await?
             };
-            let address = self.stage.fleet.hosts[index].caller;
+            let address = self.stage.fleet.hosts[*index].caller;
             whats.push(What::Host { address, change });
         }
+        if on {
+            self.struck.insert(fault, indices);
+        }
         Ok(whats)
     }
 
+    /// Chooses the hosts that a fault strikes.
+    async fn choose(&self, action: &raw::HostAction) -> Result<Vec<usize>, Error> {
+        let first = action.index as usize;
+        let span = first..first + action.count as usize;
+        if action.home_of.is_empty() {
+            return Ok(span.collect());
+        }
+        let homes = self.homes(&action.home_of).await?;
+        Ok(homes.get(span).unwrap_or_default().to_vec())
+    }
+
+    /// Returns the hosts that the locator names for a service, in order of their index.
+    async fn homes(&self, service: &str) -> Result<Vec<usize>, Error> {
+        let located = self.stage.fleet.locate(self.standing(), service).await;
+        let located = located.map_err(Error::fleet("ask the locator"))?;
+        let hosts = self.stage.fleet.hosts.iter().enumerate();
+        let named = hosts.filter(|(_, host)| {
+            let address = host.caller.to_string();
+            located.hosts.iter().any(|named| named.address == address)
+        });
+        Ok(named.map(|(index, _)| index).collect())
+    }
+
     async fn strike(&mut self, index: usize, signal: raw::Signal) -> Change {
         let process = &mut self.stage.fleet.hosts[index].process;
         match signal {
@@ -281,10 +325,16 @@
         Ok(Change::Back)
     }
 
+    /// Returns a host that no fault has struck, for calls of operators.
+    fn standing(&self) -> usize {
+        let struck = |host: &usize| self.struck.values().flatten().any(|other| other == host);
+        (0..self.stage.fleet.hosts.len()).find(|host| !struck(host)).unwrap_or_default()
+    }
+
     async fn withdraw(&mut self, action: &raw::WithdrawAction) -> Result<Vec<What>, Error> {
         let workspace = self.scenario.workspace(&action.workspace);
         let digest = self.stage.keys[workspace][0].digest.clone();
-        let withdrawn = self.stage.fleet.withdraw_key(0, &digest).await;
+        let withdrawn = self.stage.fleet.withdraw_key(self.standing(), &digest).await;
         withdrawn.map_err(Error::fleet("withdraw a key"))?;
         Ok(vec![What::Withdrawn { workspace, caller: 0 }])
     }
@@ -293,7 +343,8 @@
         let service = self.scenario.service(&action.service);
         let index = action.index as usize;
         self.stage.documents[service].leaving[index] = on;
-        self.stage.write_document(self.scenario, service).await?;
+        let host = self.standing();
+        self.stage.write_document(self.scenario, service, host).await?;
         let target = self.scenario.first_target(service) + index;
         Ok(if on { vec![What::Leaving { target }] } else { Vec::new() })
     }
--- a/chicoryloom_load/src/measure/mod.rs
+++ b/chicoryloom_load/src/measure/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::caller::Record;
 use crate::driver::Event;
+use crate::driver::What;
 use crate::sample::Sample;
 use crate::scenario::Scenario;
 use crate::verdict::Evidence;
@@ -39,7 +40,7 @@
     }
 }
 
-/// How one workspace fared.
+/// How one workspace fared, without the requests that showed a withdrawn key.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Workspace {
     pub name: String,
@@ -102,7 +103,8 @@
 }
 
 fn workspace(scenario: &Scenario, evidence: &Evidence, index: usize) -> Workspace {
-    let own: Vec<_> = evidence.records.iter().filter(|r| r.workspace == index).collect();
+    let own = evidence.records.iter().filter(|r| r.workspace == index);
+    let own: Vec<_> = own.filter(|r| !shows_withdrawn_key(evidence, r)).collect();
     let served: Vec<_> = own.iter().filter(|record| record.is_served()).collect();
     let mut entitled = 0;
     let mut wrongful_refusals = 0;
@@ -127,10 +129,16 @@
     }
 }
 
+/// Tells whether a request was to be sent after its key was withdrawn.
+fn shows_withdrawn_key(evidence: &Evidence, record: &Record) -> bool {
+    let (workspace, caller) = (record.workspace, record.caller);
+    evidence.events.iter().any(|event| {
+        event.what == What::Withdrawn { workspace, caller } && record.intended_ms > event.asked_ms
+    })
+}
+
 /// Tells which targets are faulty from the events up to a time.
 pub(crate) fn faulty_at(events: &[Event], at_ms: f64) -> Vec<usize> {
-    use crate::driver::What;
-
     let mut faulty = Vec::new();
     for event in events.iter().filter(|event| event.asked_ms <= at_ms) {
         match &event.what {
--- a/chicoryloom_load/src/scenario/check.rs
+++ b/chicoryloom_load/src/scenario/check.rs
@@ -104,6 +104,9 @@
         }
         raw::Action::Platform(platform) => switches::<platform::Switches>(field, platform),
         raw::Action::Host(host) => {
+            if !host.home_of.is_empty() {
+                service(raw, field, &host.home_of)?;
+            }
             below(field, host.index.saturating_add(host.count), raw.fleet.hosts.saturating_add(1))
         }
         raw::Action::Withdraw(withdraw) => workspace(raw, field, &withdraw.workspace),
--- a/chicoryloom_load/src/stage.rs
+++ b/chicoryloom_load/src/stage.rs
@@ -62,7 +62,7 @@
         for (index, service) in scenario.services.iter().enumerate() {
             let document = Document { version: 0, leaving: vec![false; service.targets as usize] };
             stage.documents.push(document);
-            stage.write_document(scenario, index).await?;
+            stage.write_document(scenario, index, 0).await?;
         }
         for (index, workspace) in scenario.workspaces.iter().enumerate() {
             let mut keys = Vec::new();
@@ -108,16 +108,17 @@
         self.fleet.rules(&rules).await.map_err(Error::fleet("set link rules"))
     }
 
-    /// Writes a service's document as it is to be now.
+    /// Writes a service's document, as it is to be now, through one host.
     pub(crate) async fn write_document(
         &mut self,
         scenario: &Scenario,
         service: usize,
+        host: usize,
     ) -> Result<(), Error> {
         let text = self.document(scenario, service);
         let document = &mut self.documents[service];
         let name = &scenario.services[service].name;
-        let written = self.fleet.put_document(0, name, document.version, &text).await;
+        let written = self.fleet.put_document(host, name, document.version, &text).await;
         document.version = written.map_err(Error::fleet("write a document"))?;
         Ok(())
     }
