--- a/chicoryloom/src/admin/api.rs
+++ b/chicoryloom/src/admin/api.rs
@@ -18,6 +18,7 @@
 use super::Admin;
 use super::change;
 use super::change::Error;
+use crate::control::Report;
 
 /// Largest document, in bytes.
 const MAX_DOCUMENT: u64 = 1024 * 1024;
@@ -152,6 +153,8 @@
 
 fn show_status(admin: &Admin) -> Response {
     let view = admin.published.view();
+    let now = admin.clock.now();
+    let state = Report::new(&view, &admin.published.standing(), &admin.name, now);
     let documents: Vec<_> = view.documents.keys().map(id::Service::as_str).collect();
     warp::reply::json(&json!({
         "revision": view.revision,
@@ -159,6 +162,7 @@
         "documents": documents,
         "keys": view.keys.len(),
         "hosts": view.hosts.len(),
+        "state": state,
     }))
     .into_response()
 }
--- a/chicoryloom/src/admin/mod.rs
+++ b/chicoryloom/src/admin/mod.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use chicoryloom_policy::id;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -19,6 +20,7 @@
 /// Everything that the administration API uses.
 #[derive(Debug)]
 pub(crate) struct Admin {
+    pub(crate) name: id::Host,
     pub(crate) settings: config::admin::Admin,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) published: Arc<Published>,
--- a/chicoryloom/src/control/actor.rs
+++ b/chicoryloom/src/control/actor.rs
@@ -1,102 +1,250 @@
 //! The actor that owns the control state.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
-use chicoryloom_policy::freshness::Answer;
+use chicoryloom_policy::freshness::Quorum;
 use chicoryloom_policy::freshness::Tracker;
 use chicoryloom_policy::id;
 use chicoryloom_wire::frame::Body;
-use chicoryloom_wire::frame::Frame;
 use chicoryloom_wire::generated::frame::Heartbeat;
+use chicoryloom_wire::generated::frame::Page;
+use chicoryloom_wire::generated::frame::Pull;
 use chicoryloom_wire::platform::Changes;
 use chicoryloom_wire::platform::Host;
 use xtra::prelude::*;
 
 use super::Published;
+use super::accept::Acceptor;
 use super::objects::Objects;
+use super::peers::Peers;
+use super::report::Known;
+use super::report::Standing;
 use super::view::View;
+use super::watch::Duty;
 use crate::clock::Clock;
 use crate::peer;
+use crate::peer::Puller;
+use crate::store::Store;
+
+/// Revisions whose arrival is remembered; the oldest are forgotten.
+const MAX_HELD: usize = 64;
+/// Heartbeats that a new host waits for others before the platform alone confirms its state.
+const HEARTBEATS_TO_JOIN: u32 = 2;
+
+/// What the control actor works with.
+#[derive(Clone, Debug)]
+pub(crate) struct Setup {
+    pub(crate) name: id::Host,
+    pub(crate) window: Duration,
+    pub(crate) heartbeat: Duration,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) published: Arc<Published>,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) sender: peer::Sender,
+    pub(crate) puller: Puller,
+}
 
 /// Owner of the control state.
 #[derive(xtra::Actor)]
 pub(crate) struct Control {
-    name: id::Host,
-    clock: Arc<dyn Clock>,
-    published: Arc<Published>,
-    sender: peer::Sender,
-    objects: Objects,
-    view: View,
-    tracker: Tracker,
-    /// Latest challenge of each peer, to be echoed, in microseconds of the peer's clock.
-    challenges: HashMap<id::Host, u64>,
+    pub(super) setup: Setup,
+    pub(super) objects: Objects,
+    pub(super) view: View,
+    pub(super) tracker: Tracker,
+    pub(super) peers: Peers,
+    /// The roster's hosts but for this one.
+    pub(super) others: Vec<id::Host>,
     /// Whether this incarnation has confirmed its state.
-    confirmed: bool,
+    pub(super) confirmed: bool,
+    /// Whether objects are being pulled from a peer.
+    pub(super) pulling: bool,
+    /// The platform's list of hosts.
+    pub(super) listed: Option<HashMap<id::Host, Host>>,
+    pub(super) acceptor: Acceptor,
+    /// Revisions with the moment from which this host holds them, both growing.
+    held: VecDeque<(id::Revision, Moment)>,
+    /// When the platform last confirmed this host's state.
+    platform: Option<Moment>,
+    /// Revision of a platform that shows an older state than the fleet holds.
+    reverted: Option<id::Revision>,
+    /// When this host first knew a roster.
+    joined: Option<Moment>,
 }
 
 impl Control {
-    pub(crate) fn new(
-        name: id::Host,
-        window: Duration,
-        clock: Arc<dyn Clock>,
-        published: Arc<Published>,
-        sender: peer::Sender,
-    ) -> Self {
+    pub(crate) fn new(setup: Setup) -> Self {
         Self {
-            name,
-            clock,
-            published,
-            sender,
+            tracker: Tracker::new(setup.window),
+            setup,
             objects: Objects::default(),
             view: View::default(),
-            tracker: Tracker::new(window),
-            challenges: HashMap::new(),
+            peers: Peers::default(),
+            others: Vec::new(),
             confirmed: false,
+            pulling: false,
+            listed: None,
+            acceptor: Acceptor::default(),
+            held: VecDeque::new(),
+            platform: None,
+            reverted: None,
+            joined: None,
         }
     }
 
-    fn others(&self) -> Vec<id::Host> {
-        self.view.hosts.keys().filter(|host| **host != self.name).cloned().collect()
+    pub(super) fn now(&self) -> Moment {
+        self.setup.clock.now()
     }
 
-    fn publish_view(&self) {
-        self.published.set_view(self.view.clone());
+    pub(super) fn quorum(&self) -> Quorum<'_> {
+        let member = self.view.roster.hosts.contains_key(&self.setup.name);
+        Quorum { others: &self.others, member }
     }
 
-    fn publish_freshness(&mut self) {
-        let until = self.tracker.fresh_until(&self.others(), self.objects.revision());
-        if let Some(until) = until {
-            self.confirmed |= self.clock.now() < until;
-            self.published.set_fresh_until(until);
+    /// Returns the moment from which this host holds a revision, if it does.
+    pub(super) fn held_since(&self, revision: id::Revision) -> Option<Moment> {
+        let first = self.held.iter().find(|(held, _)| *held >= revision);
+        first.map(|(_, since)| *since)
+    }
+
+    /// Tells whether the platform confirmed this host's state within the window.
+    pub(super) fn reaches_platform(&self, now: Moment) -> bool {
+        self.platform.is_some_and(|moment| now < moment.after(self.setup.window))
+    }
+
+    /// Applies changes and publishes what came of them; tells whether the revision grew.
+    fn apply(&mut self, changes: Changes) -> bool {
+        let before = self.objects.revision();
+        let roster = self.view.roster.version;
+        let changed = self.objects.apply(changes, &mut self.view);
+        if self.view.roster.version != roster {
+            self.move_roster();
+        }
+        if changed {
+            self.publish_hosts();
+        }
+        let grew = self.objects.revision() > before;
+        if grew {
+            self.note_held();
+            // Every holder of a revision must show it, whether or not an object changed.
+            self.setup.published.set_view(self.view.clone());
+        }
+        grew
+    }
+
+    fn note_held(&mut self) {
+        let now = self.now();
+        self.held.push_back((self.objects.revision(), now));
+        if self.held.len() > MAX_HELD {
+            self.held.pop_front();
+        }
+    }
+
+    fn move_roster(&mut self) {
+        let hosts = &self.view.roster.hosts;
+        self.others = hosts.keys().filter(|host| **host != self.setup.name).cloned().collect();
+        self.tracker.retain(|host| hosts.contains_key(host));
+        self.peers.retain(|host| hosts.contains_key(host));
+        let now = self.now();
+        self.joined.get_or_insert(now);
+    }
+
+    /// Corrects the roster by the hosts' own word, places services and publishes the view.
+    pub(super) fn publish_hosts(&mut self) {
+        let mut hosts = self.view.roster.hosts.clone();
+        for host in hosts.values_mut() {
+            self.peers.correct(host);
+            if host.name == self.setup.name {
+                host.leaving |= self.setup.published.is_leaving();
+            }
         }
+        self.view.hosts = Arc::new(hosts);
+        self.view.place();
+        self.setup.published.set_view(self.view.clone());
     }
 
-    fn hear_heartbeat(&mut self, frame: &Frame, heartbeat: &Heartbeat) {
-        self.challenges.insert(frame.sender.clone(), heartbeat.challenge);
-        if heartbeat.echo == 0 {
-            return;
+    pub(super) fn publish_freshness(&mut self) {
+        let until = self.tracker.fresh_until(self.quorum(), self.objects.revision());
+        if let Some(until) = until {
+            self.confirmed |= self.now() < until;
+            self.setup.published.set_fresh_until(until);
         }
-        let answer = Answer {
-            incarnation: frame.incarnation,
-            challenged: Moment::from_start(Duration::from_micros(heartbeat.echo)),
-            revision: id::Revision(heartbeat.revision),
-            confirmed: heartbeat.confirmed,
+    }
+
+    fn publish_standing(&self, now: Moment) {
+        let own = &self.setup.name;
+        let known = |name: &id::Host| {
+            let (revision, serving) = self.peers.standing(name);
+            (name.clone(), Known { revision, serving, heard: self.tracker.hears(name, now) })
         };
-        self.tracker.hear(frame.sender.clone(), answer);
-        self.publish_freshness();
+        let mut hosts: HashMap<_, _> = self.others.iter().map(known).collect();
+        let revision = self.objects.revision();
+        let serving = self.setup.published.is_serving(now);
+        hosts.insert(own.clone(), Known { revision, serving, heard: true });
+        let (platform, reverted) = (self.platform, self.reverted);
+        self.setup.published.set_standing(Standing { hosts, platform, reverted });
+    }
+
+    /// Tells what this host has to do about the platform.
+    fn duty(&self, now: Moment) -> Duty {
+        let roster = &self.view.roster;
+        let others_watch = roster.hosts.contains_key(&self.setup.name)
+            && !roster.watchers.contains(&self.setup.name);
+        if !others_watch {
+            return Duty::Watch;
+        }
+        if self.peers.has_voucher(now, self.setup.window) {
+            return Duty::Rest;
+        }
+        if self.tracker.hears_majority(self.quorum(), now) { Duty::Try } else { Duty::Watch }
     }
 
-    fn heartbeat(&self, peer: &id::Host) -> Heartbeat {
-        let now = self.clock.now().since_start().as_micros();
+    pub(super) fn heartbeat(&self, peer: &id::Host, now: Moment) -> Heartbeat {
+        let (echo, vouched) = self.peers.echo(peer);
+        let micros = now.since_start().as_micros();
         Heartbeat {
-            challenge: u64::try_from(now).unwrap_or(u64::MAX),
-            echo: self.challenges.get(peer).copied().unwrap_or_default(),
+            challenge: u64::try_from(micros).unwrap_or(u64::MAX),
+            echo,
+            vouched: if self.reaches_platform(now) { vouched } else { 0 },
             revision: self.objects.revision().0,
             confirmed: self.confirmed,
-            leaving: self.published.is_leaving(),
+            leaving: self.setup.published.is_leaving(),
+            serving: self.setup.published.is_serving(now),
+            caller: self.own_caller(now),
+        }
+    }
+
+    /// Returns this host's address for callers where the roster has another one.
+    ///
+    /// While the platform is reached, the roster follows the platform's list.
+    fn own_caller(&self, now: Moment) -> String {
+        let own = self.setup.published.caller().filter(|own| !own.ip().is_unspecified());
+        let listed = self.view.roster.hosts.get(&self.setup.name).map(|host| host.caller);
+        match own {
+            Some(own) if Some(own) != listed && !self.reaches_platform(now) => own.to_string(),
+            _ => String::new(),
+        }
+    }
+
+    /// Sends a heartbeat to every other host.
+    async fn beat(&self) {
+        let now = self.now();
+        for peer in &self.others {
+            let Some(host) = self.view.roster.hosts.get(peer) else {
+                continue;
+            };
+            let heartbeat = self.heartbeat(peer, now);
+            self.setup.sender.send(host.peer, Body::Heartbeat(heartbeat.clone())).await;
+            // A host whose address changed while the platform is away is reached where it
+            // sends from.
+            let deaf = !self.tracker.hears(peer, now);
+            let source = self.peers.source(peer, now, self.setup.window);
+            if let Some(source) = source.filter(|source| deaf && *source != host.peer) {
+                self.setup.sender.send(source, Body::Heartbeat(heartbeat)).await;
+            }
         }
     }
 }
@@ -110,21 +258,45 @@
 }
 
 impl Handler<Learned> for Control {
-    type Return = id::Revision;
+    /// Whether the answer was usable.
+    type Return = bool;
 
-    async fn handle(&mut self, learned: Learned, _: &mut Context<Self>) -> id::Revision {
-        let complete = learned.changes.revision >= self.objects.revision();
-        if self.objects.apply(learned.changes, &mut self.view) {
-            self.view.place();
-            self.publish_view();
+    async fn handle(&mut self, learned: Learned, _: &mut Context<Self>) -> bool {
+        let Learned { changes, asked } = learned;
+        let reached = changes.revision;
+        let held = self.objects.revision().max(self.peers.peak());
+        if reached < held && !changes.more {
+            if self.reverted.is_none() {
+                log::warn!("control: the platform shows revision {reached}, the fleet {held}");
+            }
+            self.reverted = Some(reached);
+            return false;
         }
-        if complete {
-            self.tracker.confirm(learned.asked);
-        } else {
-            log::warn!("control: the platform shows an older state than this host holds");
+        self.reverted = None;
+        let complete = !changes.more;
+        let grew = self.apply(changes);
+        if complete && self.may_trust_platform() {
+            self.tracker.confirm(asked);
+            self.platform = self.platform.max(Some(asked));
+            self.peers.vouch(asked);
         }
         self.publish_freshness();
-        self.objects.revision()
+        if grew {
+            self.beat().await;
+        }
+        true
+    }
+}
+
+impl Control {
+    /// Tells whether the platform alone may confirm this host's state.
+    ///
+    /// A new host first gives the others time to show that the platform has gone back.
+    fn may_trust_platform(&self) -> bool {
+        let pause = self.setup.heartbeat * HEARTBEATS_TO_JOIN;
+        let over = |joined: Moment| self.now() >= joined.after(pause);
+        let alone = self.joined.is_some() && self.others.is_empty();
+        self.confirmed || alone || self.joined.is_some_and(over)
     }
 }
 
@@ -136,29 +308,39 @@
     type Return = ();
 
     async fn handle(&mut self, listed: Listed, _: &mut Context<Self>) {
-        let hosts: HashMap<_, _> =
-            listed.0.into_iter().map(|host| (host.name.clone(), host)).collect();
-        if hosts == *self.view.hosts {
-            return;
-        }
-        self.view.hosts = Arc::new(hosts);
-        self.view.place();
-        self.publish_view();
+        let hosts = listed.0.into_iter().map(|host| (host.name.clone(), host)).collect();
+        self.listed = Some(hosts);
+        self.write_roster();
     }
 }
 
-/// A frame from a peer.
+/// Changes that a peer gave out.
 #[derive(Debug)]
-pub(crate) struct Heard(pub(crate) Frame);
+pub(crate) struct Pulled {
+    pub(crate) changes: Changes,
+    /// Whether a further page is to follow.
+    pub(crate) last: bool,
+}
 
-impl Handler<Heard> for Control {
+impl Handler<Pulled> for Control {
     type Return = ();
 
-    async fn handle(&mut self, Heard(frame): Heard, _: &mut Context<Self>) {
-        match &frame.body {
-            Body::Heartbeat(heartbeat) => self.hear_heartbeat(&frame, heartbeat),
-            Body::Evidence(_) | Body::Transfer(_) => {}
-        }
+    async fn handle(&mut self, pulled: Pulled, _: &mut Context<Self>) {
+        self.pulling &= !pulled.last;
+        self.apply(pulled.changes);
+        self.publish_freshness();
+    }
+}
+
+/// A peer's question for objects.
+#[derive(Debug)]
+pub(crate) struct Asked(pub(crate) Pull);
+
+impl Handler<Asked> for Control {
+    type Return = Page;
+
+    async fn handle(&mut self, Asked(pull): Asked, _: &mut Context<Self>) -> Page {
+        self.objects.page(pull.nonce, id::Revision(pull.since))
     }
 }
 
@@ -170,12 +352,16 @@
     type Return = ();
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
-        for peer in self.others() {
-            let Some(host) = self.view.hosts.get(&peer) else {
-                continue;
-            };
-            self.sender.send(host.peer, Body::Heartbeat(self.heartbeat(&peer))).await;
+        let now = self.now();
+        let own = self.view.hosts.get(&self.setup.name);
+        if own.is_some_and(|own| !own.leaving) && self.setup.published.is_leaving() {
+            self.publish_hosts();
         }
+        self.beat().await;
         self.publish_freshness();
+        self.publish_standing(now);
+        self.setup.published.set_duty(self.duty(now));
+        self.write_roster();
+        self.write_accepted();
     }
 }
--- /dev/null
+++ b/chicoryloom/src/control/heard.rs
@@ -0,0 +1,110 @@
+//! Frames from peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::freshness::Answer;
+use chicoryloom_policy::id;
+use chicoryloom_wire::frame::Body;
+use chicoryloom_wire::frame::Frame;
+use chicoryloom_wire::generated::frame::Heartbeat;
+use xtra::prelude::*;
+
+use super::Control;
+
+/// A frame from a peer.
+#[derive(Debug)]
+pub(crate) struct Heard {
+    pub(crate) frame: Frame,
+    pub(crate) source: SocketAddr,
+    /// Whether the frame surely comes from the sender's present incarnation.
+    pub(crate) proven: bool,
+}
+
+impl Handler<Heard> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, heard: Heard, context: &mut Context<Self>) {
+        let frame = heard.frame;
+        if !self.view.roster.hosts.contains_key(&frame.sender) {
+            return self.meet_stranger(&frame, heard.source).await;
+        }
+        match &frame.body {
+            Body::Heartbeat(heartbeat) if heard.proven => {
+                self.hear_heartbeat(&frame, heartbeat, heard.source, context);
+            }
+            Body::Heartbeat(heartbeat) => {
+                self.answer(&frame.sender, heartbeat.challenge, heard.source).await;
+            }
+            Body::Evidence(_) | Body::Transfer(_) | Body::Pull(_) | Body::Page(_) => {}
+        }
+    }
+}
+
+impl Control {
+    /// Answers a host that is not on the roster, so that it can become fresh while it joins.
+    async fn meet_stranger(&self, frame: &Frame, source: SocketAddr) {
+        if let Body::Heartbeat(heartbeat) = &frame.body {
+            self.answer(&frame.sender, heartbeat.challenge, source).await;
+        }
+    }
+
+    /// Echoes a challenge at once, to where it came from.
+    async fn answer(&self, peer: &id::Host, echo: u64, source: SocketAddr) {
+        let heartbeat = Heartbeat { echo, vouched: 0, ..self.heartbeat(peer, self.now()) };
+        self.setup.sender.send(source, Body::Heartbeat(heartbeat)).await;
+    }
+
+    fn hear_heartbeat(
+        &mut self,
+        frame: &Frame,
+        heartbeat: &Heartbeat,
+        source: SocketAddr,
+        context: &mut Context<Self>,
+    ) {
+        let now = self.now();
+        let changed = self.peers.hear(&frame.sender, source, heartbeat, now);
+        let revision = id::Revision(heartbeat.revision);
+        if heartbeat.echo > 0 {
+            let answer = Answer {
+                incarnation: frame.incarnation,
+                challenged: moment(heartbeat.echo),
+                heard: now,
+                revision,
+                confirmed: heartbeat.confirmed,
+            };
+            self.tracker.hear(frame.sender.clone(), answer);
+        }
+        let covered = revision <= self.objects.revision();
+        if heartbeat.vouched > 0 && covered {
+            self.tracker.confirm(moment(heartbeat.vouched));
+        }
+        if changed {
+            self.publish_hosts();
+        }
+        self.publish_freshness();
+        if !covered {
+            self.pull(&frame.sender, context);
+        }
+    }
+
+    /// Starts to pull what a peer holds and this host lacks.
+    fn pull(&mut self, peer: &id::Host, context: &mut Context<Self>) {
+        let Some(host) = self.view.roster.hosts.get(peer).filter(|_| !self.pulling) else {
+            return;
+        };
+        let Some(control) = context.mailbox().address().try_upgrade() else {
+            return;
+        };
+        self.pulling = true;
+        let puller = self.setup.puller.clone();
+        let (address, since) = (host.peer, self.objects.revision());
+        tokio::spawn(async move { puller.pull(address, since, &control).await });
+    }
+}
+
+/// Reads a moment of this host's clock back from an echo.
+pub(crate) fn moment(micros: u64) -> Moment {
+    Moment::from_start(Duration::from_micros(micros))
+}
--- /dev/null
+++ b/chicoryloom/src/control/join.rs
@@ -0,0 +1,47 @@
+//! Loads the state from peers while the platform is away.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryloom_policy::id;
+use rand::seq::SliceRandom;
+use xtra::Address;
+
+use super::Control;
+use super::Published;
+use crate::peer::Puller;
+
+/// Pause between two rounds over all seeds.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Rounds between two lines of the log.
+const ROUNDS_PER_LINE: u32 = 20;
+
+/// Asks the seeds, one after the other, until the host knows a roster.
+pub(crate) async fn join(
+    mut seeds: Vec<SocketAddr>,
+    puller: Puller,
+    published: Arc<Published>,
+    control: Address<Control>,
+) {
+    for round in 0_u32.. {
+        tokio::time::sleep(PAUSE).await;
+        seeds.shuffle(&mut rand::rng());
+        for seed in &seeds {
+            if is_known(&published) || !control.is_connected() {
+                return;
+            }
+            puller.pull(*seed, id::Revision::default(), &control).await;
+        }
+        if is_known(&published) || !control.is_connected() {
+            return;
+        }
+        if round % ROUNDS_PER_LINE == 0 {
+            log::warn!("control: neither the platform nor a peer answers; serving nothing");
+        }
+    }
+}
+
+fn is_known(published: &Published) -> bool {
+    published.view().roster.version > id::Revision::default()
+}
--- a/chicoryloom/src/control/mod.rs
+++ b/chicoryloom/src/control/mod.rs
@@ -2,13 +2,22 @@
 //!
 //! One actor owns the state and publishes snapshots of it; see [`View`].
 
+mod accept;
 mod actor;
+mod heard;
+mod join;
 mod objects;
+mod peers;
+mod report;
+mod roster;
 mod view;
 mod watch;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,21 +25,37 @@
 use arc_swap::ArcSwap;
 use chicoryloom_policy::Moment;
 
+pub(crate) use actor::Asked;
 pub(crate) use actor::Control;
-pub(crate) use actor::Heard;
 pub(crate) use actor::Learned;
 pub(crate) use actor::Listed;
+pub(crate) use actor::Pulled;
+pub(crate) use actor::Setup;
 pub(crate) use actor::Tick;
+pub(crate) use heard::Heard;
+pub(crate) use heard::moment;
+pub(crate) use join::join;
+#[cfg(test)]
+pub(crate) use report::Known;
+pub(crate) use report::Report;
+pub(crate) use report::Standing;
 pub(crate) use view::View;
+pub(crate) use watch::Duty;
+pub(crate) use watch::Watch;
 pub(crate) use watch::watch;
 
 /// What the control actor publishes to the rest of the host.
 #[derive(Debug, Default)]
 pub(crate) struct Published {
     view: ArcSwap<View>,
+    standing: ArcSwap<Standing>,
     /// Microseconds on the boot-time clock until which the host is fresh; 0 for never.
     fresh_until: AtomicU64,
     leaving: AtomicBool,
+    suspect: AtomicBool,
+    duty: AtomicU8,
+    /// Address for callers, once it is bound.
+    caller: OnceLock<SocketAddr>,
 }
 
 impl Published {
@@ -43,6 +68,15 @@
         self.view.store(Arc::new(view));
     }
 
+    /// Returns what each host of the fleet was last known to hold.
+    pub(crate) fn standing(&self) -> Arc<Standing> {
+        self.standing.load_full()
+    }
+
+    pub(crate) fn set_standing(&self, standing: Standing) {
+        self.standing.store(Arc::new(standing));
+    }
+
     /// Tells whether the host may trust its snapshot at a moment.
     pub(crate) fn is_fresh(&self, now: Moment) -> bool {
         now < self.fresh_until()
@@ -66,4 +100,38 @@
     pub(crate) fn leave(&self) {
         self.leaving.store(true, Ordering::Release);
     }
+
+    /// Tells whether the host suspects that its own network is at fault.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.suspect.load(Ordering::Acquire)
+    }
+
+    /// Keeps the host out of locator answers, its own and others', while it suspects itself.
+    #[allow(dead_code)]
+    pub(crate) fn set_suspect(&self, suspect: bool) {
+        self.suspect.store(suspect, Ordering::Release);
+    }
+
+    /// Tells whether callers may be sent to this host.
+    pub(crate) fn is_serving(&self, now: Moment) -> bool {
+        self.is_fresh(now) && !self.is_leaving() && !self.is_suspect()
+    }
+
+    pub(crate) fn duty(&self) -> Duty {
+        Duty::from_bits(self.duty.load(Ordering::Acquire))
+    }
+
+    pub(crate) fn set_duty(&self, duty: Duty) {
+        self.duty.store(duty.to_bits(), Ordering::Release);
+    }
+
+    /// Returns the address for callers, once it is bound.
+    pub(crate) fn caller(&self) -> Option<SocketAddr> {
+        self.caller.get().copied()
+    }
+
+    pub(crate) fn set_caller(&self, address: SocketAddr) {
+        // Set once, at the start.
+        let _ = self.caller.set(address);
+    }
 }
--- a/chicoryloom/src/control/objects.rs
+++ b/chicoryloom/src/control/objects.rs
@@ -1,24 +1,36 @@
 //! The objects that a host holds, and their parsed form.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use chicoryloom_policy::id;
 use chicoryloom_wire::document;
+use chicoryloom_wire::generated::frame as raw;
 use chicoryloom_wire::key;
 use chicoryloom_wire::platform::Changes;
 use chicoryloom_wire::platform::Kind;
 use chicoryloom_wire::platform::Object;
 use smol_str::SmolStr;
 
+use super::roster;
+use super::view::Fault;
 use super::view::View;
 
+/// Bytes of values after which a page is full.
+const PAGE_BYTES: usize = 1024 * 1024;
+/// Objects after which a page is full.
+const PAGE_OBJECTS: usize = 4096;
+/// Versions that one look for acceptance takes up.
+const MAX_PENDING: usize = 8;
+
 /// All objects of the platform at their latest known version.
 #[derive(Debug, Default)]
 pub(super) struct Objects {
     /// Revision up to which every object is held; only grows.
     revision: id::Revision,
     by_name: HashMap<(Kind, SmolStr), Object>,
+    by_version: BTreeMap<id::Revision, (Kind, SmolStr)>,
 }
 
 impl Objects {
@@ -26,9 +38,14 @@
         self.revision
     }
 
+    pub(super) fn get(&self, kind: Kind, name: &str) -> Option<&Object> {
+        self.by_name.get(&(kind, SmolStr::new(name)))
+    }
+
     /// Takes in changes and brings a view up to date; tells whether anything changed.
     ///
-    /// Older versions than those held are left out, whoever sent them.
+    /// Older versions than those held are left out, whoever sent them. A part of the changes
+    /// leaves the revision as it is.
     pub(super) fn apply(&mut self, changes: Changes, view: &mut View) -> bool {
         let mut changed = false;
         for object in changes.objects {
@@ -37,14 +54,50 @@
             if held >= Some(object.version) {
                 continue;
             }
+            if let Some(held) = held {
+                self.by_version.remove(&held);
+            }
             show(&object, view);
+            self.by_version.insert(object.version, name.clone());
             self.by_name.insert(name, object);
             changed = true;
         }
-        self.revision = self.revision.max(changes.revision);
+        if !changes.more {
+            self.revision = self.revision.max(changes.revision);
+        }
         view.revision = self.revision;
         changed
     }
+
+    /// Returns a page of what has changed after a revision, at least one object if there is any.
+    pub(super) fn page(&self, nonce: u64, since: id::Revision) -> raw::Page {
+        let mut objects = Vec::new();
+        let mut bytes = 0;
+        let newer = id::Revision(since.0.saturating_add(1));
+        for (version, name) in self.by_version.range(newer..) {
+            if bytes >= PAGE_BYTES || objects.len() >= PAGE_OBJECTS {
+                let revision = version.0 - 1;
+                return raw::Page { more: true, nonce, objects, revision };
+            }
+            let object = &self.by_name[name];
+            bytes += object.value.len();
+            objects.push(object.into());
+        }
+        raw::Page { more: false, nonce, objects, revision: self.revision.0 }
+    }
+
+    /// Returns the latest changes after a revision, newest first, that want acceptance.
+    ///
+    /// The status isn't among them: accepting it would change it again.
+    pub(super) fn pending(&self, accepted: id::Revision) -> Vec<id::Revision> {
+        let newer = id::Revision(accepted.0.saturating_add(1));
+        if newer > self.revision {
+            return Vec::new();
+        }
+        let changes = self.by_version.range(newer..=self.revision).rev();
+        let wanted = changes.filter(|(_, (kind, _))| *kind != Kind::Status);
+        wanted.map(|(version, _)| *version).take(MAX_PENDING).collect()
+    }
 }
 
 /// Brings one object into a view; an object that can't be read leaves the last good one there.
@@ -52,26 +105,47 @@
     match object.kind {
         Kind::Document => show_document(object, view),
         Kind::Key => show_key(object, view),
-        Kind::Ledger | Kind::Roster | Kind::Status => {}
+        Kind::Roster => show_roster(object, view),
+        Kind::Status => show_status(object, view),
+        Kind::Ledger => {}
     }
 }
 
 fn show_document(object: &Object, view: &mut View) {
-    let Ok(service) = object.name.parse::<id::Service>() else {
-        log::warn!("control: document {:?} is not named like a service", object.name);
-        return;
+    let fault = match read_document(object) {
+        Ok((service, document)) => {
+            match document {
+                Some(document) => {
+                    view.documents.insert(service.clone(), Arc::new(document));
+                    view.versions.insert(service, object.version);
+                }
+                None => {
+                    view.documents.remove(&service);
+                    view.versions.remove(&service);
+                }
+            }
+            view.faults.remove(&object.name);
+            return;
+        }
+        Err(reason) => Fault { version: object.version, reason },
     };
+    log::warn!("control: document {:?} is not valid: {}", object.name, fault.reason);
+    view.faults.insert(object.name.clone(), fault);
+}
+
+/// Reads a document object; `None` stands for a deleted one.
+fn read_document(
+    object: &Object,
+) -> Result<(id::Service, Option<chicoryloom_policy::document::Document>), String> {
+    let service: id::Service = object.name.parse().map_err(|error| format!("name: {error}"))?;
     if object.deleted {
-        view.documents.remove(&service);
-        return;
+        return Ok((service, None));
     }
-    match document::parse(&object.value) {
-        Ok(checked) if checked.document.service == service => {
-            view.documents.insert(service, Arc::new(checked.document));
-        }
-        Ok(_) => log::warn!("control: document {service} names another service"),
-        Err(error) => log::warn!("control: document {service} is not valid: {error}"),
+    let checked = document::parse(&object.value).map_err(|error| error.to_string())?;
+    if checked.document.service != service {
+        return Err(format!("service: is not {service}"));
     }
+    Ok((service, Some(checked.document)))
 }
 
 fn show_key(object: &Object, view: &mut View) {
@@ -95,3 +169,17 @@
         }
     }
 }
+
+fn show_roster(object: &Object, view: &mut View) {
+    match roster::parse(object) {
+        Ok(roster) => view.roster = Arc::new(roster),
+        Err(reason) => log::warn!("control: the roster is not valid: {reason}"),
+    }
+}
+
+fn show_status(object: &Object, view: &mut View) {
+    match roster::parse_accepted(&object.value) {
+        Ok(accepted) => view.accepted = view.accepted.max(accepted),
+        Err(reason) => log::warn!("control: the status is not valid: {reason}"),
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/control/peers.rs
@@ -0,0 +1,130 @@
+//! What the host knows of each other host from its frames.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::id;
+use chicoryloom_wire::generated::frame::Heartbeat;
+use chicoryloom_wire::platform::Host;
+
+/// Challenges of one peer that are kept until the platform is confirmed after them.
+const MAX_CHALLENGES: usize = 8;
+
+/// One peer.
+#[derive(Debug)]
+pub(super) struct Peer {
+    /// Where its frames come from.
+    source: SocketAddr,
+    heard: Moment,
+    /// Latest challenges with their arrival, oldest first.
+    challenges: VecDeque<(u64, Moment)>,
+    /// Latest challenge that arrived before the platform was asked.
+    vouched: u64,
+    revision: id::Revision,
+    leaving: bool,
+    serving: bool,
+    /// Address for callers, if it isn't the one of the roster.
+    caller: Option<SocketAddr>,
+    /// When this peer last vouched for this host.
+    vouch: Option<Moment>,
+}
+
+/// All peers that were heard.
+#[derive(Debug, Default)]
+pub(super) struct Peers(HashMap<id::Host, Peer>);
+
+impl Peers {
+    /// Takes in a heartbeat; tells whether it changes how the peer is to be used.
+    pub(super) fn hear(
+        &mut self,
+        name: &id::Host,
+        source: SocketAddr,
+        heartbeat: &Heartbeat,
+        now: Moment,
+    ) -> bool {
+        let caller = heartbeat.caller.parse().ok();
+        let peer = self.0.entry(name.clone()).or_insert_with(|| Peer {
+            source,
+            heard: now,
+            challenges: VecDeque::new(),
+            vouched: 0,
+            revision: id::Revision::default(),
+            leaving: false,
+            serving: false,
+            caller: None,
+            vouch: None,
+        });
+        peer.source = source;
+        peer.heard = now;
+        peer.challenges.push_back((heartbeat.challenge, now));
+        if peer.challenges.len() > MAX_CHALLENGES {
+            peer.challenges.pop_front();
+        }
+        peer.revision = id::Revision(heartbeat.revision);
+        if heartbeat.vouched > 0 {
+            peer.vouch = Some(now);
+        }
+        peer.serving = heartbeat.serving;
+        let changed = peer.leaving != heartbeat.leaving || peer.caller != caller;
+        peer.leaving = heartbeat.leaving;
+        peer.caller = caller;
+        changed
+    }
+
+    /// Notes that the platform, asked at a moment, was found to hold no more than this host.
+    pub(super) fn vouch(&mut self, asked: Moment) {
+        for peer in self.0.values_mut() {
+            let before = peer.challenges.iter().rev().find(|(_, arrived)| *arrived <= asked);
+            peer.vouched = before.map_or(peer.vouched, |(challenge, _)| *challenge);
+        }
+    }
+
+    /// Returns the challenge to echo to a peer, and the one that this host can vouch for.
+    pub(super) fn echo(&self, name: &id::Host) -> (u64, u64) {
+        let peer = self.0.get(name);
+        let latest = peer.and_then(|peer| peer.challenges.back());
+        (latest.map_or(0, |(challenge, _)| *challenge), peer.map_or(0, |peer| peer.vouched))
+    }
+
+    /// Returns where a peer's frames came from within a window.
+    pub(super) fn source(
+        &self,
+        name: &id::Host,
+        now: Moment,
+        window: Duration,
+    ) -> Option<SocketAddr> {
+        let peer = self.0.get(name).filter(|peer| now < peer.heard.after(window))?;
+        Some(peer.source)
+    }
+
+    /// Returns the latest revision that any peer holds.
+    pub(super) fn peak(&self) -> id::Revision {
+        self.0.values().map(|peer| peer.revision).max().unwrap_or_default()
+    }
+
+    /// Tells whether a peer vouched for this host within a window.
+    pub(super) fn has_voucher(&self, now: Moment, window: Duration) -> bool {
+        self.0.values().any(|peer| peer.vouch.is_some_and(|vouch| now < vouch.after(window)))
+    }
+
+    /// Returns a peer's revision and whether it takes callers.
+    pub(super) fn standing(&self, name: &id::Host) -> (id::Revision, bool) {
+        let peer = self.0.get(name);
+        peer.map_or((id::Revision::default(), false), |peer| (peer.revision, peer.serving))
+    }
+
+    /// Corrects a host of the roster by the peer's own word.
+    pub(super) fn correct(&self, host: &mut Host) {
+        if let Some(peer) = self.0.get(&host.name) {
+            host.leaving |= peer.leaving;
+            host.caller = peer.caller.unwrap_or(host.caller);
+        }
+    }
+
+    pub(super) fn retain<F: Fn(&id::Host) -> bool>(&mut self, keep: F) {
+        self.0.retain(|name, _| keep(name));
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/control/report.rs
@@ -0,0 +1,129 @@
+//! What operators see of the accepted state.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::id;
+use serde::Serialize;
+
+use super::view::View;
+
+/// One host of the fleet as this host knows it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Known {
+    pub(crate) revision: id::Revision,
+    /// Whether it answered a challenge within the freshness window.
+    pub(crate) heard: bool,
+    /// Whether it says that callers may be sent to it.
+    pub(crate) serving: bool,
+}
+
+/// What each host of the fleet was last known to hold, and how the platform stands.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Standing {
+    pub(crate) hosts: HashMap<id::Host, Known>,
+    /// Latest moment at which the platform held nothing that this host lacks.
+    pub(crate) platform: Option<Moment>,
+    /// Revision of a platform that shows an older state than the fleet holds.
+    pub(crate) reverted: Option<id::Revision>,
+}
+
+impl Standing {
+    /// Tells whether callers may be sent to a host.
+    pub(crate) fn is_serving(&self, host: &id::Host) -> bool {
+        self.hosts.get(host).is_some_and(|host| host.heard && host.serving)
+    }
+}
+
+/// A document's state over the fleet.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Document {
+    service: String,
+    version: id::Revision,
+    accepted: bool,
+    /// Hosts that hold this version and were heard within the freshness window.
+    in_force: usize,
+    /// Other hosts of the roster.
+    behind: Vec<String>,
+    /// Why a later version is not in force, if there is one.
+    fault: Option<Fault>,
+}
+
+/// A version that can't be read.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Fault {
+    version: id::Revision,
+    reason: String,
+}
+
+/// The accepted state as this host sees it.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Report {
+    accepted: id::Revision,
+    roster: id::Revision,
+    watchers: Vec<String>,
+    watches: bool,
+    /// Time since the platform last confirmed this host's state, in milliseconds.
+    platform_age_ms: Option<u64>,
+    /// Revision of a platform that shows an older state than the fleet holds.
+    platform_reverted: Option<id::Revision>,
+    documents: Vec<Document>,
+    /// Documents that were never valid.
+    faults: HashMap<String, Fault>,
+}
+
+impl Report {
+    /// Draws up the report.
+    pub(crate) fn new(view: &View, standing: &Standing, name: &id::Host, now: Moment) -> Self {
+        let age = standing.platform.map(|confirmed| now.since(confirmed));
+        let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let fault = |fault: &super::view::Fault| Fault {
+            version: fault.version,
+            reason: fault.reason.clone(),
+        };
+        let mut documents: Vec<_> = view
+            .versions
+            .iter()
+            .map(|(service, version)| Document {
+                fault: view.faults.get(service.as_str()).map(fault),
+                ..document(view, standing, service, *version)
+            })
+            .collect();
+        documents.sort_by(|a, b| a.service.cmp(&b.service));
+        let known = |name: &str| documents.iter().any(|document| document.service == name);
+        let faults = view.faults.iter().filter(|(name, _)| !known(name));
+        Self {
+            accepted: view.accepted,
+            roster: view.roster.version,
+            watchers: view.roster.watchers.iter().map(id::Host::to_string).collect(),
+            watches: view.roster.watchers.contains(name),
+            platform_age_ms: age.map(millis),
+            platform_reverted: standing.reverted,
+            faults: faults.map(|(name, found)| (name.to_string(), fault(found))).collect(),
+            documents,
+        }
+    }
+}
+
+fn document(
+    view: &View,
+    standing: &Standing,
+    service: &id::Service,
+    version: id::Revision,
+) -> Document {
+    let holds = |name: &&id::Host| {
+        standing.hosts.get(*name).is_some_and(|host| host.heard && host.revision >= version)
+    };
+    let (in_force, behind): (Vec<_>, Vec<_>) = view.roster.hosts.keys().partition(holds);
+    let mut behind: Vec<_> = behind.into_iter().map(id::Host::to_string).collect();
+    behind.sort();
+    Document {
+        service: service.to_string(),
+        version,
+        accepted: view.is_accepted(version),
+        in_force: in_force.len(),
+        behind,
+        fault: None,
+    }
+}
--- a/chicoryloom/src/control/view.rs
+++ b/chicoryloom/src/control/view.rs
@@ -1,23 +1,43 @@
 //! Immutable snapshots of the control state.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use chicoryloom_policy::document::Document;
 use chicoryloom_policy::id;
 use chicoryloom_policy::placement;
-use chicoryloom_policy::placement::Candidate;
 use chicoryloom_wire::key::Key;
 use chicoryloom_wire::platform::Host;
+use smol_str::SmolStr;
+
+use super::roster;
+use super::roster::Roster;
+
+/// Why the latest version of an object is not in force.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Fault {
+    pub(crate) version: id::Revision,
+    pub(crate) reason: String,
+}
 
 /// A snapshot of the control state, shared by all requests that start under it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct View {
     /// Revision up to which every object is in the snapshot.
     pub(crate) revision: id::Revision,
+    /// Revision up to which every change is accepted; only grows.
+    ///
+    /// A change that gives, such as a share taken over, binds once its version is accepted.
+    pub(crate) accepted: id::Revision,
     pub(crate) documents: HashMap<id::Service, Arc<Document>>,
+    /// Versions of the documents in force.
+    pub(crate) versions: HashMap<id::Service, id::Revision>,
+    /// Documents whose latest version can't be read; the last good one is in force.
+    pub(crate) faults: BTreeMap<SmolStr, Fault>,
     pub(crate) keys: Arc<HashMap<id::Digest, Key>>,
-    /// Hosts of the roster, leaving ones included, by name.
+    pub(crate) roster: Arc<Roster>,
+    /// Hosts of the roster as corrected by their heartbeats, leaving ones included, by name.
     pub(crate) hosts: Arc<HashMap<id::Host, Host>>,
     /// Home hosts by service, best first.
     pub(crate) homes: HashMap<id::Service, Arc<[id::Host]>>,
@@ -30,6 +50,11 @@
         key.map(|key| &key.workspace)
     }
 
+    /// Tells whether a version of any object is accepted.
+    pub(crate) fn is_accepted(&self, version: id::Revision) -> bool {
+        version <= self.accepted
+    }
+
     /// Returns the home hosts of a service; none if the service is unknown.
     pub(crate) fn homes(&self, service: &id::Service) -> &[id::Host] {
         self.homes.get(service).map_or(&[], |homes| homes)
@@ -38,16 +63,11 @@
     /// Works out the home hosts of all services anew.
     pub(crate) fn place(&mut self) {
         let live = self.hosts.values().filter(|host| !host.leaving);
-        let candidates: Vec<_> = live
-            .map(|host| Candidate {
-                host: host.name.clone(),
-                data_centre: host.data_centre.clone(),
-            })
-            .collect();
-        let place = |service: &id::Service| {
-            let homes = placement::homes(service, &candidates, placement::MIN_HOMES);
+        let candidates: Vec<_> = live.map(roster::candidate).collect();
+        let place = |(service, document): (&id::Service, &Arc<Document>)| {
+            let homes = placement::homes(service, &candidates, placement::count(document));
             (service.clone(), homes.into())
         };
-        self.homes = self.documents.keys().map(place).collect();
+        self.homes = self.documents.iter().map(place).collect();
     }
 }
--- a/chicoryloom/src/control/watch.rs
+++ b/chicoryloom/src/control/watch.rs
@@ -10,6 +10,7 @@
 use super::Control;
 use super::Learned;
 use super::Listed;
+use super::Published;
 use crate::clock::Clock;
 use crate::store::Error;
 use crate::store::Store;
@@ -18,49 +19,119 @@
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Mean time between two tries of the whole fleet while nobody reaches the platform.
+const FLEET_TRY: Duration = Duration::from_millis(100);
+/// How often a host that rests looks at its duty.
+const DUTY_CHECK: Duration = Duration::from_millis(100);
+/// Rounds of watching between two looks at the host list.
+const ROUNDS_PER_LIST: u32 = 2;
+
+/// What a host has to do about the platform.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Duty {
+    /// Watch all the time.
+    #[default]
+    Watch,
+    /// Nobody reaches the platform; try now and then.
+    Try,
+    /// Others watch, and vouch for this host.
+    Rest,
+}
+
+impl Duty {
+    pub(super) const fn to_bits(self) -> u8 {
+        match self {
+            Self::Watch => 0,
+            Self::Try => 1,
+            Self::Rest => 2,
+        }
+    }
+
+    pub(super) const fn from_bits(bits: u8) -> Self {
+        match bits {
+            2 => Self::Rest,
+            1 => Self::Try,
+            _ => Self::Watch,
+        }
+    }
+}
+
+/// Watches the platform as the host's duty asks for.
+pub(crate) struct Watch {
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) control: Address<Control>,
+    pub(crate) published: Arc<Published>,
+    /// Wait of one call; less than the freshness window, since a call confirms the state as of
+    /// its start.
+    pub(crate) wait: Duration,
+}
 
 /// Watches the platform until the control actor is gone.
-///
-/// `wait` bounds the wait of one call; it is less than the freshness window, since a call
-/// confirms the state as of its start.
-pub(crate) async fn watch(
-    store: Arc<dyn Store>,
-    clock: Arc<dyn Clock>,
-    control: Address<Control>,
-    wait: Duration,
-) {
-    let mut revision = id::Revision::default();
+pub(crate) async fn watch(watch: Watch) {
     let mut pause = MIN_PAUSE;
-    while control.is_connected() {
-        match round(&*store, &*clock, &control, revision, wait).await {
-            Ok(next) => {
-                revision = next;
-                pause = MIN_PAUSE;
+    let mut rounds = 0;
+    let mut cursor = id::Revision::default();
+    while watch.control.is_connected() {
+        let wait = match watch.published.duty() {
+            Duty::Watch => watch.wait,
+            Duty::Try => {
+                tokio::time::sleep(watch.try_pause()).await;
+                Duration::ZERO
             }
+            Duty::Rest => {
+                tokio::time::sleep(DUTY_CHECK).await;
+                continue;
+            }
+        };
+        if watch.published.duty() == Duty::Rest {
+            continue;
+        }
+        match watch.round(&mut cursor, wait, rounds % ROUNDS_PER_LIST == 0).await {
+            Ok(true) => pause = MIN_PAUSE,
+            Ok(false) => pause = back_off(pause).await,
             Err(error) => {
                 log::debug!("watch: {error}");
-                tokio::time::sleep(jitter(pause)).await;
-                pause = (pause * 2).min(MAX_PAUSE);
+                pause = back_off(pause).await;
             }
         }
+        rounds = rounds.wrapping_add(1);
     }
 }
 
-async fn round(
-    store: &dyn Store,
-    clock: &dyn Clock,
-    control: &Address<Control>,
-    revision: id::Revision,
-    wait: Duration,
-) -> Result<id::Revision, Error> {
-    let hosts = store.hosts().await?;
-    // A gone actor ends the loop of the caller.
-    let _ = control.send(Listed(hosts)).await;
-    let asked = clock.now();
-    let changes = store.changes(revision, wait).await?;
-    Ok(control.send(Learned { changes, asked }).await.unwrap_or(revision))
+impl Watch {
+    /// Calls the platform once; tells whether its answer could be used.
+    async fn round(
+        &self,
+        cursor: &mut id::Revision,
+        wait: Duration,
+        list: bool,
+    ) -> Result<bool, Error> {
+        if list {
+            let hosts = self.store.hosts().await?;
+            // A gone actor ends the loop of the caller.
+            let _ = self.control.send(Listed(hosts)).await;
+        }
+        let asked = self.clock.now();
+        *cursor = self.published.view().revision.max(*cursor);
+        let changes = self.store.changes(*cursor, wait).await?;
+        let reached = changes.revision;
+        let used = self.control.send(Learned { changes, asked }).await.unwrap_or(false);
+        *cursor = if used { reached.max(*cursor) } else { id::Revision::default() };
+        Ok(used)
+    }
+
+    /// Returns a time such that the whole fleet together tries at a fixed mean rate.
+    fn try_pause(&self) -> Duration {
+        let hosts = self.published.view().roster.hosts.len().max(1);
+        let mean = FLEET_TRY.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
+        mean.mul_f64(rand::rng().random_range(0.0..2.0)).max(MIN_PAUSE)
+    }
 }
 
-fn jitter(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+/// Waits and returns the next pause.
+async fn back_off(pause: Duration) -> Duration {
+    let jitter = rand::rng().random_range(0.5..1.5);
+    tokio::time::sleep(pause.mul_f64(jitter)).await;
+    (pause * 2).min(MAX_PAUSE)
 }
--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 
 use chicoryloom_policy::id;
+use chicoryloom_policy::replay::Guard;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 use xtra::Address;
@@ -18,9 +20,9 @@
 use crate::config::Settings;
 use crate::control;
 use crate::control::Control;
-use crate::control::Heard;
 use crate::control::Published;
 use crate::control::Tick;
+use crate::control::Watch;
 use crate::grant::Grants;
 use crate::metrics::Metrics;
 use crate::peer;
@@ -76,12 +78,7 @@
         let source = settings.listen.peer.ip();
         let store = HttpStore::new(&settings.platform, source).map_err(Error::Platform)?;
         let store: Arc<dyn Store> = Arc::new(store);
-        let socket = bind_udp(settings.listen.peer).await?;
-        let peer_address = socket.local_addr().map_err(|error| Error::Bind {
-            step: "peer",
-            address: settings.listen.peer,
-            error,
-        })?;
+        let (socket, stream, peer_address) = bind_peer(settings.listen.peer).await?;
 
         let sender = peer::Sender::new(
             socket.clone(),
@@ -90,13 +87,17 @@
             id::Incarnation(rand::random()),
             metrics.clone(),
         );
-        let actor = Control::new(
-            settings.host.name.clone(),
-            settings.policy.fresh_window,
-            clock.clone(),
-            published.clone(),
-            sender,
-        );
+        let puller = peer::Puller { source, sender: sender.clone() };
+        let actor = Control::new(control::Setup {
+            name: settings.host.name.clone(),
+            window: settings.policy.fresh_window,
+            heartbeat: settings.policy.heartbeat,
+            clock: clock.clone(),
+            published: published.clone(),
+            store: store.clone(),
+            sender: sender.clone(),
+            puller: puller.clone(),
+        });
         let control = xtra::spawn_tokio(actor, Mailbox::unbounded());
         let proxy = Arc::new(Proxy {
             name: settings.host.name.clone(),
@@ -111,19 +112,34 @@
             Error::Bind { step: "caller", address: settings.listen.caller, error }
         })?;
 
+        published.set_caller(listener.address());
+
+        let receiver = peer::Receiver {
+            socket,
+            secret: settings.peers.secret.clone(),
+            metrics: metrics.clone(),
+            clock: clock.clone(),
+            guard: Guard::new(settings.policy.fresh_window),
+        };
+        let watch = Watch {
+            store: store.clone(),
+            clock: clock.clone(),
+            control: control.clone(),
+            published: published.clone(),
+            wait: settings.policy.heartbeat * HEARTBEATS_PER_WAIT,
+        };
+        let seeds = settings.peers.seeds.clone();
         let mut tasks = vec![
-            tokio::spawn(receive(socket, &settings, metrics.clone(), control.clone())),
+            tokio::spawn(receive(receiver, control.clone())),
+            tokio::spawn(peer::serve(stream, sender, control.clone())),
             tokio::spawn(tick(control.clone(), settings.policy.heartbeat)),
-            tokio::spawn(control::watch(
-                store.clone(),
-                clock.clone(),
-                control.clone(),
-                settings.policy.heartbeat * HEARTBEATS_PER_WAIT,
-            )),
+            tokio::spawn(control::watch(watch)),
+            tokio::spawn(control::join(seeds, puller, published.clone(), control.clone())),
         ];
         let mut admin_address = None;
         if let Some(address) = settings.listen.admin {
             let admin = Arc::new(Admin {
+                name: settings.host.name.clone(),
                 settings: settings.admin.clone(),
                 clock,
                 published: published.clone(),
@@ -189,25 +205,35 @@
     }
 }
 
-async fn bind_udp(address: SocketAddr) -> Result<Arc<UdpSocket>, Error> {
-    let bound = UdpSocket::bind(address).await;
-    bound.map(Arc::new).map_err(|error| Error::Bind { step: "peer", address, error })
+/// Tries to find a port that is free for both UDP and TCP, where any port will do.
+const PORT_TRIES: usize = 16;
+
+/// Binds one address for UDP and TCP.
+async fn bind_peer(
+    address: SocketAddr,
+) -> Result<(Arc<UdpSocket>, TcpListener, SocketAddr), Error> {
+    let failed = |error| Error::Bind { step: "peer", address, error };
+    for last in (0..PORT_TRIES).rev() {
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let bound = listener.local_addr().map_err(failed)?;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((Arc::new(socket), listener, bound)),
+            Err(error) if address.port() > 0 || last == 0 => return Err(failed(error)),
+            Err(_) => {}
+        }
+    }
+    Err(failed(io::ErrorKind::AddrInUse.into()))
 }
 
-fn receive(
-    socket: Arc<UdpSocket>,
-    settings: &Settings,
-    metrics: Arc<Metrics>,
-    control: Address<Control>,
-) -> impl Future<Output = ()> + use<> {
-    let secret = settings.peers.secret.clone();
-    peer::receive(socket, secret, metrics, move |frame| {
+async fn receive(receiver: peer::Receiver, control: Address<Control>) {
+    let take = move |heard| {
         let control = control.clone();
         async move {
             // A gone actor means that the host shuts down.
-            let _ = control.send(Heard(frame)).await;
+            let _ = control.send(heard).await;
         }
-    })
+    };
+    receiver.receive(take).await;
 }
 
 /// Ticks the control actor at each heartbeat.
--- a/chicoryloom/src/peer/mod.rs
+++ b/chicoryloom/src/peer/mod.rs
@@ -1,4 +1,6 @@
-//! Frames between hosts over UDP.
+//! Frames between hosts over UDP, and whole objects over TCP.
+
+mod stream;
 
 use std::fmt;
 use std::io;
@@ -8,12 +10,21 @@
 use std::sync::atomic::Ordering;
 
 use chicoryloom_policy::id;
+use chicoryloom_policy::replay::Guard;
+use chicoryloom_policy::replay::Stamp;
+use chicoryloom_policy::replay::Verdict;
 use chicoryloom_wire::frame;
 use chicoryloom_wire::frame::Body;
 use chicoryloom_wire::frame::Frame;
 use chicoryloom_wire::frame::Secret;
 use tokio::net::UdpSocket;
 
+pub(crate) use stream::Puller;
+pub(crate) use stream::serve;
+
+use crate::clock::Clock;
+use crate::control::Heard;
+use crate::control::moment;
 use crate::metrics::Metrics;
 
 /// Sends frames to peers.
@@ -46,15 +57,18 @@
 
     /// Sends one frame; a frame that can't be sent is a lost one.
     pub(crate) async fn send(&self, peer: SocketAddr, body: Body) {
-        let frame = Frame {
+        match frame::encode(&self.frame(body), &self.secret) {
+            Ok(bytes) => self.send_bytes(peer, &bytes).await,
+            Err(error) => log::error!("peer: a frame can't be encoded: {error}"),
+        }
+    }
+
+    fn frame(&self, body: Body) -> Frame {
+        Frame {
             sender: self.name.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             body,
-        };
-        match frame::encode(&frame, &self.secret) {
-            Ok(bytes) => self.send_bytes(peer, &bytes).await,
-            Err(error) => log::error!("peer: a frame can't be encoded: {error}"),
         }
     }
 
@@ -66,28 +80,57 @@
     }
 }
 
-/// Receives frames and hands those that are genuine to `take`, until the task is aborted.
-pub(crate) async fn receive<F, S>(
-    socket: Arc<UdpSocket>,
-    secret: Secret,
-    metrics: Arc<Metrics>,
-    take: F,
-) where
-    F: Fn(Frame) -> S,
-    S: Future<Output = ()>,
-{
-    let mut buffer = vec![0; frame::MAX_SIZE + 1];
-    loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log_receive(&error);
-                continue;
+/// Receives frames.
+pub(crate) struct Receiver {
+    pub(crate) socket: Arc<UdpSocket>,
+    pub(crate) secret: Secret,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) guard: Guard,
+}
+
+impl Receiver {
+    /// Hands the frames that are genuine and new to `take`, until the task is aborted.
+    pub(crate) async fn receive<F, S>(mut self, take: F)
+    where
+        F: Fn(Heard) -> S,
+        S: Future<Output = ()>,
+    {
+        let mut buffer = vec![0; frame::MAX_SIZE + 1];
+        loop {
+            let (length, source) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log_receive(&error);
+                    continue;
+                }
+            };
+            match self.judge(&buffer[..length]) {
+                Ok((frame, proven)) => take(Heard { frame, source, proven }).await,
+                Err(error) => self.metrics.frame_dropped(error),
             }
+        }
+    }
+
+    /// Decodes a datagram; tells whether it surely comes from its sender's present incarnation.
+    ///
+    /// Only a heartbeat is taken from an incarnation that is not proven yet.
+    fn judge(&mut self, bytes: &[u8]) -> Result<(Frame, bool), frame::Error> {
+        let frame = frame::decode(bytes, &self.secret)?;
+        let echo = match &frame.body {
+            Body::Heartbeat(heartbeat) if heartbeat.echo > 0 => Some(moment(heartbeat.echo)),
+            _ => None,
+        };
+        let stamp = Stamp {
+            sender: &frame.sender,
+            incarnation: frame.incarnation,
+            sequence: frame.sequence,
+            echo,
         };
-        match frame::decode(&buffer[..length], &secret) {
-            Ok(frame) => take(frame).await,
-            Err(error) => metrics.frame_dropped(error),
+        match self.guard.judge(stamp, self.clock.now()) {
+            Verdict::Take => Ok((frame, true)),
+            Verdict::Unproven if matches!(frame.body, Body::Heartbeat(_)) => Ok((frame, false)),
+            Verdict::Unproven | Verdict::Replay => Err(frame::Error::Replay),
         }
     }
 }
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -72,8 +72,14 @@
         let view = self.published.view();
         let max_age = u32::try_from(self.settings.max_age.as_secs()).unwrap_or(u32::MAX);
         let seed = request::seed(request.headers());
-        let hosts = locator::locate(&view, service, seed, max_age)
-            .ok_or_else(|| Refusal::not_run(Code::Route, format!("no service {service}")))?;
+        let standing = self.published.standing();
+        let hosts = locator::locate(&view, &standing, service, seed, max_age);
+        if hosts.is_none() {
+            // A host that may lack the document can't tell that there is none.
+            self.check_fresh()?;
+        }
+        let hosts =
+            hosts.ok_or_else(|| Refusal::not_run(Code::Route, format!("no service {service}")))?;
         Ok(answer::json(&hosts))
     }
 
@@ -85,8 +91,8 @@
     ) -> Result<Response<Body>, Refusal> {
         let started = Instant::now();
         let view = self.published.view();
-        let asked = Asked::new(&request, &view, service, path)?;
         self.check_fresh()?;
+        let asked = Asked::new(&request, &view, service, path)?;
         if !view.homes(&asked.document.service).contains(&self.name) {
             return self.forward(request, &view, &asked).await;
         }
--- a/chicoryloom_policy/src/freshness.rs
+++ b/chicoryloom_policy/src/freshness.rs
@@ -1,14 +1,22 @@
 //! Tells how long a host may trust that it knows every accepted change.
 //!
-//! An accepted change is known to a majority of the roster. A host that holds all that the
-//! platform held at some moment, or all that a majority held, can have missed nothing that was
-//! accepted before that moment, and stays fresh for one window after it.
+//! A change is accepted once a majority of the roster held it at one instant. A host that holds
+//! all that the platform held at some moment, or all that a majority held, can have missed
+//! nothing that was accepted before that moment, and stays fresh for one window after it.
+//!
+//! A revision stands for every object up to it, so a host that holds a later roster holds all
+//! that was ever accepted under an earlier one.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::Moment;
 use crate::id;
+use crate::roster;
+
+/// Most revisions remembered for one peer; the oldest are forgotten.
+const MAX_HELD: usize = 32;
 
 /// What a peer's answer to a challenge showed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -16,6 +24,8 @@
     pub incarnation: id::Incarnation,
     /// When this host sent the challenge that the answer echoes.
     pub challenged: Moment,
+    /// When the answer arrived.
+    pub heard: Moment,
     /// Revision up to which the peer held every object.
     pub revision: id::Revision,
     /// Whether this incarnation of the peer has confirmed its state; others don't count, since
@@ -23,13 +33,67 @@
     pub confirmed: bool,
 }
 
+/// One peer's present incarnation.
+#[derive(Clone, Debug)]
+struct Peer {
+    /// Answer to the latest challenge.
+    latest: Answer,
+    /// Revisions with the moment from which the peer surely held them, both growing.
+    held: VecDeque<(id::Revision, Moment)>,
+}
+
+impl Peer {
+    fn new(answer: Answer) -> Self {
+        Self { latest: answer, held: VecDeque::from([(answer.revision, answer.heard)]) }
+    }
+
+    fn hear(&mut self, answer: Answer) {
+        if answer.incarnation != self.latest.incarnation {
+            *self = Self::new(answer);
+            return;
+        }
+        self.latest = answer;
+        let known = self.held.back().map(|(revision, _)| *revision);
+        if known < Some(answer.revision) {
+            self.held.push_back((answer.revision, answer.heard));
+        }
+        if self.held.len() > MAX_HELD {
+            self.held.pop_front();
+        }
+    }
+
+    /// Returns the moments between which the peer surely held a revision without a restart.
+    fn span(&self, revision: id::Revision) -> Option<(Moment, Moment)> {
+        let first = self.held.iter().find(|(held, _)| *held >= revision)?;
+        (first.1 <= self.latest.challenged).then_some((first.1, self.latest.challenged))
+    }
+}
+
+/// The hosts whose majority counts.
+#[derive(Clone, Copy, Debug)]
+pub struct Quorum<'a> {
+    /// Hosts of the roster but for this one.
+    pub others: &'a [id::Host],
+    /// Whether this host is on the roster.
+    pub member: bool,
+}
+
+impl Quorum<'_> {
+    /// Returns how many of the others are needed; with no roster, no number is enough.
+    fn needed(&self) -> Option<usize> {
+        let own = usize::from(self.member);
+        let size = self.others.len() + own;
+        (size > 0).then(|| roster::majority(size) - own)
+    }
+}
+
 /// The confirmations of one host's state.
 #[derive(Clone, Debug)]
 pub struct Tracker {
     window: Duration,
     /// Latest moment at which the platform held nothing that this host lacks.
     platform: Option<Moment>,
-    peers: HashMap<id::Host, Answer>,
+    peers: HashMap<id::Host, Peer>,
 }
 
 impl Tracker {
@@ -45,32 +109,81 @@
 
     /// Records a peer's answer unless a later challenge was answered already.
     pub fn hear(&mut self, peer: id::Host, answer: Answer) {
-        let known = self.peers.get(&peer);
-        if known.is_none_or(|known| known.challenged < answer.challenged) {
-            self.peers.insert(peer, answer);
+        match self.peers.get_mut(&peer) {
+            None => {
+                self.peers.insert(peer, Peer::new(answer));
+            }
+            Some(known) if known.latest.challenged < answer.challenged => known.hear(answer),
+            Some(_) => {}
         }
     }
 
+    /// Forgets hosts that are no longer on the roster.
+    pub fn retain<F: Fn(&id::Host) -> bool>(&mut self, keep: F) {
+        self.peers.retain(|peer, _| keep(peer));
+    }
+
+    /// Returns a peer's answer to the latest challenge.
+    pub fn latest(&self, peer: &id::Host) -> Option<&Answer> {
+        self.peers.get(peer).map(|peer| &peer.latest)
+    }
+
+    /// Tells whether a peer answered a challenge sent within the window.
+    pub fn hears(&self, peer: &id::Host, now: Moment) -> bool {
+        self.latest(peer).is_some_and(|answer| now < answer.challenged.after(self.window))
+    }
+
+    /// Tells whether a majority answered challenges sent within the window.
+    pub fn hears_majority(&self, quorum: Quorum<'_>, now: Moment) -> bool {
+        let heard = quorum.others.iter().filter(|peer| self.hears(peer, now)).count();
+        quorum.needed().is_some_and(|needed| heard >= needed)
+    }
+
     /// Returns the moment until which the host is fresh, or `None` if it never was.
     ///
-    /// `others` are the roster's hosts but for this one; `revision` is what this host holds.
-    pub fn fresh_until(&self, others: &[id::Host], revision: id::Revision) -> Option<Moment> {
-        let confirmed = self.platform.max(self.majority(others, revision));
+    /// `revision` is what this host holds.
+    pub fn fresh_until(&self, quorum: Quorum<'_>, revision: id::Revision) -> Option<Moment> {
+        let confirmed = self.platform.max(self.majority(quorum, revision));
         confirmed.map(|moment| moment.after(self.window))
     }
 
     /// Returns the latest moment at which a majority held nothing that this host lacks.
-    fn majority(&self, others: &[id::Host], revision: id::Revision) -> Option<Moment> {
-        let needed = others.len().div_ceil(2);
-        if needed == 0 {
-            return None;
-        }
+    fn majority(&self, quorum: Quorum<'_>, revision: id::Revision) -> Option<Moment> {
+        // A host alone on its roster learns nothing from itself.
+        let needed = quorum.needed().filter(|needed| *needed > 0)?;
         let counts = |answer: &&Answer| answer.confirmed && answer.revision <= revision;
-        let answers = others.iter().filter_map(|peer| self.peers.get(peer));
+        let answers = quorum.others.iter().filter_map(|peer| self.latest(peer));
         let mut moments: Vec<_> = answers.filter(counts).map(|a| a.challenged).collect();
         moments.sort_by(|a, b| b.cmp(a));
         moments.get(needed - 1).copied()
     }
+
+    /// Tells whether a majority surely held a revision at one and the same instant.
+    ///
+    /// Claims of different instants would not do: a peer could restart between its own claim and
+    /// the last one, and forget. So each peer that counts held the revision before the instant
+    /// and answered a challenge sent after it, within one incarnation. `since` is the moment
+    /// from which this host holds the revision, if it does.
+    pub fn accepts(
+        &self,
+        quorum: Quorum<'_>,
+        revision: id::Revision,
+        since: Option<Moment>,
+    ) -> bool {
+        let Some(needed) = quorum.needed() else {
+            return false;
+        };
+        let others = quorum.others.iter().filter_map(|peer| self.peers.get(peer));
+        let spans: Vec<_> = others.filter_map(|peer| peer.span(revision)).collect();
+        let own = quorum.member.then_some(since).flatten();
+        let needed = needed + usize::from(quorum.member && own.is_none());
+        let starts = spans.iter().map(|(start, _)| *start).chain(own);
+        starts.into_iter().any(|instant| {
+            let holds = |span: &&(Moment, Moment)| span.0 <= instant && instant <= span.1;
+            let held = own.is_none_or(|own| own <= instant);
+            held && spans.iter().filter(holds).count() >= needed
+        })
+    }
 }
 
 #[cfg(test)]
@@ -83,10 +196,15 @@
         format!("host-{n}").parse().unwrap()
     }
 
+    fn quorum(others: &[id::Host]) -> Quorum<'_> {
+        Quorum { others, member: true }
+    }
+
     fn answer(at_ms: u64, revision: u64) -> Answer {
         Answer {
             incarnation: id::Incarnation(1),
             challenged: Moment::from_millis(at_ms),
+            heard: Moment::from_millis(at_ms + 10),
             revision: id::Revision(revision),
             confirmed: true,
         }
@@ -97,10 +215,12 @@
         let others: Vec<_> = (1..5).map(host).collect();
         let mut tracker = Tracker::new(WINDOW);
         tracker.hear(host(1), answer(300, 7));
-        assert_eq!(tracker.fresh_until(&others, id::Revision(7)), None);
+        assert_eq!(tracker.fresh_until(quorum(&others), id::Revision(7)), None);
         tracker.hear(host(2), answer(200, 6));
-        let until = tracker.fresh_until(&others, id::Revision(7));
+        let until = tracker.fresh_until(quorum(&others), id::Revision(7));
         assert_eq!(until, Some(Moment::from_millis(200).after(WINDOW)));
+        let stranger = Quorum { others: &others, member: false };
+        assert_eq!(tracker.fresh_until(stranger, id::Revision(7)), None);
     }
 
     #[test]
@@ -109,15 +229,31 @@
         let mut tracker = Tracker::new(WINDOW);
         tracker.hear(host(1), answer(300, 8));
         tracker.hear(host(2), Answer { confirmed: false, ..answer(300, 7) });
-        assert_eq!(tracker.fresh_until(&others, id::Revision(7)), None);
-        assert!(tracker.fresh_until(&others, id::Revision(8)).is_some());
+        assert_eq!(tracker.fresh_until(quorum(&others), id::Revision(7)), None);
+        assert!(tracker.fresh_until(quorum(&others), id::Revision(8)).is_some());
     }
 
     #[test]
     fn platform_confirms_without_peers() {
         let mut tracker = Tracker::new(WINDOW);
         tracker.confirm(Moment::from_millis(10));
-        let until = tracker.fresh_until(&[], id::Revision(0));
+        let until = tracker.fresh_until(quorum(&[]), id::Revision(0));
         assert_eq!(until, Some(Moment::from_millis(3010)));
     }
+
+    #[test]
+    fn acceptance_needs_one_instant_for_all() {
+        let others = [host(1), host(2)];
+        let held = id::Revision(7);
+        let mut tracker = Tracker::new(WINDOW);
+        tracker.hear(host(1), answer(100, 7));
+        assert!(!tracker.accepts(quorum(&others), held, Some(Moment::from_millis(50))));
+        // A restart between the two answers breaks the span.
+        let restarted = Answer { incarnation: id::Incarnation(2), ..answer(200, 7) };
+        tracker.hear(host(1), restarted);
+        assert!(!tracker.accepts(quorum(&others), held, Some(Moment::from_millis(50))));
+        tracker.hear(host(1), Answer { incarnation: id::Incarnation(2), ..answer(300, 8) });
+        assert!(tracker.accepts(quorum(&others), held, Some(Moment::from_millis(50))));
+        assert!(!tracker.accepts(quorum(&others), held, None));
+    }
 }
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod moment;
 pub mod pick;
 pub mod placement;
+pub mod replay;
+pub mod roster;
 pub mod unit;
 
 pub use moment::Moment;
--- a/chicoryloom_policy/src/placement.rs
+++ b/chicoryloom_policy/src/placement.rs
@@ -1,10 +1,18 @@
 //! Rendezvous placement of services on hosts.
 
+use std::collections::HashMap;
+
+use crate::document::Document;
 use crate::id;
 
 /// Fewest home hosts of a service, as far as hosts exist.
 pub const MIN_HOMES: usize = 4;
 
+/// Slots of a service's targets for which it has one home host.
+const SLOTS_PER_HOME: u32 = 64;
+/// Requests a second granted on a service for which it has one home host.
+const RATE_PER_HOME: f64 = 500.0;
+
 /// A host that placement may choose.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -12,26 +20,37 @@
     pub data_centre: id::DataCentre,
 }
 
+/// Returns how many home hosts a service has by its load.
+pub fn count(document: &Document) -> usize {
+    let by_slots = document.slots().0.div_ceil(SLOTS_PER_HOME);
+    let rate: f64 = document.grants.values().map(|grant| grant.rate.per_second()).sum();
+    let by_rate = (rate / RATE_PER_HOME).ceil() as u32;
+    MIN_HOMES.max(by_slots.max(by_rate) as usize)
+}
+
 /// Returns the home hosts of a service, best first, spread over data centres.
 ///
 /// Each data centre offers its hosts in rendezvous order; the choice goes round the data centres
 /// until it has `count` hosts, so one data centre's loss leaves homes in the others.
 pub fn homes(service: &id::Service, hosts: &[Candidate], count: usize) -> Vec<id::Host> {
-    let mut ranked: Vec<_> = hosts.iter().map(|host| (score(service, &host.host), host)).collect();
+    let mut ranked: Vec<_> =
+        hosts.iter().map(|host| (rank(service.as_str(), &host.host), host)).collect();
     ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.host.cmp(&b.1.host)));
     let mut rounds: Vec<(usize, usize, &Candidate)> = Vec::with_capacity(ranked.len());
+    let mut earlier: HashMap<&id::DataCentre, usize> = HashMap::new();
     for (rank, (_, host)) in ranked.iter().enumerate() {
-        let earlier = ranked[..rank].iter().filter(|(_, h)| h.data_centre == host.data_centre);
-        rounds.push((earlier.count(), rank, host));
+        let round = earlier.entry(&host.data_centre).or_default();
+        rounds.push((*round, rank, host));
+        *round += 1;
     }
     rounds.sort_by_key(|(round, rank, _)| (*round, *rank));
     rounds.into_iter().take(count).map(|(_, _, host)| host.host.clone()).collect()
 }
 
-/// Returns the rendezvous weight of a host for a service.
-fn score(service: &id::Service, host: &id::Host) -> u64 {
+/// Returns the rendezvous weight of a host for a purpose, such as a service's name.
+pub(crate) fn rank(purpose: &str, host: &id::Host) -> u64 {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(service.as_str().as_bytes());
+    hasher.update(purpose.as_bytes());
     hasher.update(&[0]);
     hasher.update(host.as_str().as_bytes());
     let mut bytes = [0; 8];
--- a/chicoryloom_wire/src/frame.rs
+++ b/chicoryloom_wire/src/frame.rs
@@ -12,6 +12,8 @@
 pub const VERSION: u8 = 1;
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_SIZE: usize = 1400;
+/// Largest frame on a TCP stream, in bytes; fits a page with one object of the largest size.
+pub const MAX_STREAM_SIZE: usize = 4 * 1024 * 1024;
 /// Bytes of the MAC at the end of a frame.
 const MAC_SIZE: usize = 16;
 /// Context of the key derivation.
@@ -58,6 +60,8 @@
     Mac,
     Body,
     Sender,
+    /// The frame was seen before, or its incarnation has ended.
+    Replay,
 }
 
 impl fmt::Display for Error {
@@ -68,6 +72,7 @@
             Self::Mac => "mac",
             Self::Body => "body",
             Self::Sender => "sender",
+            Self::Replay => "replay",
         })
     }
 }
@@ -98,21 +103,39 @@
     }
 }
 
-/// Encodes a frame: version, body, MAC.
+/// Encodes a frame for a datagram: version, body, MAC.
 pub fn encode(frame: &Frame, secret: &Secret) -> Result<Vec<u8>, Error> {
+    encode_within(MAX_SIZE, frame, secret)
+}
+
+/// Encodes a frame for a TCP stream.
+pub fn encode_stream(frame: &Frame, secret: &Secret) -> Result<Vec<u8>, Error> {
+    encode_within(MAX_STREAM_SIZE, frame, secret)
+}
+
+fn encode_within(max: usize, frame: &Frame, secret: &Secret) -> Result<Vec<u8>, Error> {
     let mut bytes = vec![VERSION];
     bytes = postcard::to_extend(&raw::Frame::from(frame), bytes).map_err(|_| Error::Body)?;
     let mac = secret.mac(&bytes);
     bytes.extend_from_slice(&mac);
-    if bytes.len() > MAX_SIZE {
+    if bytes.len() > max {
         return Err(Error::Size);
     }
     Ok(bytes)
 }
 
-/// Decodes a frame and checks its size, version and MAC.
+/// Decodes a frame from a datagram and checks its size, version and MAC.
 pub fn decode(bytes: &[u8], secret: &Secret) -> Result<Frame, Error> {
-    if bytes.len() > MAX_SIZE || bytes.len() <= MAC_SIZE {
+    decode_within(MAX_SIZE, bytes, secret)
+}
+
+/// Decodes a frame from a TCP stream.
+pub fn decode_stream(bytes: &[u8], secret: &Secret) -> Result<Frame, Error> {
+    decode_within(MAX_STREAM_SIZE, bytes, secret)
+}
+
+fn decode_within(max: usize, bytes: &[u8], secret: &Secret) -> Result<Frame, Error> {
+    if bytes.len() > max || bytes.len() <= MAC_SIZE {
         return Err(Error::Size);
     }
     let (signed, mac) = bytes.split_at(bytes.len() - MAC_SIZE);
@@ -137,8 +160,16 @@
     use super::*;
 
     fn heartbeat() -> Frame {
-        let body =
-            raw::Heartbeat { challenge: 7, confirmed: true, echo: 3, leaving: false, revision: 12 };
+        let body = raw::Heartbeat {
+            caller: String::new(),
+            challenge: 7,
+            confirmed: true,
+            echo: 3,
+            leaving: false,
+            revision: 12,
+            serving: true,
+            vouched: 0,
+        };
         Frame {
             sender: "host-1".parse().unwrap(),
             incarnation: id::Incarnation(5),
--- a/chicoryloom_wire/src/platform.rs
+++ b/chicoryloom_wire/src/platform.rs
@@ -7,8 +7,12 @@
 use chicoryloom_policy::id;
 use smol_str::SmolStr;
 
+use crate::generated::frame;
 use crate::generated::platform as raw;
 
+/// Most objects in one answer of the platform to a query for changes.
+pub const MAX_CHANGES: usize = 1000;
+
 /// Kinds of objects that chicoryloom keeps at the platform.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Kind {
@@ -110,19 +114,62 @@
     }
 }
 
+impl TryFrom<frame::Stored> for Object {
+    type Error = UnknownKind;
+
+    fn try_from(raw: frame::Stored) -> Result<Self, Self::Error> {
+        Ok(Self {
+            kind: raw.kind.parse()?,
+            name: raw.name.into(),
+            version: id::Revision(raw.version),
+            value: raw.value,
+            write: raw.write.into(),
+            deleted: raw.deleted,
+        })
+    }
+}
+
+impl From<&Object> for frame::Stored {
+    fn from(object: &Object) -> Self {
+        Self {
+            kind: object.kind.to_string(),
+            name: object.name.to_string(),
+            version: object.version.0,
+            value: object.value.clone(),
+            write: object.write.to_string(),
+            deleted: object.deleted,
+        }
+    }
+}
+
 /// Objects changed after a revision, oldest first.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
     /// Revision of the store that the objects lead to.
     pub revision: id::Revision,
     pub objects: Vec<Object>,
+    /// Whether objects are left that the answer had no room for.
+    ///
+    /// An object that changed again lies beyond the answer, so the holder of a part doesn't hold
+    /// all objects up to its revision.
+    pub more: bool,
 }
 
 impl From<raw::Changes> for Changes {
     /// Leaves out objects of kinds that this version doesn't know.
     fn from(raw: raw::Changes) -> Self {
+        let more = raw.objects.len() >= MAX_CHANGES;
         let objects = raw.objects.into_iter().filter_map(|object| object.try_into().ok());
-        Self { revision: id::Revision(raw.revision), objects: objects.collect() }
+        Self { revision: id::Revision(raw.revision), objects: objects.collect(), more }
+    }
+}
+
+impl From<frame::Page> for Changes {
+    /// Leaves out objects of kinds that this version doesn't know.
+    fn from(page: frame::Page) -> Self {
+        let objects = page.objects.into_iter().filter_map(|object| object.try_into().ok());
+        let revision = id::Revision(page.revision);
+        Self { revision, objects: objects.collect(), more: page.more }
     }
 }
 
