--- a/chicoryloom/src/admin/show.rs
+++ b/chicoryloom/src/admin/show.rs
@@ -22,6 +22,7 @@
 use super::access::Call;
 use super::answer;
 use super::histogram;
+use crate::control::Report;
 use crate::refusals::Entry;
 use crate::refusals::Kind;
 
@@ -70,6 +71,7 @@
     let admin = &call.admin;
     let view = admin.published.view();
     let now = admin.clock.now();
+    let state = Report::new(&view, &admin.published.standing(), &admin.proxy.name, now);
     let mut documents: Vec<_> = view.documents.keys().collect();
     documents.sort();
     let mut hosts: Vec<_> = view.hosts.values().collect();
@@ -80,12 +82,13 @@
         "revision": view.revision,
         "fresh": admin.published.is_fresh(now),
         "leaving": admin.published.is_leaving(),
-        "suspects_itself": admin.published.suspects_itself(),
+        "suspects_itself": admin.published.is_suspect(),
         "connections": admin.proxy.connections(),
         "documents": documents,
         "keys": view.keys.len(),
         "hosts": view.hosts.len(),
         "roster": hosts,
+        "state": state,
     }))
 }
 
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -30,6 +30,9 @@
 /// Times that an attempt in flight counts as late, each at twice the age before.
 const LATE_LEVELS: u32 = 3;
 
+/// Delay of a timer past which the delay is this host's own.
+const STALL: Duration = Duration::from_millis(20);
+
 /// A request on its way to some target.
 #[derive(Debug)]
 pub(super) struct Job<'a> {
@@ -127,6 +130,8 @@
             };
             match tokio::time::timeout_at(at, exchange.as_mut()).await {
                 Ok(sent) => return sent,
+                // A timer that fires late itself shows that this host stalled.
+                Err(_) if at.elapsed() > STALL => {}
                 Err(_) => {
                     *late = true;
                     self.observe(member, Outcome::Late);
@@ -164,6 +169,9 @@
         if is_error(answer.status()) {
             self.observe(member, Outcome::Failed(Failed::Error));
         } else {
+            // An answer past the limit that no timer noticed was held up in this host.
+            let limit = self.service.limit(&self.asked.route.name);
+            let took = if late { took } else { took.min(limit) };
             self.observe(member, Outcome::Ok { took, late });
         }
     }
--- a/chicoryloom/src/proxy/listener.rs
+++ b/chicoryloom/src/proxy/listener.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -21,6 +20,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::Counted;
 use super::Proxy;
 use super::answer;
 use super::stream::Stream;
@@ -28,7 +28,7 @@
 /// How often a shutdown looks for open connections.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 /// Time without a new connection after which a shutdown accepts no more.
-const LAST_ACCEPT: Duration = Duration::from_millis(50);
+const LAST_ACCEPT: Duration = Duration::from_millis(250);
 /// Longest time for which a shutdown accepts connections of callers that should be gone.
 const ACCEPT_END: Duration = Duration::from_secs(3);
 /// Time that a shutdown gives a new connection for its first request.
@@ -117,7 +117,7 @@
         let listener = self.clone();
         if let Ok(permit) = self.permits.clone().try_acquire_owned() {
             tokio::spawn(async move {
-                let open = Open::new(&listener.proxy.open);
+                let open = Counted::new(&listener.proxy.open);
                 listener.serve(stream).await;
                 drop(open);
                 drop(permit);
@@ -177,22 +177,6 @@
     }
 }
 
-/// Counts a connection while it is open.
-struct Open<'a>(&'a AtomicUsize);
-
-impl<'a> Open<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
-    }
-}
-
-impl Drop for Open<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Answers one request with the news that the host holds too many connections.
 async fn refuse(stream: TcpStream) {
     let service = service_fn(|_| async { Ok::<_, Infallible>(answer::refuse_connection()) });
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -62,11 +62,14 @@
     pub(crate) refusals: Refusals,
     /// Connections of callers that are open.
     pub(crate) open: AtomicUsize,
+    /// Requests that have no head of an answer yet.
+    pub(crate) in_flight: AtomicUsize,
 }
 
 impl Proxy {
     /// Answers one request of a caller.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let _counted = Counted::new(&self.in_flight);
         let origin = request::Origin::of(&request);
         let answered = self.checked_answer(request).await;
         let mut response = answered.unwrap_or_else(|refusal| {
@@ -103,12 +106,14 @@
         let view = self.published.view();
         let max_age = u32::try_from(self.settings.max_age.as_secs()).unwrap_or(u32::MAX);
         let seed = request::seed(request.headers());
-        let mut hosts = locator::locate(&view, service, seed, max_age)
-            .ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
-        if self.published.suspects_itself() && hosts.hosts.len() > 1 {
-            let own = view.hosts.get(&self.name).map(|host| host.caller.to_string());
-            hosts.hosts.retain(|host| Some(&host.address) != own.as_ref());
+        let standing = self.published.standing();
+        let hosts = locator::locate(&view, &standing, service, seed, max_age);
+        if hosts.is_none() {
+            // A host that may lack the document can't tell that there is none.
+            self.check_fresh()?;
         }
+        let hosts =
+            hosts.ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
         Ok(answer::json(&hosts))
     }
 
@@ -120,9 +125,9 @@
     ) -> Result<Response<Body>, Refusal> {
         let started = Instant::now();
         let view = self.published.view();
+        self.check_fresh()?;
         let asked = Asked::new(&request, &view, service, path)?;
         headers::strip_keys(request.headers_mut(), &view);
-        self.check_fresh()?;
         if !view.homes(&asked.document.service).contains(&self.name) {
             return self.forward(request, &view, &asked).await;
         }
@@ -168,3 +173,19 @@
         Ok(Some(workspace))
     }
 }
+
+/// Counts something while it lives.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/chicoryloom/src/target/share.rs
+++ b/chicoryloom/src/target/share.rs
@@ -66,7 +66,7 @@
                 suspects |= service.suspects_itself();
                 self.tell(&view, &service, &mut sent, now).await;
             }
-            self.published.set_suspects_itself(suspects);
+            self.published.set_suspect(suspects);
             self.targets.forget(|name| view.documents.contains_key(name));
         }
     }
--- a/chicoryloom_policy/src/health/reference.rs
+++ b/chicoryloom_policy/src/health/reference.rs
@@ -23,7 +23,7 @@
 /// Span whose answers count as one sample, in limits.
 const SPAN_LIMITS: u32 = 2;
 /// Shortest and longest span whose answers count as one sample of the test on slowness.
-const SPAN: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+const SPAN: (Duration, Duration) = (Duration::from_millis(80), Duration::from_secs(1));
 
 /// What the service's targets do on a route.
 #[derive(Clone, Copy, Debug)]
--- a/chicoryloom_policy/src/health/share.rs
+++ b/chicoryloom_policy/src/health/share.rs
@@ -92,8 +92,9 @@
         let scores = self.by_host.values().filter_map(|peer| peer.scores.get(&name));
         let mut joined = own;
         for (score, at) in scores.filter(|(_, at)| now.since(*at) < LIFE) {
-            joined.failed += score.failed.clamp(0.0, PEER_WEIGHT);
-            joined.slow += score.slow.clamp(0.0, PEER_WEIGHT);
+            let failed = score.failed.clamp(0.0, PEER_WEIGHT);
+            joined.failed += failed;
+            joined.slow += score.slow.clamp(0.0, PEER_WEIGHT - failed);
             let slow_for = score.slow_for + now.since(*at);
             joined.slow_for = joined.slow_for.max(slow_for);
         }
