--- a/chicoryloom_standin/src/target/work.rs
+++ b/chicoryloom_standin/src/target/work.rs
@@ -141,7 +141,10 @@
     if state.is_cold() {
         factor *= switches.cold_factor;
     }
-    tokio::time::sleep(Duration::from_millis(switches.service_ms).mul_f64(factor)).await;
+    if switches.service_ms > 0 {
+        // Even a sleep of no time would wait for the next tick of the timer.
+        tokio::time::sleep(Duration::from_millis(switches.service_ms).mul_f64(factor)).await;
+    }
 }
 
 fn draw(share: f64) -> bool {
