--- a/chicoryloom_ctl/src/command/document.rs
+++ b/chicoryloom_ctl/src/command/document.rs
@@ -45,10 +45,8 @@
 
 pub(super) async fn put(client: &Client, options: &cli::Put) -> Result<Done, Error> {
     let saved = file::read(&options.file)?;
-    let service = saved.service().ok_or_else(|| {
-        Error::Usage(format!("{}: no line says service: NAME", options.file.display()))
-    })?;
-    let service = service.to_owned();
+    let checked = client.check(saved.text.clone()).await?;
+    let service = cell(&checked["service"]);
     let version = options.expect.or(saved.version).filter(|version| *version > 0);
     let value = put_saved(client, &service, version, saved).await?;
     // The file goes on from the new version, so that it can be edited and put again.
--- a/chicoryloom_dev/src/fleet.rs
+++ b/chicoryloom_dev/src/fleet.rs
@@ -1,8 +1,10 @@
 //! The fleet of the program.
 
 use std::error::Error;
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::time::Duration;
 
 use chicoryloom::Host;
@@ -24,10 +26,27 @@
 const DATA_CENTRES: [&str; 2] = ["regina", "saskatoon"];
 /// Operator token of the fleet.
 const TOKEN: &str = "operator";
+/// Document of the service, up to its targets.
+const DOCUMENT: &str = "\
+service: calendar
+routes:
+  - { name: read, path: /, methods: [GET, HEAD], repeatable: true }
+  - { name: book, path: /seats, methods: [POST] }
+  - { name: hours, path: /hours, methods: [GET], open: true }
+workspaces:
+  - { workspace: prairie, rate: 100, burst: 200 }
+targets:
+";
 /// Key of the workspace.
 const KEY: &str = "prairie-trial-key";
+/// Address for callers of the first host, unless it is taken.
+const CALLER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8100);
+/// Address for operators of the first host, unless it is taken.
+const ADMIN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8101);
 /// Pause between two looks at whether the fleet serves.
-const PAUSE: Duration = Duration::from_millis(50);
+const PAUSE: Duration = Duration::from_millis(500);
+/// Requests in a row that must be answered before the fleet counts as serving.
+const IN_A_ROW: u32 = 8;
 
 /// A running fleet.
 pub(crate) struct Fleet {
@@ -82,27 +101,17 @@
     }
 
     fn document(&self) -> String {
-        let target = |(index, target): (usize, &Target)| {
+        let mut text = DOCUMENT.to_owned();
+        let Switches { slots, connections, .. } = Switches::default();
+        for (index, target) in self.targets.iter().enumerate() {
             let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
-            json!({
-                "address": target.address().to_string(),
-                "data_centre": data_centre,
-                "slots": Switches::default().slots,
-                "connections": Switches::default().connections,
-            })
-        };
-        let targets: Vec<_> = self.targets.iter().enumerate().map(target).collect();
-        json!({
-            "service": "calendar",
-            "routes": [
-                { "name": "read", "path": "/", "methods": ["GET", "HEAD"], "repeatable": true },
-                { "name": "book", "path": "/seats", "methods": ["POST"] },
-                { "name": "hours", "path": "/hours", "methods": ["GET"], "open": true },
-            ],
-            "workspaces": [{ "workspace": "prairie", "rate": 100, "burst": 200 }],
-            "targets": targets,
-        })
-        .to_string()
+            text.push_str(&format!(
+                "  - address: '{}'\n    data_centre: {data_centre}\n    slots: {slots}\n    \
+                 connections: {connections}\n",
+                target.address(),
+            ));
+        }
+        text
     }
 
     async fn grant_key(&self) -> Result<(), Box<dyn Error>> {
@@ -113,10 +122,16 @@
         Ok(())
     }
 
+    /// Waits until several requests in a row are answered, since the limit's bucket starts empty.
     async fn until_served(&self) -> Result<(), Box<dyn Error>> {
         let url = format!("http://{}/calendar/schedules", self.hosts[0].caller());
-        while self.client.get(&url).bearer_auth(KEY).send().await?.status() != 200 {
-            tokio::time::sleep(PAUSE).await;
+        let mut answered = 0;
+        while answered < IN_A_ROW {
+            answered += 1;
+            if self.client.get(&url).bearer_auth(KEY).send().await?.status() != 200 {
+                answered = 0;
+                tokio::time::sleep(PAUSE).await;
+            }
         }
         Ok(())
     }
@@ -136,6 +151,8 @@
              curl 'http://{caller}/chicory/v1/hosts?service=calendar'\n\
              Read with the workspace's key:\n  \
              curl -H 'authorization: Bearer {KEY}' http://{caller}/calendar/schedules\n\
+             Book a seat, which runs at most once:\n  \
+             curl -X POST -H 'authorization: Bearer {KEY}' http://{caller}/calendar/seats\n\
              Read an open route without a key:\n  \
              curl http://{caller}/calendar/hours\n\
              See a foreign key refused:\n  \
@@ -144,6 +161,11 @@
              curl -H 'authorization: Bearer {TOKEN}' http://{admin}/v1/status\n  \
              curl -H 'authorization: Bearer {TOKEN}' http://{admin}/v1/documents/calendar\n  \
              curl http://{admin}/metrics\n\
+             Do the same with chicoryctl:\n  \
+             export CHICORY_ADMIN={admin} CHICORY_TOKEN={TOKEN}\n  \
+             cargo run -q -p chicoryloom_ctl -- status\n  \
+             cargo run -q -p chicoryloom_ctl -- get calendar\n  \
+             cargo run -q -p chicoryloom_ctl -- explain\n\
              See what a target ran:\n  \
              curl http://{control}/standin/journal\n\n\
              Ctrl-C ends the fleet."
@@ -154,9 +176,10 @@
 fn settings(index: usize, platform: SocketAddr) -> Result<Settings, Box<dyn Error>> {
     let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
     let any = local();
+    let (caller, admin) = if index == 0 { (or_free(CALLER), or_free(ADMIN)) } else { (any, any) };
     let text = json!({
         "host": { "name": format!("host-{}", index + 1), "data_centre": data_centre },
-        "listen": { "caller": any, "peer": any, "admin": any },
+        "listen": { "caller": caller, "peer": any, "admin": admin },
         "platform": { "url": format!("http://{platform}") },
         "peers": { "secret": "development" },
         "admin": { "tokens": [{ "name": "newcomer", "token": TOKEN }] },
@@ -167,6 +190,11 @@
         .map_err(|fault| format!("{}: {}", fault.field, fault.reason).into())
 }
 
+/// Returns an address, or one with a free port if it is taken.
+fn or_free(address: SocketAddr) -> SocketAddr {
+    if TcpListener::bind(address).is_ok() { address } else { local() }
+}
+
 fn local() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
--- a/chicoryloom_dev/src/main.rs
+++ b/chicoryloom_dev/src/main.rs
@@ -6,8 +6,15 @@
 
 use crate::fleet::Fleet;
 
+/// The command line is wrong.
+const EXIT_USAGE: u8 = 2;
+
 #[tokio::main]
 async fn main() -> ExitCode {
+    if std::env::args().len() > 1 {
+        eprintln!("chicoryloom-dev: runs a whole fleet for curl, and takes no options");
+        return ExitCode::from(EXIT_USAGE);
+    }
     let fleet = match Fleet::start().await {
         Ok(fleet) => fleet,
         Err(error) => {
--- /dev/null
+++ b/chicoryloom_dev/tests/lines.rs
@@ -0,0 +1,125 @@
+//! The lines that the program prints, and those of the README, work as they are.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use reqwest::Client;
+use reqwest::Method;
+
+/// Last line of the program's text.
+const LAST: &str = "Ctrl-C ends the fleet.";
+
+/// The program; it is killed when dropped.
+struct Dev {
+    child: Child,
+    text: String,
+}
+
+impl Drop for Dev {
+    fn drop(&mut self) {
+        // An ended process needs no killing.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Dev {
+    fn start() -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_chicoryloom-dev"));
+        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+        let mut text = String::new();
+        for line in BufReader::new(child.stdout.take().unwrap()).lines() {
+            text.push_str(&line.unwrap());
+            text.push('\n');
+            if text.trim_end().ends_with(LAST) {
+                break;
+            }
+        }
+        Self { child, text }
+    }
+}
+
+/// A call by curl.
+#[derive(Clone, Debug)]
+struct Call {
+    method: Method,
+    headers: Vec<(String, String)>,
+    url: String,
+}
+
+impl Call {
+    /// Reads the calls of a text.
+    fn all(text: &str) -> Vec<Self> {
+        let lines = text.lines().map(str::trim).filter(|line| line.starts_with("curl "));
+        lines.map(|line| Self::of(&words(line))).collect()
+    }
+
+    fn of(words: &[String]) -> Self {
+        let mut call = Self { method: Method::GET, headers: Vec::new(), url: String::new() };
+        let mut words = words[1..].iter();
+        while let Some(word) = words.next() {
+            match word.as_str() {
+                "-i" => {}
+                "-X" => call.method = words.next().unwrap().parse().unwrap(),
+                "-H" => {
+                    let (name, value) = words.next().unwrap().split_once(": ").unwrap();
+                    call.headers.push((name.to_owned(), value.to_owned()));
+                }
+                url => call.url = url.to_owned(),
+            }
+        }
+        call
+    }
+
+    /// Returns the call without host and port, which differ from run to run.
+    fn shape(&self) -> String {
+        let path = self.url.splitn(4, '/').nth(3).unwrap_or_default();
+        format!("{} {:?} {path}", self.method, self.headers)
+    }
+}
+
+/// Splits a line as a shell does, as far as single quotes go.
+fn words(line: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    for (index, part) in line.split('\'').enumerate() {
+        if index % 2 == 1 {
+            words.push(part.to_owned());
+        } else {
+            words.extend(part.split_whitespace().map(str::to_owned));
+        }
+    }
+    words
+}
+
+#[tokio::test]
+async fn printed_calls_work_and_the_readme_has_no_others() {
+    let dev = Dev::start();
+    let calls = Call::all(&dev.text);
+    assert!(calls.len() >= 9, "{}", dev.text);
+    let client = Client::builder().no_proxy().build().unwrap();
+    for call in &calls {
+        let mut request = client.request(call.method.clone(), &call.url);
+        for (name, value) in &call.headers {
+            request = request.header(name, value);
+        }
+        let answer = request.send().await.unwrap();
+        let foreign = call.headers.iter().any(|(_, value)| value.contains("foreign"));
+        let expected = if foreign { 401 } else { 200 };
+        assert_eq!(answer.status(), expected, "{call:?}");
+        assert!(!answer.bytes().await.unwrap().is_empty(), "{call:?}");
+    }
+
+    let readme = Path::new(env!("CARGO_MANIFEST_DIR")).join("../README.md");
+    let shown = Call::all(&fs::read_to_string(readme).unwrap());
+    let printed: Vec<_> = calls.iter().map(Call::shape).collect();
+    assert!(shown.len() >= 5, "the README shows {} calls", shown.len());
+    for call in shown {
+        assert!(printed.contains(&call.shape()), "the program does not print {call:?}");
+        assert!(call.url.contains("127.0.0.1:8100/") || call.url.contains("127.0.0.1:8101/"));
+    }
+}
