--- a/chicoryloom/src/admin/show.rs
+++ b/chicoryloom/src/admin/show.rs
@@ -20,6 +20,7 @@
 use super::access::Call;
 use super::answer;
 use super::histogram;
+use crate::control::Report;
 use crate::refusals::Entry;
 use crate::refusals::Kind;
 
@@ -68,6 +69,7 @@
     let admin = &call.admin;
     let view = admin.published.view();
     let now = admin.clock.now();
+    let state = Report::new(&view, &admin.published.standing(), &admin.proxy.name, now);
     let mut documents: Vec<_> = view.documents.keys().collect();
     documents.sort();
     let mut hosts: Vec<_> = view.hosts.values().collect();
@@ -83,6 +85,7 @@
         "keys": view.keys.len(),
         "hosts": view.hosts.len(),
         "roster": hosts,
+        "state": state,
     }))
 }
 
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -97,8 +97,14 @@
         let view = self.published.view();
         let max_age = u32::try_from(self.settings.max_age.as_secs()).unwrap_or(u32::MAX);
         let seed = request::seed(request.headers());
-        let hosts = locator::locate(&view, service, seed, max_age)
-            .ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
+        let standing = self.published.standing();
+        let hosts = locator::locate(&view, &standing, service, seed, max_age);
+        if hosts.is_none() {
+            // A host that may lack the document can't tell that there is none.
+            self.check_fresh()?;
+        }
+        let hosts =
+            hosts.ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
         Ok(answer::json(&hosts))
     }
 
@@ -110,9 +116,9 @@
     ) -> Result<Response<Body>, Refusal> {
         let started = Instant::now();
         let view = self.published.view();
+        self.check_fresh()?;
         let asked = Asked::new(&request, &view, service, path)?;
         headers::strip_keys(request.headers_mut(), &view);
-        self.check_fresh()?;
         if !view.homes(&asked.document.service).contains(&self.name) {
             return self.forward(request, &view, &asked).await;
         }
