Plot targets passed over from the journals, and time a replaced host

The report drew ejections from a metric that hosts do not show, so the plot could only be flat. What counts for callers is whether a target still gets requests, and the journals tell that without the fleet's word: a target is passed over while it gets under a quarter of its healthy peers' requests for two seconds. The plot now shows faulty and healthy ones beside the number with a fault. Three tests put a flow with a known gap before it.

--- a/chicoryloom_load/src/bench/mod.rs
+++ b/chicoryloom_load/src/bench/mod.rs
@@ -58,18 +58,21 @@
 /// Waits until every host is fresh and holds some documents and keys.
 async fn until_held(fleet: &Fleet, documents: usize, keys: usize) {
     for host in 0..fleet.hosts.len() {
-        chicoryloom_harness::until(&format!("host {host} holds the state"), async || {
-            let Ok(status) = fleet.status(host).await else {
-                return false;
-            };
-            status["fresh"] == true
-                && status["documents"].as_array().map_or(0, Vec::len) >= documents
-                && status["keys"].as_u64() >= Some(keys as u64)
-        })
-        .await;
+        let name = format!("host {host} holds the state");
+        chicoryloom_harness::until(&name, async || holds(fleet, host, documents, keys).await).await;
     }
 }
 
+/// Tells whether a host is fresh and holds some documents and keys.
+async fn holds(fleet: &Fleet, host: usize, documents: usize, keys: usize) -> bool {
+    let Ok(status) = fleet.status(host).await else {
+        return false;
+    };
+    status["fresh"] == true
+        && status["documents"].as_array().map_or(0, Vec::len) >= documents
+        && status["keys"].as_u64() >= Some(keys as u64)
+}
+
 async fn put(fleet: &Fleet, service: &str, expected: u64, text: &str) -> Result<u64, Error> {
     let written = fleet.put_document(0, service, expected, text).await;
     written.map_err(Error::fleet("write a document"))
--- a/chicoryloom_load/src/bench/slopes.rs
+++ b/chicoryloom_load/src/bench/slopes.rs
@@ -80,6 +80,8 @@
     pub usage: Usage,
     /// Time from an edit's request until every host has it in force.
     pub apply: Latency,
+    /// Time from the start of a replaced host's process until it serves with everything.
+    pub join_ms: f64,
     /// Time in which the fleet took in all that it holds, in seconds.
     pub fill_s: f64,
 }
@@ -111,7 +113,7 @@
     let hosts = if part == Part::Hosts { size } else { FEW_HOSTS };
     let settings = "log: { level: warn }".to_owned();
     let plan = Plan { hosts, settings, ..Plan::default() };
-    let fleet = Fleet::start(plan).await.map_err(Error::fleet("start"))?;
+    let mut fleet = Fleet::start(plan).await.map_err(Error::fleet("start"))?;
     let ample = platform::Switches {
         writes_per_s: FILL_LIMIT,
         reads_per_s: FILL_LIMIT,
@@ -131,7 +133,13 @@
     tokio::time::sleep(REST).await;
     let usage = cost(&fleet).await;
     let apply = apply(&fleet, shape, version).await?;
-    Ok(Point { part, size, usage, apply, fill_s })
+    let (documents, keys) = match part {
+        Part::Hosts => (1, 0),
+        Part::Keys => (1, size),
+        Part::Documents => (size, 0),
+    };
+    let join_ms = join(&mut fleet, documents, keys).await?;
+    Ok(Point { part, size, usage, apply, join_ms, fill_s })
 }
 
 async fn switch(fleet: &Fleet, switches: &platform::Switches) -> Result<(), Error> {
@@ -192,19 +200,31 @@
     }
 }
 
+/// Replaces the last host and returns the time until the new one serves.
+async fn join(fleet: &mut Fleet, documents: usize, keys: usize) -> Result<f64, Error> {
+    let last = fleet.hosts.len() - 1;
+    fleet.hosts[last].process.kill().await;
+    let started = Instant::now();
+    fleet.restart_host(last).await.map_err(Error::fleet("restart a host"))?;
+    while !super::holds(fleet, last, documents, keys).await {
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+    Ok(started.elapsed().as_secs_f64() * 1000.0)
+}
+
 impl fmt::Display for Slopes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
             "part         size  peers B/s  core %  resident MB  reads/s  writes/s  apply p50/max ms  \
-             fill s"
+             join ms  fill s"
         )?;
         for point in &self.points {
             let usage = &point.usage;
             writeln!(
                 f,
                 "{:<10} {:>6}  {:>9.0}  {:>6.3}  {:>11.1}  {:>7.1}  {:>8.1}  {:>8.0} {:>7.0}  \
-                 {:>6.1}",
+                 {:>7.0}  {:>6.1}",
                 format!("{:?}", point.part).to_lowercase(),
                 point.size,
                 usage.peer_bytes_per_s,
@@ -214,6 +234,7 @@
                 usage.platform_writes_per_s,
                 point.apply.p50_ms,
                 point.apply.max_ms,
+                point.join_ms,
                 point.fill_s,
             )?;
         }
--- a/chicoryloom_load/src/measure/detection.rs
+++ b/chicoryloom_load/src/measure/detection.rs
@@ -39,6 +39,16 @@
     pub judged: bool,
 }
 
+/// Targets that got next to no requests at one time.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+pub struct PassedOver {
+    pub at_ms: f64,
+    pub faulty: usize,
+    pub healthy: usize,
+    /// Targets with a fault at that time, whether passed over or not.
+    pub with_fault: usize,
+}
+
 /// Arrivals by target on the run's clock.
 #[derive(Debug)]
 pub(super) struct Flow {
@@ -114,6 +124,31 @@
         found
     }
 
+    /// Returns over time how many targets got under a quarter of their healthy peers' requests.
+    pub(super) fn passed_over(&self, events: &[Event]) -> Vec<PassedOver> {
+        let mut all = Vec::new();
+        let mut at_ms = 0.0;
+        while at_ms + WINDOW_MS <= self.end_ms {
+            let sick = faulty_at(events, at_ms);
+            let mut now = PassedOver { at_ms, faulty: 0, healthy: 0, with_fault: sick.len() };
+            for target in 0..self.services.len() {
+                let peers = self.peers(target, &sick, at_ms, at_ms + WINDOW_MS);
+                let own = self.count(target, at_ms, at_ms + WINDOW_MS) as f64;
+                if peers < MIN_ARRIVALS || own > peers * PASSED_OVER {
+                    continue;
+                }
+                if sick.contains(&target) {
+                    now.faulty += 1;
+                } else {
+                    now.healthy += 1;
+                }
+            }
+            all.push(now);
+            at_ms += WINDOW_MS / 2.0;
+        }
+        all
+    }
+
     /// Returns for how long healthy targets got no request, summed over targets, in seconds.
     pub(super) fn starved_s(&self, events: &[Event]) -> f64 {
         let mut windows = 0;
@@ -182,3 +217,45 @@
     };
     bounds.into_iter().map(middle).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Returns a service of three targets with an arrival each every 100 ms, of which the first
+    /// gets none in a span.
+    fn flow(without_ms: std::ops::Range<u32>) -> Flow {
+        let times = || (0..300).map(|number| number * 100);
+        let rest = |times: Vec<u32>| times.into_iter().map(f64::from).collect();
+        let first = times().filter(|at_ms| !without_ms.contains(at_ms)).collect();
+        let arrivals = vec![rest(first), rest(times().collect()), rest(times().collect())];
+        Flow { arrivals, services: vec![0; 3], end_ms: 30_000.0 }
+    }
+
+    fn fault(at_ms: f64, faulty: bool) -> Event {
+        let what = What::Targets { indices: vec![0], faulty };
+        Event { asked_ms: at_ms, done_ms: at_ms, what }
+    }
+
+    #[test]
+    fn detection_is_the_time_from_the_fault_to_the_last_requests() {
+        let events = [fault(5000.0, true), fault(20_000.0, false)];
+        let found = flow(6000..20_000).detections(&events);
+        // A quarter of a window's requests may still come when it counts as passed over.
+        assert!(found[0].judged);
+        assert!((500.0..=1000.0).contains(&found[0].after_ms.unwrap()), "{found:?}");
+    }
+
+    #[test]
+    fn target_that_keeps_its_requests_is_never_passed_over() {
+        let events = [fault(5000.0, true), fault(20_000.0, false)];
+        assert_eq!(flow(0..0).detections(&events)[0].after_ms, None);
+    }
+
+    #[test]
+    fn healthy_target_without_requests_is_starved() {
+        assert!(flow(0..0).starved_s(&[]) == 0.0);
+        assert!(flow(4000..8000).starved_s(&[]) == 4.0);
+        assert_eq!(flow(4000..8000).passed_over(&[]).iter().map(|now| now.healthy).max(), Some(1));
+    }
+}
--- a/chicoryloom_load/src/measure/mod.rs
+++ b/chicoryloom_load/src/measure/mod.rs
@@ -17,6 +17,7 @@
 use crate::verdict::Evidence;
 
 pub use detection::Detection;
+pub use detection::PassedOver;
 pub use fleet::Usage;
 pub(crate) use fleet::usage;
 
@@ -72,6 +73,7 @@
     pub wrongful_share: f64,
     pub workspaces: Vec<Workspace>,
     pub detections: Vec<Detection>,
+    pub passed_over: Vec<PassedOver>,
     /// Seconds during which a healthy target got next to no requests while its peers did.
     pub starved_healthy_target_s: f64,
     pub usage: Usage,
@@ -97,6 +99,7 @@
         wrongful_share: wrongful as f64 / attempts.max(1) as f64,
         workspaces,
         detections: flow.detections(&evidence.events),
+        passed_over: flow.passed_over(&evidence.events),
         starved_healthy_target_s: flow.starved_s(&evidence.events),
         usage: fleet::usage(samples),
     }
--- a/chicoryloom_load/src/report/series.rs
+++ b/chicoryloom_load/src/report/series.rs
@@ -7,6 +7,7 @@
 use crate::RunResult;
 use crate::caller::Record;
 use crate::measure::Latency;
+use crate::measure::PassedOver;
 
 /// Width of one point of a line, in seconds.
 const STEP_S: f64 = 1.0;
@@ -79,13 +80,18 @@
 }
 
 fn ejections(result: &RunResult) -> Plot {
-    let points = result.samples.iter().map(|sample| {
-        let hosts = sample.hosts.iter().flatten().map(|host| host.ejected);
-        (sample.at_ms / 1000.0, hosts.sum())
-    });
-    let name = "all hosts".to_owned();
-    let line = Line { name, points: points.collect(), dashed: false };
-    plot(result, "Ejected targets, summed over hosts (as they report them)", "targets", vec![line])
+    let line = |name: &str, dashed: bool, count: fn(&PassedOver) -> usize| {
+        let points = result.measure.passed_over.iter();
+        let points = points.map(|now| (now.at_ms / 1000.0, count(now) as f64));
+        Line { name: name.to_owned(), points: points.collect(), dashed }
+    };
+    let lines = vec![
+        line("healthy", false, |now| now.healthy),
+        line("faulty", false, |now| now.faulty),
+        line("with a fault", true, |now| now.with_fault),
+    ];
+    let title = "Targets passed over: under a quarter of their healthy peers' requests for 2 s";
+    plot(result, title, "targets", lines)
 }
 
 fn admission(result: &RunResult, workspace: usize) -> Plot {
--- a/chicoryloom_load/src/sample.rs
+++ b/chicoryloom_load/src/sample.rs
@@ -12,8 +12,6 @@
 const HOST_TIMEOUT: Duration = Duration::from_millis(700);
 /// Metric with the bytes that a host sent to peers.
 const PEER_BYTES: &str = "chicory_peer_bytes_sent";
-/// Part of the names of metrics that count ejected targets.
-const EJECTED: &str = "chicory_targets_ejected";
 
 /// The state of one host at one time.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
@@ -21,8 +19,6 @@
     pub(crate) fresh: bool,
     pub(crate) revision: u64,
     pub(crate) peer_bytes: f64,
-    /// Targets that the host has ejected; zero if it shows no such metric.
-    pub(crate) ejected: f64,
     pub(crate) processor_s: f64,
     pub(crate) resident: u64,
 }
@@ -53,7 +49,6 @@
         fresh: status["fresh"] == true,
         revision: status["revision"].as_u64().unwrap_or_default(),
         peer_bytes: metric(&page, PEER_BYTES),
-        ejected: metric(&page, EJECTED),
         processor_s: usage.processor.as_secs_f64(),
         resident: usage.resident,
     })
