Show the length of a target-size document beside the slopes

What a change sends to every host is the document's whole text, and the capacity page needs its length from a run. "chicoryloom-load slopes" now prints it for each point.

--- a/chicoryloom_load/src/bench/slopes.rs
+++ b/chicoryloom_load/src/bench/slopes.rs
@@ -82,6 +82,8 @@
     pub apply: Latency,
     /// Time from the start of a replaced host's process until it serves with everything.
     pub join_ms: f64,
+    /// Length of each document's text, in bytes.
+    pub document_bytes: usize,
     /// Time in which the fleet took in all that it holds, in seconds.
     pub fill_s: f64,
 }
@@ -122,7 +124,9 @@
     switch(&fleet, &ample).await?;
     let filled = Instant::now();
     let shape = if part == Part::Documents { SHAPE } else { SMALL };
-    let version = put(&fleet, "edited", 0, &document(&fleet, "edited", shape, 0)).await?;
+    let text = document(&fleet, "edited", shape, 0);
+    let document_bytes = text.len();
+    let version = put(&fleet, "edited", 0, &text).await?;
     match part {
         Part::Hosts => until_held(&fleet, 1, 0).await,
         Part::Keys => grant(&fleet, size).await?,
@@ -139,7 +143,7 @@
         Part::Documents => (size, 0),
     };
     let join_ms = join(&mut fleet, documents, keys).await?;
-    Ok(Point { part, size, usage, apply, join_ms, fill_s })
+    Ok(Point { part, size, usage, apply, join_ms, document_bytes, fill_s })
 }
 
 async fn switch(fleet: &Fleet, switches: &platform::Switches) -> Result<(), Error> {
@@ -217,14 +221,14 @@
         writeln!(
             f,
             "part         size  peers B/s  core %  resident MB  reads/s  writes/s  apply p50/max ms  \
-             join ms  fill s"
+             join ms  fill s  document B"
         )?;
         for point in &self.points {
             let usage = &point.usage;
             writeln!(
                 f,
                 "{:<10} {:>6}  {:>9.0}  {:>6.3}  {:>11.1}  {:>7.1}  {:>8.1}  {:>8.0} {:>7.0}  \
-                 {:>7.0}  {:>6.1}",
+                 {:>7.0}  {:>6.1}  {:>10}",
                 format!("{:?}", point.part).to_lowercase(),
                 point.size,
                 usage.peer_bytes_per_s,
@@ -236,6 +240,7 @@
                 point.apply.max_ms,
                 point.join_ms,
                 point.fill_s,
+                point.document_bytes,
             )?;
         }
         Ok(())
