--- a/chicoryloom/src/grant/book.rs
+++ b/chicoryloom/src/grant/book.rs
@@ -19,6 +19,7 @@
 use chicoryloom_policy::limit::Tokens;
 
 use super::Stored;
+use super::heard::Heard;
 use crate::config::policy::Division;
 
 /// The accounts of one service; replaced when the document or the ledger changes.
@@ -169,15 +170,24 @@
     }
 
     /// Returns another holder that is likely to have a token, and counts on its being taken.
-    pub(super) fn other_holder(&mut self, division: Division, now: Moment) -> Option<id::Host> {
+    ///
+    /// A holder that was not heard of lately is left out: a request handed to a stopped host
+    /// would end as unknown, where a refusal is sure.
+    pub(super) fn other_holder(
+        &mut self,
+        division: Division,
+        heard: &Heard,
+        now: Moment,
+    ) -> Option<id::Host> {
+        self.refill(now);
+        let is_heard = |peer: &&mut Peer| heard.lately(&peer.holder.host, now);
+        let mut peers = self.peers.iter_mut().filter(is_heard);
         let peer = match division {
             Division::Equal => None,
-            Division::Single => self.peers.first_mut(),
-            Division::Demand => {
-                self.refill(now);
-                let peer = self.peers.iter_mut().max_by_key(|peer| peer.bucket.level());
-                peer.filter(|peer| peer.bucket.level() >= Tokens::ONE)
-            }
+            Division::Single => peers.next(),
+            Division::Demand => peers
+                .max_by_key(|peer| peer.bucket.level())
+                .filter(|peer| peer.bucket.level() >= Tokens::ONE),
         }?;
         peer.bucket.withdraw(Tokens::ONE);
         Some(peer.holder.host.clone())
--- a/chicoryloom/src/grant/lend.rs
+++ b/chicoryloom/src/grant/lend.rs
@@ -64,6 +64,7 @@
         published: &Published,
         clock: &dyn Clock,
     ) -> Option<(SocketAddr, Body)> {
+        self.heard.note(&frame.sender, clock.now());
         match &frame.body {
             Body::Ask(ask) => self.hear_ask(frame, ask, published, clock),
             Body::Gift(gift) => {
--- a/chicoryloom/src/grant/mod.rs
+++ b/chicoryloom/src/grant/mod.rs
@@ -5,6 +5,7 @@
 //! The request path reads a [`Book`] and locks one account of it, and waits for no task.
 
 mod book;
+mod heard;
 mod keep;
 mod lend;
 
@@ -31,6 +32,7 @@
 use crate::control::View;
 
 use self::book::Book;
+use self::heard::Heard;
 
 /// Time for which a lapsed share stays unused past the freshness window, against slow clocks.
 const MARGIN: Duration = Duration::from_millis(300);
@@ -69,6 +71,7 @@
     division: Division,
     window: Duration,
     books: ArcSwap<HashMap<id::Service, Arc<Book>>>,
+    heard: Heard,
     /// Held while books are replaced.
     change: Mutex<()>,
     /// Whether the host gives up its seats.
@@ -89,6 +92,7 @@
             division,
             window,
             books: ArcSwap::default(),
+            heard: Heard::default(),
             change: Mutex::default(),
             leaving: AtomicBool::new(false),
             shorts,
@@ -122,7 +126,9 @@
         }
         admitted.map_err(|wait| Denied {
             wait: (wait < Duration::MAX).then_some(wait),
-            holder: if may_hand_over { state.other_holder(self.division, now) } else { None },
+            holder: may_hand_over
+                .then(|| state.other_holder(self.division, &self.heard, now))
+                .flatten(),
         })
     }
 
--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -272,8 +272,9 @@
         let control = control.clone();
         let lender = lender.clone();
         async move {
+            lender.hear(&frame).await;
             if matches!(frame.body, Body::Ask(_) | Body::Gift(_)) {
-                return lender.hear(&frame).await;
+                return;
             }
             // A gone actor means that the host shuts down.
             let _ = control.send(Heard(frame)).await;
