--- a/chicoryloom/src/grant/lend.rs
+++ b/chicoryloom/src/grant/lend.rs
@@ -38,7 +38,6 @@
             service: short.service.to_string(),
             workspace: short.workspace.to_string(),
             round: short.want.round,
-            tokens: short.want.tokens.millis(),
             flow: short.want.flow.0,
         });
         for address in grants.givers(&view, &short, &*clock) {
@@ -91,18 +90,13 @@
             return None;
         }
         let mut state = book.entry(&workspace)?.lock();
-        let want = Want {
-            round: ask.round,
-            tokens: Tokens::from_millis(ask.tokens),
-            flow: Flow(ask.flow),
-        };
+        let want = Want { round: ask.round, flow: Flow(ask.flow) };
         let gift = state.account.give(want, published.fresh_until().since(now), now);
         let body = raw::Gift {
             service: ask.service.clone(),
             workspace: ask.workspace.clone(),
             taker: frame.incarnation.0,
             round: gift.round,
-            tokens: gift.tokens.millis(),
             flow: gift.flow.0,
             lasting: u64::try_from(gift.lasting.as_micros()).unwrap_or(u64::MAX),
             spare: state.account.level(now).millis(),
@@ -122,7 +116,6 @@
         };
         let gift = Gift {
             round: raw.round,
-            tokens: Tokens::from_millis(raw.tokens),
             flow: Flow(raw.flow),
             lasting: Duration::from_micros(raw.lasting),
         };
--- a/chicoryloom_policy/src/account.rs
+++ b/chicoryloom_policy/src/account.rs
@@ -1,10 +1,10 @@
 //! One holder's account of one workspace's grant: admission, and loans between holders.
 //!
-//! A holder that runs short asks others. A giver lends a part of its rate and cap for a while,
-//! and hands over the tokens in that cap. It lowers its own rate and cap before it answers, and
-//! for at least as long as the taker can use them: the taker counts from the moment of its ask,
-//! which lies before the giver's answer. So the caps of all holders together never pass the
-//! burst, nor do their rates pass the rate, whatever datagrams are lost, late or doubled.
+//! A holder that runs short asks others. A giver lends a part of its rate for a while. It lowers
+//! its own rate before it answers, and for at least as long as the taker can use the loan: the
+//! taker counts from the moment of its ask, which lies before the giver's answer. So the rates of
+//! all holders together never pass the grant's, whatever datagrams are lost, late or doubled.
+//! Caps stay with the seats, so the tokens of all holders never pass the burst.
 
 use std::time::Duration;
 
@@ -16,17 +16,17 @@
 use crate::limit::Tokens;
 
 /// Longest time that a loan lasts.
-pub const LOAN: Duration = Duration::from_secs(1);
+pub const LOAN: Duration = Duration::from_millis(250);
 /// Shortest loan worth an answer.
 const MIN_LOAN: Duration = Duration::from_millis(20);
 /// Part of a loan's time by which a giver waits longer, against clocks that run unevenly.
 const DRIFT: u32 = 100;
 /// Time constant of the demand estimate.
 const DEMAND_SPAN: Duration = Duration::from_millis(300);
-/// Demand that a holder wants tokens for, as a span.
+/// Demand for which a holder wants to have tokens, as a span.
 const HORIZON: Duration = Duration::from_millis(100);
 /// Time before the end of a loan from which on a taker asks anew.
-const RENEW: Duration = Duration::from_millis(300);
+const RENEW: Duration = Duration::from_millis(80);
 /// Demand in requests a second below which a holder counts as idle.
 const MIN_DEMAND: f64 = 0.5;
 /// Headroom over the estimated demand when rate is borrowed.
@@ -40,10 +40,10 @@
 /// Loans on either side held at once.
 const MAX_LOANS: usize = 32;
 
-/// A share lent or borrowed until a moment on this host's clock.
+/// A rate lent or borrowed until a moment on this host's clock.
 #[derive(Clone, Copy, Debug)]
 struct Loan {
-    share: Share,
+    flow: Flow,
     until: Moment,
 }
 
@@ -52,7 +52,6 @@
 pub struct Want {
     /// Number of the round of asks; counts up.
     pub round: u64,
-    pub tokens: Tokens,
     pub flow: Flow,
 }
 
@@ -61,25 +60,12 @@
 pub struct Gift {
     /// Round of asks that it answers.
     pub round: u64,
-    /// Tokens handed over; they lie in the cap lent along with them.
-    pub tokens: Tokens,
-    /// Rate lent.
+    /// Rate lent; zero if nothing can be spared.
     pub flow: Flow,
-    /// Time from the taker's ask until the loan of rate and cap ends.
+    /// Time from the taker's ask until the loan ends.
     pub lasting: Duration,
 }
 
-impl Gift {
-    fn share(&self) -> Share {
-        Share { flow: self.flow, cap: self.tokens }
-    }
-
-    /// Tells whether nothing is given.
-    pub fn is_empty(&self) -> bool {
-        self.tokens == Tokens::ZERO && self.flow == Flow::default()
-    }
-}
-
 /// Estimate of the requests a second that arrive.
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
@@ -180,9 +166,13 @@
     }
 
     fn reshape(&mut self, now: Moment) {
-        let lent = self.lent.iter().map(|loan| loan.share).sum();
-        let borrowed: Share = self.borrowed.iter().map(|loan| loan.share).sum();
-        self.bucket.reshape(self.own.minus(lent) + borrowed, now);
+        let borrowed = self.borrowed.iter().map(|loan| loan.flow).sum();
+        let flow = self.own.flow.minus(self.lent_flow()) + borrowed;
+        self.bucket.reshape(Share { flow, cap: self.own.cap }, now);
+    }
+
+    fn lent_flow(&self) -> Flow {
+        self.lent.iter().map(|loan| loan.flow).sum()
     }
 
     /// Returns what to ask other holders for, or `None` if nothing is short or it is too early.
@@ -194,8 +184,9 @@
         let demand = self.demand.at(now);
         let flow = Flow::estimated(demand * HEADROOM).minus(self.lasting_flow(now));
         let wished = Tokens::estimated(demand * HORIZON.as_secs_f64()) + Tokens::ONE;
-        let is_short = !self.has_token() || flow > Flow(0) && self.bucket.level() < wished;
-        if demand < MIN_DEMAND || !is_short {
+        let is_short = flow > Flow(0) && self.bucket.level() < wished;
+        let can_hold = self.own.cap >= Tokens::ONE;
+        if demand < MIN_DEMAND || !is_short || !can_hold {
             return None;
         }
         self.round = Round {
@@ -204,19 +195,13 @@
             pause: (self.round.pause * 2).min(MAX_PAUSE),
             answered: Vec::new(),
         };
-        let tokens = (wished + Tokens::ONE).minus(self.bucket.level());
-        Some(Want { round: self.round.number, tokens, flow })
-    }
-
-    fn has_token(&self) -> bool {
-        self.bucket.level() >= Tokens::ONE
+        Some(Want { round: self.round.number, flow })
     }
 
     /// Returns the rate that will still be there when a renewal can have arrived.
     fn lasting_flow(&self, now: Moment) -> Flow {
         let lasting = self.borrowed.iter().filter(|loan| loan.until > now.after(RENEW));
-        let lent = self.lent.iter().map(|loan| loan.share.flow).sum();
-        self.own.flow.minus(lent) + lasting.map(|loan| loan.share.flow).sum()
+        self.own.flow.minus(self.lent_flow()) + lasting.map(|loan| loan.flow).sum()
     }
 
     /// Gives another holder what this one can spare, for `lasting` at the most.
@@ -226,25 +211,20 @@
     pub fn give(&mut self, want: Want, lasting: Duration, now: Moment) -> Gift {
         self.settle(now);
         let lasting = lasting.min(LOAN);
-        let nothing = Gift { round: want.round, tokens: Tokens::ZERO, flow: Flow(0), lasting };
+        let nothing = Gift { round: want.round, flow: Flow(0), lasting };
         if lasting < MIN_LOAN || self.lent.len() >= MAX_LOANS {
             return nothing;
         }
-        let demand = self.demand.at(now);
-        let lent = self.lent.iter().map(|loan| loan.share).sum();
-        // What is borrowed may end sooner than the loan, so only an own share is lent.
-        let free = self.own.minus(lent);
-        let flow = free.flow.minus(Flow::estimated(demand * HEADROOM)).min(want.flow);
-        let kept = Tokens::estimated(demand * HORIZON.as_secs_f64());
-        let spare = self.bucket.level().minus(kept).min(free.cap);
-        let gift = Gift { tokens: spare.min(want.tokens).floor_millis(), flow, ..nothing };
-        if gift.is_empty() {
-            return gift;
+        // What is borrowed may end sooner than the loan, so only an own rate is lent.
+        let free = self.own.flow.minus(self.lent_flow());
+        let kept = Flow::estimated(self.demand.at(now) * HEADROOM);
+        let flow = free.minus(kept).min(want.flow);
+        if flow == Flow(0) {
+            return nothing;
         }
-        self.bucket.withdraw(gift.tokens);
-        self.lent.push(Loan { share: gift.share(), until: now.after(lasting + lasting / DRIFT) });
+        self.lent.push(Loan { flow, until: now.after(lasting + lasting / DRIFT) });
         self.reshape(now);
-        gift
+        Gift { flow, ..nothing }
     }
 
     /// Takes a gift from another holder; tells whether it was taken.
@@ -258,13 +238,12 @@
             return false;
         }
         self.round.answered.push(giver);
-        if gift.is_empty() || self.borrowed.len() >= MAX_LOANS {
+        if gift.flow == Flow(0) || self.borrowed.len() >= MAX_LOANS {
             return false;
         }
         self.round.pause = FED_PAUSE;
-        self.borrowed.push(Loan { share: gift.share(), until });
+        self.borrowed.push(Loan { flow: gift.flow, until });
         self.reshape(now);
-        self.bucket.deposit(gift.tokens);
         true
     }
 }
--- a/chicoryloom_policy/src/limit.rs
+++ b/chicoryloom_policy/src/limit.rs
@@ -37,12 +37,6 @@
         u64::try_from(self.0 / (PARTS / 1000)).unwrap_or(u64::MAX)
     }
 
-    /// Returns the amount rounded down to whole thousandths, as a frame carries it.
-    #[must_use]
-    pub fn floor_millis(self) -> Self {
-        Self::from_millis(self.millis())
-    }
-
     /// Returns the difference, zero if `other` is larger.
     #[must_use]
     pub const fn minus(self, other: Self) -> Self {
@@ -137,20 +131,6 @@
     pub cap: Tokens,
 }
 
-impl Share {
-    /// Returns the difference, zero where `other` is larger.
-    #[must_use]
-    pub const fn minus(self, other: Self) -> Self {
-        Self { flow: self.flow.minus(other.flow), cap: self.cap.minus(other.cap) }
-    }
-
-    /// Returns the smaller rate and the smaller cap.
-    #[must_use]
-    pub fn min(self, other: Self) -> Self {
-        Self { flow: self.flow.min(other.flow), cap: self.cap.min(other.cap) }
-    }
-}
-
 impl Add for Share {
     type Output = Self;
 
