--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -3,12 +3,18 @@
 mod answer;
 mod attempt;
 mod body;
+mod form;
 mod forward;
 mod headers;
+pub(crate) mod key;
 mod listener;
+mod path;
 mod request;
+mod stream;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,6 +37,7 @@
 use crate::locator;
 use crate::metrics::Labels;
 use crate::metrics::Metrics;
+use crate::refusals::Refusals;
 use crate::target::Body;
 use crate::target::Targets;
 
@@ -50,22 +57,37 @@
     pub(crate) grants: Arc<Grants>,
     pub(crate) targets: Targets,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) refusals: Refusals,
+    /// Connections of callers that are open.
+    pub(crate) open: AtomicUsize,
 }
 
 impl Proxy {
     /// Answers one request of a caller.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
-        let answered = match Resource::of(request.uri()) {
-            Ok(Resource::Hosts { service }) => self.hosts(&request, &service),
-            Ok(Resource::Service { service, path }) => self.serve(request, service, path).await,
-            Err(refusal) => Err(refusal),
-        };
+        let origin = request::Origin::of(&request);
+        let answered = self.checked_answer(request).await;
         answered.unwrap_or_else(|refusal| {
             self.metrics.refusal(refusal.code);
+            let kind = origin.kind(&self.published.view(), refusal.code);
+            self.refusals.record(kind, &refusal, self.clock.now());
             answer::refuse(&refusal)
         })
     }
 
+    /// Returns how many connections of callers are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    async fn checked_answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+        form::check(&request, &self.settings)?;
+        match Resource::of(request.uri())? {
+            Resource::Hosts { service } => self.hosts(&request, &service),
+            Resource::Service { service, path } => self.serve(request, service, path).await,
+        }
+    }
+
     fn hosts(
         &self,
         request: &Request<Incoming>,
@@ -75,19 +97,20 @@
         let max_age = u32::try_from(self.settings.max_age.as_secs()).unwrap_or(u32::MAX);
         let seed = request::seed(request.headers());
         let hosts = locator::locate(&view, service, seed, max_age)
-            .ok_or_else(|| Refusal::not_run(Code::Route, format!("no service {service}")))?;
+            .ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
         Ok(answer::json(&hosts))
     }
 
     async fn serve(
         &self,
-        request: Request<Incoming>,
+        mut request: Request<Incoming>,
         service: id::Service,
         path: String,
     ) -> Result<Response<Body>, Refusal> {
         let started = Instant::now();
         let view = self.published.view();
         let asked = Asked::new(&request, &view, service, path)?;
+        headers::strip_keys(request.headers_mut(), &view);
         self.check_fresh()?;
         if !view.homes(&asked.document.service).contains(&self.name) {
             return self.forward(request, &view, &asked).await;
--- a/chicoryloom_schema/tests/generated.rs
+++ b/chicoryloom_schema/tests/generated.rs
@@ -11,6 +11,7 @@
 #[case("key")]
 #[case("ledger")]
 #[case("platform")]
+#[case("scenario")]
 #[case("settings")]
 fn committed_code_is_current(#[case] name: &str) {
     let path = chicoryloom_schema::code(name);
