--- /dev/null
+++ b/chicoryloom_policy/examples/run_keys.rs
@@ -0,0 +1,84 @@
+//! Compares the completed prefix with a plain set of used numbers, by memory and time.
+//!
+//! Run with `cargo run --release -p chicoryloom_policy --example run_keys`.
+
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::collections::HashSet;
+use std::hint::black_box;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use chicoryloom_policy::run::Completed;
+use chicoryloom_policy::run::FIRST;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64;
+
+const KEYS: usize = 10_000;
+const ROUNDS: usize = 200;
+const SEED: u64 = 5;
+
+/// Counts the bytes that are allocated.
+struct Counting;
+
+static ALLOCATED: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call is passed on to the system's allocator.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        ALLOCATED.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+/// Returns the numbers in order, shuffled within blocks of `block`.
+fn arrivals(block: usize) -> Vec<u64> {
+    let mut rng = Pcg64::seed_from_u64(SEED);
+    let mut numbers: Vec<_> = (0..KEYS as u64).map(|n| n + FIRST).collect();
+    numbers.chunks_mut(block).for_each(|chunk| chunk.shuffle(&mut rng));
+    numbers
+}
+
+fn measure<S>(name: &str, arrivals: &[u64], new: fn() -> S, insert: fn(&mut S, u64) -> bool) {
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        let mut set = new();
+        for number in arrivals {
+            black_box(insert(&mut set, *number));
+        }
+        black_box(&set);
+    }
+    let nanos = started.elapsed().as_nanos() as f64 / (ROUNDS * arrivals.len()) as f64;
+    let before = ALLOCATED.load(Ordering::Relaxed);
+    let mut set = new();
+    let mut most = 0;
+    for number in arrivals {
+        insert(&mut set, *number);
+        most = most.max(ALLOCATED.load(Ordering::Relaxed) - before);
+    }
+    println!("  {name:20} {nanos:6.1} ns a key, at most {:7} bytes", most + size_of::<S>());
+}
+
+fn main() {
+    for block in [1, 16, 200] {
+        println!("{KEYS} keys, shuffled within blocks of {block}");
+        let arrivals = arrivals(block);
+        measure("completed prefix", &arrivals, Completed::new, |set, number| {
+            let known = set.contains(number);
+            set.insert(number);
+            known
+        });
+        measure("plain set", &arrivals, HashSet::<u64>::new, |set, number| !set.insert(number));
+    }
+}
--- a/chicoryloom_policy/src/ledger.rs
+++ b/chicoryloom_policy/src/ledger.rs
@@ -20,7 +20,7 @@
 const STRIDE: usize = 7;
 
 /// One life of a host.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Holder {
     pub host: id::Host,
     pub incarnation: id::Incarnation,
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod pick;
 pub mod placement;
 pub mod retry;
+pub mod run;
 pub mod unit;
 
 pub use moment::Moment;
--- /dev/null
+++ b/chicoryloom_policy/src/run.rs
@@ -0,0 +1,451 @@
+//! Run keys: which numbered requests of a caller have run.
+//!
+//! One incarnation of a host issues a series and is the only one that ever runs its numbers, so
+//! nothing has to be agreed. A number runs at most once: what the issuer has forgotten counts as
+//! run. Completed numbers are kept as a prefix and a set beyond it, as in "Kafka Offset Commits
+//! with Parallel Workers: Track the Completed Prefix", with one change: numbers that callers
+//! skip don't hold the prefix back for ever, since the set is bounded and pushes it on.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::Moment;
+use crate::id;
+use crate::ledger::Holder;
+
+/// First number of each series.
+pub const FIRST: u64 = 1;
+/// Time after its last use at which a series ends.
+pub const EXPIRY: Duration = Duration::from_secs(600);
+/// Series of one workspace held at once.
+pub const MAX_SERIES: usize = 256;
+/// Completed numbers of one series held beyond the prefix.
+pub const MAX_BEYOND: usize = 256;
+/// Numbers of one series in flight at once.
+pub const MAX_IN_FLIGHT: usize = 64;
+/// Bytes of outcomes held for one workspace.
+pub const MAX_OUTCOMES: usize = 1024 * 1024;
+/// Bytes that an outcome costs beside its content.
+const OUTCOME_COST: usize = 128;
+
+/// Names a series: its issuer and its number there.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Series {
+    pub issuer: Holder,
+    pub number: u64,
+}
+
+/// Names one request of a series.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Key {
+    pub series: Series,
+    pub number: u64,
+}
+
+/// A text that is no series or run key of this fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct InvalidKey;
+
+impl fmt::Display for InvalidKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not a run key of the form SERIES.NUMBER")
+    }
+}
+
+impl std::error::Error for InvalidKey {}
+
+impl fmt::Display for Series {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{:x}", self.issuer.host, self.issuer.incarnation, self.number)
+    }
+}
+
+impl FromStr for Series {
+    type Err = InvalidKey;
+
+    fn from_str(text: &str) -> Result<Self, InvalidKey> {
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or(InvalidKey);
+        let host = next()?.parse().map_err(|_| InvalidKey)?;
+        let incarnation = next()?.parse().map_err(|_| InvalidKey)?;
+        let number = u64::from_str_radix(next()?, 16).map_err(|_| InvalidKey)?;
+        let issuer = Holder { host, incarnation };
+        parts.next().is_none().then_some(Self { issuer, number }).ok_or(InvalidKey)
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.series, self.number)
+    }
+}
+
+impl FromStr for Key {
+    type Err = InvalidKey;
+
+    fn from_str(text: &str) -> Result<Self, InvalidKey> {
+        let (series, number) = text.rsplit_once('.').ok_or(InvalidKey)?;
+        let number = number.parse().ok().filter(|number| *number >= FIRST);
+        Ok(Self { series: series.parse()?, number: number.ok_or(InvalidKey)? })
+    }
+}
+
+/// The numbers of a series that have ended: all up to a prefix, and some beyond it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Completed {
+    /// Every number below this one counts as ended, also those that never came.
+    prefix: u64,
+    /// Ended numbers at or past the prefix; at most [`MAX_BEYOND`].
+    beyond: BTreeSet<u64>,
+}
+
+impl Completed {
+    /// Returns the empty set of a new series.
+    pub fn new() -> Self {
+        Self { prefix: FIRST, beyond: BTreeSet::new() }
+    }
+
+    /// Tells whether a number counts as ended.
+    pub fn contains(&self, number: u64) -> bool {
+        number < self.prefix || self.beyond.contains(&number)
+    }
+
+    /// Adds a number; the oldest gap counts as ended once the set is full.
+    pub fn insert(&mut self, number: u64) {
+        if !self.contains(number) {
+            self.beyond.insert(number);
+        }
+        if self.beyond.len() > MAX_BEYOND
+            && let Some(least) = self.beyond.first()
+        {
+            self.prefix = *least;
+        }
+        while self.beyond.remove(&self.prefix) {
+            self.prefix += 1;
+        }
+    }
+
+    /// Returns how many numbers are held beyond the prefix.
+    pub fn beyond(&self) -> usize {
+        self.beyond.len()
+    }
+}
+
+/// Hash of what a request asks for: method, path and body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Fingerprint([u8; 16]);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request.
+    pub fn of(method: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [method.as_bytes(), path.as_bytes(), body] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(bytes)
+    }
+}
+
+/// What to do with a request that shows a run key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict<T> {
+    /// It is the first one: run it, and report its end.
+    Run,
+    /// The first one is still in flight: wait for its end.
+    Wait,
+    /// The first one has ended so.
+    Repeat(T),
+    /// The first one has ended, and its outcome is no longer kept.
+    Forgotten,
+    /// The key was used for another request; this one never runs.
+    Reused,
+    /// The series has ended, is another workspace's, or was never issued here.
+    Unknown,
+    /// Too many of the series are in flight; this one has not run.
+    Busy,
+}
+
+/// One series at its issuer.
+#[derive(Clone, Debug)]
+struct Record {
+    owner: id::Digest,
+    service: id::Service,
+    used: Moment,
+    completed: Completed,
+    in_flight: BTreeMap<u64, Fingerprint>,
+}
+
+/// One kept outcome.
+#[derive(Clone, Debug)]
+struct Outcome<T> {
+    fingerprint: Fingerprint,
+    value: T,
+    bytes: usize,
+}
+
+/// The series and outcomes of one workspace.
+#[derive(Clone, Debug)]
+struct Shelf<T> {
+    series: BTreeMap<u64, Record>,
+    /// By series and number.
+    outcomes: HashMap<(u64, u64), Outcome<T>>,
+    /// Keys of `outcomes`, oldest first.
+    ages: VecDeque<(u64, u64)>,
+    /// Bytes of `outcomes`; at most [`MAX_OUTCOMES`].
+    bytes: usize,
+}
+
+/// All series that one incarnation of a host has issued.
+#[derive(Clone, Debug)]
+pub struct Registry<T> {
+    me: Holder,
+    issued: u64,
+    shelves: HashMap<id::Workspace, Shelf<T>>,
+}
+
+impl<T: Clone> Registry<T> {
+    /// Returns the empty registry of a new incarnation.
+    pub fn new(me: Holder) -> Self {
+        Self { me, issued: 0, shelves: HashMap::new() }
+    }
+
+    /// Issues a series to a caller of a workspace, who is known by the digest of its key.
+    ///
+    /// A workspace with too many series loses the oldest idle one of the caller with the most.
+    pub fn issue(
+        &mut self,
+        workspace: &id::Workspace,
+        owner: id::Digest,
+        service: &id::Service,
+        now: Moment,
+    ) -> Series {
+        self.issued += 1;
+        let shelf = self.shelves.entry(workspace.clone()).or_insert_with(Shelf::new);
+        shelf.expire(now);
+        if shelf.series.len() >= MAX_SERIES {
+            shelf.drop_one();
+        }
+        let record = Record {
+            owner,
+            service: service.clone(),
+            used: now,
+            completed: Completed::new(),
+            in_flight: BTreeMap::new(),
+        };
+        shelf.series.insert(self.issued, record);
+        Series { issuer: self.me.clone(), number: self.issued }
+    }
+
+    /// Decides on a request; [`Verdict::Run`] must be followed by [`Registry::end`].
+    pub fn begin(
+        &mut self,
+        workspace: &id::Workspace,
+        service: &id::Service,
+        key: &Key,
+        fingerprint: Fingerprint,
+        now: Moment,
+    ) -> Verdict<T> {
+        let shelf = self.shelves.get_mut(workspace).filter(|_| key.series.issuer == self.me);
+        let Some(shelf) = shelf else {
+            return Verdict::Unknown;
+        };
+        let Some(record) = shelf.series.get_mut(&key.series.number) else {
+            return Verdict::Unknown;
+        };
+        if record.service != *service {
+            return Verdict::Unknown;
+        }
+        record.used = now;
+        if let Some(first) = record.in_flight.get(&key.number) {
+            return if *first == fingerprint { Verdict::Wait } else { Verdict::Reused };
+        }
+        match shelf.outcomes.get(&(key.series.number, key.number)) {
+            Some(outcome) if outcome.fingerprint == fingerprint => {
+                return Verdict::Repeat(outcome.value.clone());
+            }
+            Some(_) => return Verdict::Reused,
+            None if record.completed.contains(key.number) => return Verdict::Forgotten,
+            None => {}
+        }
+        if record.in_flight.len() >= MAX_IN_FLIGHT {
+            return Verdict::Busy;
+        }
+        record.in_flight.insert(key.number, fingerprint);
+        Verdict::Run
+    }
+
+    /// Records the end of a run and its outcome, which counts `bytes` against the bound.
+    pub fn end(&mut self, workspace: &id::Workspace, key: &Key, value: T, bytes: usize) {
+        let Some(shelf) = self.shelves.get_mut(workspace) else {
+            return;
+        };
+        // A series that was dropped while the run was in flight never runs anything again.
+        let Some(record) = shelf.series.get_mut(&key.series.number) else {
+            return;
+        };
+        let Some(fingerprint) = record.in_flight.remove(&key.number) else {
+            return;
+        };
+        record.completed.insert(key.number);
+        let bytes = bytes + OUTCOME_COST;
+        shelf.keep((key.series.number, key.number), Outcome { fingerprint, value, bytes });
+    }
+
+    /// Forgets series that have not been used for [`EXPIRY`].
+    pub fn expire(&mut self, now: Moment) {
+        self.shelves.values_mut().for_each(|shelf| shelf.expire(now));
+        self.shelves.retain(|_, shelf| !shelf.series.is_empty());
+    }
+}
+
+impl<T> Shelf<T> {
+    fn new() -> Self {
+        Self { series: BTreeMap::new(), outcomes: HashMap::new(), ages: VecDeque::new(), bytes: 0 }
+    }
+
+    fn keep(&mut self, name: (u64, u64), outcome: Outcome<T>) {
+        if outcome.bytes > MAX_OUTCOMES {
+            return;
+        }
+        self.bytes += outcome.bytes;
+        self.outcomes.insert(name, outcome);
+        self.ages.push_back(name);
+        while self.bytes > MAX_OUTCOMES {
+            let Some(oldest) = self.ages.pop_front() else {
+                return;
+            };
+            self.forget(oldest);
+        }
+    }
+
+    fn forget(&mut self, name: (u64, u64)) {
+        if let Some(outcome) = self.outcomes.remove(&name) {
+            self.bytes -= outcome.bytes;
+        }
+    }
+
+    fn expire(&mut self, now: Moment) {
+        let is_over =
+            |record: &Record| now.since(record.used) >= EXPIRY && record.in_flight.is_empty();
+        let over: Vec<_> =
+            self.series.iter().filter(|(_, record)| is_over(record)).map(|(n, _)| *n).collect();
+        over.into_iter().for_each(|number| self.drop_series(number));
+    }
+
+    /// Drops the least recently used series of the caller with the most.
+    fn drop_one(&mut self) {
+        let mut counts = HashMap::<id::Digest, usize>::new();
+        for record in self.series.values() {
+            *counts.entry(record.owner).or_default() += 1;
+        }
+        let most = counts.into_iter().max_by_key(|(owner, count)| (*count, *owner));
+        let of_most = |record: &Record| most.is_some_and(|(owner, _)| owner == record.owner);
+        let theirs = self.series.iter().filter(|(_, record)| of_most(record));
+        let oldest = theirs.min_by_key(|(_, record)| (!record.in_flight.is_empty(), record.used));
+        if let Some(number) = oldest.map(|(number, _)| *number) {
+            self.drop_series(number);
+        }
+    }
+
+    fn drop_series(&mut self, number: u64) {
+        self.series.remove(&number);
+        let (gone, kept): (VecDeque<_>, VecDeque<_>) =
+            self.ages.drain(..).partition(|(series, _)| *series == number);
+        self.ages = kept;
+        gone.into_iter().for_each(|name| self.forget(name));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn me(incarnation: u64) -> Holder {
+        Holder { host: "host-1".parse().unwrap(), incarnation: id::Incarnation(incarnation) }
+    }
+
+    fn registry() -> (Registry<u32>, id::Workspace, id::Service) {
+        (Registry::new(me(7)), "prairie".parse().unwrap(), "calendar".parse().unwrap())
+    }
+
+    fn print(body: &str) -> Fingerprint {
+        Fingerprint::of("POST", "/seats", body.as_bytes())
+    }
+
+    #[test]
+    fn keys_survive_their_text() {
+        let key = Key { series: Series { issuer: me(255), number: 17 }, number: 42 };
+        assert_eq!(key.to_string().parse(), Ok(key));
+        for text in ["", "x", "host-1.ff.1", "host-1.ff.1.0", "host-1.ff.1.2.3", "H.ff.1.2"] {
+            assert_eq!(text.parse::<Key>(), Err(InvalidKey), "{text}");
+        }
+    }
+
+    #[test]
+    fn number_runs_once_and_its_outcome_is_repeated_to_the_same_request_only() {
+        let (mut registry, workspace, service) = registry();
+        let now = Moment::ZERO;
+        let series = registry.issue(&workspace, id::Digest::of("k"), &service, now);
+        let key = Key { series, number: 1 };
+        let begin = |registry: &mut Registry<u32>, body: &str| {
+            registry.begin(&workspace, &service, &key, print(body), now)
+        };
+        assert_eq!(begin(&mut registry, "a"), Verdict::Run);
+        assert_eq!(begin(&mut registry, "a"), Verdict::Wait);
+        assert_eq!(begin(&mut registry, "b"), Verdict::Reused);
+        registry.end(&workspace, &key, 200, 10);
+        assert_eq!(begin(&mut registry, "a"), Verdict::Repeat(200));
+        assert_eq!(begin(&mut registry, "b"), Verdict::Reused);
+        let foreign = "other".parse().unwrap();
+        let verdict = registry.begin(&foreign, &service, &key, print("a"), now);
+        assert_eq!(verdict, Verdict::Unknown);
+        let mut next_life = Registry::<u32>::new(me(8));
+        assert_eq!(begin(&mut next_life, "a"), Verdict::Unknown);
+    }
+
+    #[test]
+    fn one_caller_fills_neither_memory_nor_the_others_series() {
+        let (mut registry, workspace, service) = registry();
+        let modest = registry.issue(&workspace, id::Digest::of("modest"), &service, Moment::ZERO);
+        for n in 0..10_000 {
+            let now = Moment::from_millis(n);
+            let series = registry.issue(&workspace, id::Digest::of("greedy"), &service, now);
+            let key = Key { series, number: 1 };
+            registry.begin(&workspace, &service, &key, print("a"), now);
+            registry.end(&workspace, &key, 0, 100_000);
+        }
+        let shelf = &registry.shelves[&workspace];
+        assert!(shelf.series.len() <= MAX_SERIES && shelf.bytes <= MAX_OUTCOMES);
+        let key = Key { series: modest, number: 1 };
+        let verdict = registry.begin(&workspace, &service, &key, print("a"), Moment::ZERO);
+        assert_eq!(verdict, Verdict::Run);
+    }
+
+    #[test]
+    fn forgotten_numbers_never_run_again() {
+        let (mut registry, workspace, service) = registry();
+        let series = registry.issue(&workspace, id::Digest::of("k"), &service, Moment::ZERO);
+        for number in (FIRST..3000).step_by(2).chain((FIRST + 1..3000).step_by(2)) {
+            let key = Key { series: series.clone(), number };
+            let verdict = registry.begin(&workspace, &service, &key, print("a"), Moment::ZERO);
+            if verdict == Verdict::Run {
+                registry.end(&workspace, &key, 0, 4096);
+            }
+            let again = registry.begin(&workspace, &service, &key, print("a"), Moment::ZERO);
+            assert!(matches!(again, Verdict::Repeat(_) | Verdict::Forgotten));
+        }
+        let late = EXPIRY;
+        registry.expire(Moment::ZERO.after(late));
+        let key = Key { series, number: 5000 };
+        let verdict = registry.begin(&workspace, &service, &key, print("a"), Moment::ZERO);
+        assert_eq!(verdict, Verdict::Unknown);
+    }
+}
