--- a/chicoryloom/src/grant/keep.rs
+++ b/chicoryloom/src/grant/keep.rs
@@ -39,9 +39,8 @@
 struct Duty {
     /// When the next proposal is due; `None` while none is needed.
     due: Option<Moment>,
-    /// Generation of the ledger in sight, and since when.
+    /// Generation of the ledger in sight.
     generation: u64,
-    seen: Moment,
 }
 
 /// Keeps the seats of all services on this host.
@@ -79,7 +78,7 @@
         let Some(book) = self.grants.book(view, service, now) else {
             return;
         };
-        self.bind(&book, duty, now);
+        self.bind(view, &book, duty, now);
         let homes = match self.grants.division {
             Division::Single => &view.homes(service)[..1],
             Division::Demand | Division::Equal => view.homes(service),
@@ -102,16 +101,15 @@
     }
 
     /// Binds the seats that this host may admit by from now on.
-    fn bind(&self, book: &Book, duty: &mut Duty, now: Moment) {
+    fn bind(&self, view: &View, book: &Book, duty: &mut Duty, now: Moment) {
         let generation = book.ledger().map_or(0, |ledger| ledger.generation);
         if generation > duty.generation {
-            *duty = Duty { generation, seen: now, ..Duty::default() };
+            *duty = Duty { generation, due: None };
         }
         let mut tenure = book.tenure();
-        if tenure.is_waiting()
-            && let Some(accepted) = accepted(duty.seen, self.grants.window, now)
-        {
-            tenure.accept(generation, accepted);
+        let is_accepted = |stored: &Arc<Stored>| view.is_accepted(stored.version);
+        if tenure.is_waiting() && book.stored.as_ref().is_some_and(is_accepted) {
+            tenure.accept(generation, now);
         }
         let waits = !tenure.unbound(now.before(TICK * 2)).is_empty();
         drop(tenure);
@@ -174,12 +172,6 @@
     }
 }
 
-/// Returns by when a ledger that is in sight since `seen` was accepted, if it was.
-fn accepted(seen: Moment, window: Duration, now: Moment) -> Option<Moment> {
-    let by = seen.after(window);
-    (by <= now).then_some(by)
-}
-
 fn delay(ledger: &Ledger, holds: bool, rank: usize) -> Duration {
     let is_vacant = ledger.seats.iter().any(|seat| seat.holder.is_none());
     let least = match (holds, is_vacant) {
--- a/chicoryloom/src/grant/lend.rs
+++ b/chicoryloom/src/grant/lend.rs
@@ -24,25 +24,39 @@
 /// Holders that one round asks.
 const ASKED: usize = 3;
 
-/// Sends the asks of accounts that ran short, until the accounts are gone.
-pub(crate) async fn lend(
-    grants: Arc<Grants>,
-    published: Arc<Published>,
-    clock: Arc<dyn Clock>,
-    sender: peer::Sender,
-    mut shorts: mpsc::Receiver<Short>,
-) {
-    while let Some(short) = shorts.recv().await {
-        let view = published.view();
-        let ask = Body::Ask(raw::Ask {
-            service: short.service.to_string(),
-            workspace: short.workspace.to_string(),
-            round: short.want.round,
-            flow: short.want.flow.0,
-        });
-        for address in grants.givers(&view, &short, &*clock) {
-            sender.send(address, ask.clone()).await;
+/// Asks other holders, and answers their asks.
+#[derive(Clone, Debug)]
+pub(crate) struct Lender {
+    pub(crate) grants: Arc<Grants>,
+    pub(crate) published: Arc<Published>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) sender: peer::Sender,
+}
+
+impl Lender {
+    /// Sends the asks of accounts that ran short, until the accounts are gone.
+    pub(crate) async fn lend(self, mut shorts: mpsc::Receiver<Short>) {
+        while let Some(short) = shorts.recv().await {
+            let view = self.published.view();
+            let ask = Body::Ask(raw::Ask {
+                service: short.service.to_string(),
+                workspace: short.workspace.to_string(),
+                round: short.want.round,
+                flow: short.want.flow.0,
+            });
+            for address in self.grants.givers(&view, &short, &*self.clock) {
+                self.sender.send(address, ask.clone()).await;
+            }
+        }
+    }
+
+    /// Takes an ask or a gift; tells whether the frame was one.
+    pub(crate) async fn hear(&self, frame: &Frame) -> bool {
+        let answer = self.grants.hear(frame, &self.published, &*self.clock);
+        if let Some((address, body)) = answer {
+            self.sender.send(address, body).await;
         }
+        matches!(frame.body, Body::Ask(_) | Body::Gift(_))
     }
 }
 
@@ -57,7 +71,7 @@
     }
 
     /// Takes an ask or a gift; returns the answer to send and where to.
-    pub(crate) fn hear(
+    fn hear(
         &self,
         frame: &Frame,
         published: &Published,
@@ -70,7 +84,7 @@
                 self.hear_gift(frame, gift, clock);
                 None
             }
-            Body::Heartbeat(_) | Body::Evidence(_) => None,
+            Body::Heartbeat(_) | Body::Evidence(_) | Body::Pull(_) | Body::Page(_) => None,
         }
     }
 
--- a/chicoryloom/src/grant/mod.rs
+++ b/chicoryloom/src/grant/mod.rs
@@ -26,7 +26,7 @@
 use tokio::sync::mpsc;
 
 pub(crate) use keep::Keeper;
-pub(crate) use lend::lend;
+pub(crate) use lend::Lender;
 
 use crate::config::policy::Division;
 use crate::control::View;
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -109,8 +109,14 @@
         let view = self.published.view();
         let max_age = u32::try_from(self.settings.max_age.as_secs()).unwrap_or(u32::MAX);
         let seed = request::seed(request.headers());
-        let hosts = locator::locate(&view, service, seed, max_age)
-            .ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
+        let standing = self.published.standing();
+        let hosts = locator::locate(&view, &standing, service, seed, max_age);
+        if hosts.is_none() {
+            // A host that may lack the document can't tell that there is none.
+            self.check_fresh()?;
+        }
+        let hosts =
+            hosts.ok_or_else(|| Refusal::not_run(Code::Route, "no service of this name"))?;
         Ok(answer::json(&hosts))
     }
 
@@ -122,12 +128,13 @@
     ) -> Result<Response<Body>, Refusal> {
         let started = Instant::now();
         let view = self.published.view();
-        let asked = Asked::new(&request, &view, service, path)?;
+        let early = |refusal| runs::early(&request, refusal);
+        self.check_fresh().map_err(early)?;
+        let asked = Asked::new(&request, &view, service, path).map_err(early)?;
         headers::strip_keys(request.headers_mut(), &view);
         if let Some(key) = runs::shown(&request, &asked)? {
             return self.serve_keyed(request, &view, asked, key).await;
         }
-        self.check_fresh()?;
         if !view.homes(&asked.document.service).contains(&self.name) {
             return self.forward(request, &view, &asked).await;
         }
--- a/chicoryloom/src/proxy/runs.rs
+++ b/chicoryloom/src/proxy/runs.rs
@@ -57,6 +57,16 @@
     key.map(Some).ok_or_else(|| Refusal::not_run(Code::RunKey, detail))
 }
 
+/// Turns a refusal that comes before the look at a run key into the caller's answer.
+///
+/// The request may have run before, under the same key.
+pub(super) fn early<B>(request: &Request<B>, refusal: Refusal) -> Refusal {
+    if request.headers().contains_key(header::IDEMPOTENCY_KEY) {
+        return unknown(refusal);
+    }
+    refusal
+}
+
 impl Proxy {
     /// Issues a series of run keys; this costs a token, as a request does.
     pub(super) async fn issue(
