--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -4,11 +4,13 @@
 //! [`Moment`], randomness as a generator. The same inputs give the same decisions, so property
 //! tests can drive every module.
 
+pub mod account;
 pub mod document;
 pub mod freshness;
 pub mod health;
 pub mod holdback;
 pub mod id;
+pub mod ledger;
 pub mod limit;
 pub mod moment;
 pub mod pick;
@@ -16,6 +18,7 @@
 pub mod replay;
 pub mod retry;
 pub mod roster;
+pub mod run;
 pub mod unit;
 
 pub use moment::Moment;
--- a/chicoryloom_schema/tests/generated.rs
+++ b/chicoryloom_schema/tests/generated.rs
@@ -9,6 +9,7 @@
 #[case("document")]
 #[case("frame")]
 #[case("key")]
+#[case("ledger")]
 #[case("platform")]
 #[case("scenario")]
 #[case("settings")]
