--- a/chicoryloom/src/control/objects.rs
+++ b/chicoryloom/src/control/objects.rs
@@ -8,6 +8,7 @@
 use chicoryloom_wire::document;
 use chicoryloom_wire::generated::frame as raw;
 use chicoryloom_wire::key;
+use chicoryloom_wire::ledger;
 use chicoryloom_wire::platform::Changes;
 use chicoryloom_wire::platform::Kind;
 use chicoryloom_wire::platform::Object;
@@ -16,6 +17,7 @@
 use super::roster;
 use super::view::Fault;
 use super::view::View;
+use crate::grant::Stored;
 
 /// Bytes of values after which a page is full.
 const PAGE_BYTES: usize = 1024 * 1024;
@@ -105,9 +107,9 @@
     match object.kind {
         Kind::Document => show_document(object, view),
         Kind::Key => show_key(object, view),
+        Kind::Ledger => show_ledger(object, view),
         Kind::Roster => show_roster(object, view),
         Kind::Status => show_status(object, view),
-        Kind::Ledger => {}
     }
 }
 
@@ -148,6 +150,21 @@
     Ok((service, Some(checked.document)))
 }
 
+fn show_ledger(object: &Object, view: &mut View) {
+    let Ok(service) = object.name.parse::<id::Service>() else {
+        log::warn!("control: ledger {:?} is not named like a service", object.name);
+        return;
+    };
+    match ledger::parse(&object.value) {
+        Ok(ledger) => {
+            let stored = Stored { version: object.version, ledger };
+            view.ledgers.insert(service, Arc::new(stored));
+        }
+        // A ledger only ever changes hands; without it no host admits a request.
+        Err(error) => log::warn!("control: {service}: {error}"),
+    }
+}
+
 fn show_key(object: &Object, view: &mut View) {
     let Ok(digest) = object.name.parse::<id::Digest>() else {
         log::warn!("control: a key object is not named like a digest");
