--- a/chicoryloom_harness/tests/extra.rs
+++ b/chicoryloom_harness/tests/extra.rs
@@ -41,6 +41,7 @@
 #[rstest]
 #[case("chicoryloom", 0)]
 #[case("chicoryctl", 11)]
+#[case("chicoryloom-load", 5)]
 #[case("chicoryloom-standin", 3)]
 fn options_and_commands_are_in_man_page_and_completions(
     #[case] program: &str,
