Judge a shutdown up to the end of its process, and drop dead series

The events show a fault of the experiment: the host that was told to end had been killed two seconds earlier, because both faults chose the same home host, and connections through the link to a dead host break after they are made instead of being refused.

Faults now choose among hosts that no other fault has struck. The driver looks every 50 ms whether a host that is shutting down still runs, and the judge counts attempts that were sent up to the last time that it was seen running; a doctored run shows that one sent 1 ms before still counts.

Callers went on to use a series of run keys after its issuer was gone, so that all their bookings failed until it expired; they now ask for a new one.

--- a/chicoryloom_load/src/caller/mod.rs
+++ b/chicoryloom_load/src/caller/mod.rs
@@ -41,6 +41,9 @@
 /// Pause before another attempt after a lost one.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Code of refusals of run keys whose issuer is gone.
+const ISSUER_GONE: &str = "issuer-gone";
+
 /// What all callers of a run share.
 #[derive(Debug)]
 pub(crate) struct World {
@@ -141,6 +144,9 @@
             let attempt = self.attempt(host, &request).await;
             if !matches!(attempt.end, End::Answered { .. }) {
                 self.forget(service, host, &attempt.end).await;
+                if matches!(&attempt.end, End::Refused { code, .. } if code == ISSUER_GONE) {
+                    self.keys[service].give_up().await;
+                }
             }
             record.attempts.push(attempt);
         }
@@ -238,6 +244,8 @@
             }
             _ => None,
         },
+        // Nobody will ever run the request under this key, nor tell whether it ran.
+        End::Refused { code, .. } if code == ISSUER_GONE => None,
         End::Refused { .. } | End::Broken { .. } | End::TimedOut => {
             may_repeat(record.kind, has_run_key).then_some(PAUSE)
         }
--- a/chicoryloom_load/src/caller/series.rs
+++ b/chicoryloom_load/src/caller/series.rs
@@ -31,6 +31,11 @@
 }
 
 impl Keys {
+    /// Gives the current series up, because the host that issued it is gone.
+    pub(super) async fn give_up(&self) {
+        self.state.lock().await.current = None;
+    }
+
     /// Returns a run key that was never returned before, or `None` if the fleet issues none.
     pub(super) async fn next<F>(&self, issue: F) -> Option<String>
     where
--- a/chicoryloom_load/src/driver.rs
+++ b/chicoryloom_load/src/driver.rs
@@ -1,7 +1,6 @@
 //! Brings faults about at their times and samples the fleet meanwhile.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,13 +8,15 @@
 use chicoryloom_standin::platform;
 use chicoryloom_standin::target;
 use chicoryloom_wire::generated::scenario as raw;
-use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use crate::Error;
 use crate::caller::World;
+use crate::event::Change;
+use crate::event::Event;
+use crate::event::What;
 use crate::sample;
 use crate::sample::Sample;
 use crate::scenario::Scenario;
@@ -23,61 +24,11 @@
 
 /// Time between two samples.
 const SAMPLE_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two looks at hosts that are shutting down.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
 /// Longest wait for a terminated host to end by itself.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(40);
 
-/// Something that was brought about, with the time at which it was asked for and confirmed.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub(crate) struct Event {
-    pub(crate) asked_ms: f64,
-    pub(crate) done_ms: f64,
-    pub(crate) what: What,
-}
-
-/// What was brought about.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum What {
-    /// Targets got faults, or lost them.
-    Targets {
-        indices: Vec<usize>,
-        faulty: bool,
-    },
-    /// A caller's key was withdrawn.
-    Withdrawn {
-        workspace: usize,
-        caller: usize,
-    },
-    /// A target is leaving.
-    Leaving {
-        target: usize,
-    },
-    /// A host got a signal, or came back.
-    Host {
-        address: SocketAddr,
-        change: Change,
-    },
-    Link {
-        on: bool,
-    },
-    Platform {
-        on: bool,
-    },
-    Poison {
-        on: bool,
-    },
-}
-
-/// What happened to a host.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum Change {
-    Paused,
-    Killed,
-    Terminated,
-    Back,
-}
-
 /// What the driver noted.
 #[derive(Debug, Default)]
 pub(crate) struct Log {
@@ -97,6 +48,8 @@
     links: Vec<(usize, Vec<link::Rule>)>,
     /// Hosts that a fault struck, by index of the fault.
     struck: HashMap<usize, Vec<usize>>,
+    /// Hosts that are shutting down, with the time at which each was last seen running.
+    ending: Vec<(usize, f64)>,
 }
 
 impl<'a> Driver<'a> {
@@ -108,6 +61,7 @@
             log: Log::default(),
             links: Vec::new(),
             struck: HashMap::new(),
+            ending: Vec::new(),
         }
     }
 
@@ -117,6 +71,7 @@
         let mut steps = steps(self.scenario);
         steps.reverse();
         let mut tick = tokio::time::interval(SAMPLE_PERIOD);
+        let mut look = tokio::time::interval(LOOK_PERIOD);
         loop {
             let next = steps.last().map(|step| self.world.started + step.at);
             tokio::select! {
@@ -124,6 +79,7 @@
                     let sample = sample::take(&self.stage.fleet, self.world.now_ms()).await;
                     self.log.samples.push(sample);
                 }
+                _ = look.tick() => self.look(),
                 () = tokio::time::sleep_until(next.unwrap_or(end).min(end)) => {
                     let Some(step) = steps.pop().filter(|_| Instant::now() < end) else {
                         return;
@@ -134,6 +90,20 @@
         }
     }
 
+    /// Notes which hosts ended since the last look.
+    fn look(&mut self) {
+        let now_ms = self.world.now_ms();
+        for (index, seen_ms) in std::mem::take(&mut self.ending) {
+            let host = &self.stage.fleet.hosts[index];
+            if host.process.usage().is_some() {
+                self.ending.push((index, now_ms));
+                continue;
+            }
+            let what = What::Host { address: host.caller, change: Change::Ended };
+            self.log.events.push(Event { asked_ms: seen_ms, done_ms: now_ms, what });
+        }
+    }
+
     async fn step(&mut self, step: &Step) {
         let asked_ms = self.world.now_ms();
         let scenario = self.scenario;
@@ -277,7 +247,7 @@
         let located = self.stage.fleet.locate(self.standing(), service).await;
         let located = located.map_err(Error::fleet("ask the locator"))?;
         let hosts = self.stage.fleet.hosts.iter().enumerate();
-        let named = hosts.filter(|(_, host)| {
+        let named = hosts.filter(|(index, _)| !self.is_struck(*index)).filter(|(_, host)| {
             let address = host.caller.to_string();
             located.hosts.iter().any(|named| named.address == address)
         });
@@ -297,6 +267,7 @@
             }
             raw::Signal::Terminate => {
                 process.terminate();
+                self.ending.push((index, self.world.now_ms()));
                 Change::Terminated
             }
         }
@@ -327,8 +298,12 @@
 
     /// Returns a host that no fault has struck, for calls of operators.
     fn standing(&self) -> usize {
-        let struck = |host: &usize| self.struck.values().flatten().any(|other| other == host);
-        (0..self.stage.fleet.hosts.len()).find(|host| !struck(host)).unwrap_or_default()
+        let hosts = 0..self.stage.fleet.hosts.len();
+        hosts.into_iter().find(|host| !self.is_struck(*host)).unwrap_or_default()
+    }
+
+    fn is_struck(&self, host: usize) -> bool {
+        self.struck.values().flatten().any(|other| *other == host)
     }
 
     async fn withdraw(&mut self, action: &raw::WithdrawAction) -> Result<Vec<What>, Error> {
--- a/chicoryloom_load/src/lib.rs
+++ b/chicoryloom_load/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod driver;
 mod error;
+mod event;
 mod measure;
 mod report;
 mod run;
--- a/chicoryloom_load/src/measure/detection.rs
+++ b/chicoryloom_load/src/measure/detection.rs
@@ -5,8 +5,8 @@
 
 use super::faulty_at;
 use crate::caller::End;
-use crate::driver::Event;
-use crate::driver::What;
+use crate::event::Event;
+use crate::event::What;
 use crate::scenario::Scenario;
 use crate::verdict::Evidence;
 
--- a/chicoryloom_load/src/measure/mod.rs
+++ b/chicoryloom_load/src/measure/mod.rs
@@ -10,8 +10,8 @@
 use serde::Serialize;
 
 use crate::caller::Record;
-use crate::driver::Event;
-use crate::driver::What;
+use crate::event::Event;
+use crate::event::What;
 use crate::sample::Sample;
 use crate::scenario::Scenario;
 use crate::verdict::Evidence;
--- a/chicoryloom_load/src/verdict/doctored.rs
+++ b/chicoryloom_load/src/verdict/doctored.rs
@@ -15,8 +15,8 @@
 use crate::arrival::Kind;
 use crate::caller::Attempt;
 use crate::caller::End;
-use crate::driver::Change;
-use crate::driver::What;
+use crate::event::Change;
+use crate::event::What;
 
 const KEY: &str = "secret-key";
 
@@ -114,6 +114,19 @@
     assert!(names.len() == 1 && names[0].contains(invariant), "{names:?}");
 }
 
+#[test]
+fn request_to_an_ended_host_is_not_cut_by_its_shutdown() {
+    let mut evidence = sound();
+    let host_event = |change| event(What::Host { address: host(), change });
+    evidence.events.push(host_event(Change::Terminated));
+    let ended = Event { asked_ms: 500.0, done_ms: 550.0, ..host_event(Change::Ended) };
+    evidence.events.push(ended);
+    evidence.records[1].attempts[0].end = End::Broken { reason: "reset".to_owned() };
+    assert!(judge(&evidence).iter().all(Verdict::held));
+    evidence.records[1].attempts[0].sent_ms = 499.0;
+    assert!(!judge(&evidence).iter().all(Verdict::held));
+}
+
 #[test]
 fn shed_requests_are_no_runs() {
     let mut evidence = sound();
--- a/chicoryloom_load/src/verdict/document.rs
+++ b/chicoryloom_load/src/verdict/document.rs
@@ -5,7 +5,7 @@
 use super::IN_FORCE_MS;
 use super::Verdict;
 use crate::caller::Record;
-use crate::driver::What;
+use crate::event::What;
 
 /// Judges that nothing ran that was sent with a key long withdrawn.
 pub(super) fn withdrawn(evidence: &Evidence, arrivals: &Arrivals<'_>) -> Verdict {
--- a/chicoryloom_load/src/verdict/mod.rs
+++ b/chicoryloom_load/src/verdict/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::caller;
 use crate::caller::Record;
-use crate::driver::Event;
+use crate::event::Event;
 
 /// Time within which an accepted change must be in force, in milliseconds.
 pub(crate) const IN_FORCE_MS: f64 = 7000.0;
--- a/chicoryloom_load/src/verdict/shutdown.rs
+++ b/chicoryloom_load/src/verdict/shutdown.rs
@@ -5,8 +5,8 @@
 use super::Evidence;
 use super::Verdict;
 use crate::caller::End;
-use crate::driver::Change;
-use crate::driver::What;
+use crate::event::Change;
+use crate::event::What;
 
 /// Judges that no request broke at a host after it was told to end.
 pub(super) fn uncut(evidence: &Evidence) -> Verdict {
@@ -32,11 +32,16 @@
     verdict
 }
 
-/// Returns when the host was next killed, or the end of time.
+/// Returns the last time at which the host's process was known to run.
+///
+/// What is sent later finds no host, which the link between shows as a broken connection too.
 fn end(evidence: &Evidence, host: SocketAddr, after_ms: f64) -> f64 {
-    let killed = evidence.events.iter().find(|event| {
-        event.asked_ms > after_ms
-            && event.what == What::Host { address: host, change: Change::Killed }
+    let ended = evidence.events.iter().find(|event| {
+        let What::Host { address, change } = event.what else {
+            return false;
+        };
+        let ends = matches!(change, Change::Killed | Change::Ended);
+        address == host && ends && event.done_ms > after_ms
     });
-    killed.map_or(f64::INFINITY, |event| event.asked_ms)
+    ended.map_or(f64::INFINITY, |event| event.asked_ms)
 }
