Share a host's slots fairly among workspaces

Admitted requests now wait per workspace for the host's share of the slots, by start-time fair queueing over the grants' weights, and are refused at once when their deadline can't be met.

A deficit round robin was ruled out since light workspaces need many rounds.

--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -34,6 +34,7 @@
 use crate::peer;
 use crate::proxy::Listener;
 use crate::proxy::Proxy;
+use crate::queue::Slots;
 use crate::refusals::Refusals;
 use crate::run::Runs;
 use crate::store::HttpStore;
@@ -120,6 +121,7 @@
             published: published.clone(),
             grants: grants.clone(),
             runs: Runs::new(me.clone()),
+            slots: Arc::new(Slots::new(clock.clone())),
             targets: Targets::new(source, settings.proxy.connect_timeout),
             metrics: metrics.clone(),
             refusals: Refusals::default(),
--- a/chicoryloom/src/lib.rs
+++ b/chicoryloom/src/lib.rs
@@ -15,6 +15,7 @@
 pub(crate) mod metrics;
 pub(crate) mod peer;
 pub(crate) mod proxy;
+pub(crate) mod queue;
 pub(crate) mod refusals;
 pub(crate) mod run;
 pub(crate) mod store;
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -21,9 +21,12 @@
 
 use chicoryloom_policy::document::Document;
 use chicoryloom_policy::id;
+use chicoryloom_policy::unit::Weight;
 use chicoryloom_wire::caller::Code;
 use chicoryloom_wire::caller::Refusal;
+use chicoryloom_wire::header::DEADLINE_MS;
 use chicoryloom_wire::header::HOP;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -39,6 +42,10 @@
 use crate::locator;
 use crate::metrics::Labels;
 use crate::metrics::Metrics;
+use crate::queue;
+use crate::queue::Slot;
+use crate::queue::Slots;
+use crate::queue::Wish;
 use crate::refusals::Refusals;
 use crate::run::Runs;
 use crate::target::Body;
@@ -59,6 +66,7 @@
     pub(crate) published: Arc<Published>,
     pub(crate) grants: Arc<Grants>,
     pub(crate) runs: Runs,
+    pub(crate) slots: Arc<Slots>,
     pub(crate) targets: Targets,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) refusals: Refusals,
@@ -151,7 +159,7 @@
     /// Runs an admitted request.
     async fn run(
         &self,
-        request: Request<Body>,
+        mut request: Request<Body>,
         asked: &Asked,
         workspace: Option<id::Workspace>,
         started: Instant,
@@ -161,11 +169,39 @@
             workspace: workspace.clone(),
             class: asked.route.class.clone(),
         };
+        let slot = self.slot(&mut request, asked, workspace.as_ref(), started).await?;
         let response = self.attempt(request, asked, workspace).await?;
+        drop(slot);
         self.metrics.request(&labels, response.status().as_u16(), started.elapsed());
         Ok(response)
     }
 
+    /// Waits for a slot, and takes the wait off the time that is left for the request.
+    async fn slot(
+        &self,
+        request: &mut Request<Body>,
+        asked: &Asked,
+        workspace: Option<&id::Workspace>,
+        started: Instant,
+    ) -> Result<Slot, Refusal> {
+        let document = &asked.document;
+        let grant = workspace.and_then(|workspace| document.grants.get(workspace));
+        let homes = self.published.view().homes(&document.service).len();
+        let budget = request::budget(request.headers(), asked.route.deadline);
+        let wish = Wish {
+            service: document.service.clone(),
+            workspace: workspace.cloned().unwrap_or_else(queue::anonymous),
+            weight: grant.map_or(Weight(1), |grant| grant.weight),
+            room: queue::room(document, homes),
+            left: budget.saturating_sub(started.elapsed()),
+        };
+        let slot = self.slots.take(&wish).await?;
+        let left = budget.saturating_sub(started.elapsed()).as_millis();
+        let left = HeaderValue::from(u64::try_from(left).unwrap_or(u64::MAX));
+        request.headers_mut().insert(DEADLINE_MS, left);
+        Ok(slot)
+    }
+
     /// Refuses if the host may have missed a change.
     fn check_fresh(&self) -> Result<(), Refusal> {
         if self.published.is_fresh(self.clock.now()) {
--- a/chicoryloom/src/proxy/request.rs
+++ b/chicoryloom/src/proxy/request.rs
@@ -1,12 +1,14 @@
 //! What a caller asks for.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chicoryloom_policy::document::Document;
 use chicoryloom_policy::document::Route;
 use chicoryloom_policy::id;
 use chicoryloom_wire::caller::Code;
 use chicoryloom_wire::caller::Refusal;
+use chicoryloom_wire::header;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -134,6 +136,13 @@
     }
 }
 
+/// Returns the time that a request may take: its route's, or less if the caller says so.
+pub(super) fn budget(headers: &HeaderMap, route: Duration) -> Duration {
+    let value = headers.get(header::DEADLINE_MS).and_then(|value| value.to_str().ok());
+    let asked = value.and_then(|value| value.trim().parse().ok()).map(Duration::from_millis);
+    asked.map_or(route, |asked| asked.min(route))
+}
+
 /// Returns a number that differs by key, for turning the locator's order.
 pub(super) fn seed(headers: &HeaderMap) -> u64 {
     let key = key::shown(headers).ok().flatten();
--- /dev/null
+++ b/chicoryloom/src/queue.rs
@@ -0,0 +1,170 @@
+//! Slots of a service's targets on this host, shared fairly among workspaces.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::document::Document;
+use chicoryloom_policy::id;
+use chicoryloom_policy::queue::Entry;
+use chicoryloom_policy::queue::Queue;
+use chicoryloom_policy::queue::Ticket;
+use chicoryloom_policy::unit::Weight;
+use chicoryloom_wire::caller::Code;
+use chicoryloom_wire::caller::Refusal;
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+
+/// Requests in flight from all home hosts together, in slots of the targets.
+///
+/// Above one, so that slots don't idle while callers gather on some of the home hosts.
+const OVERCOMMIT: u32 = 2;
+
+/// Name under which requests without a key queue.
+const ANONYMOUS: &str = "open";
+
+/// Returns how many requests one of `homes` hosts may have in flight at a service's targets.
+pub(crate) fn room(document: &Document, homes: usize) -> u32 {
+    let live = document.targets.iter().filter(|target| !target.leaving);
+    let slots: u32 = live.map(|target| target.slots.0).sum();
+    let homes = u32::try_from(homes.max(1)).unwrap_or(u32::MAX);
+    slots.saturating_mul(OVERCOMMIT).div_ceil(homes).max(1)
+}
+
+/// Returns the name under which requests without a key queue, on open routes.
+pub(crate) fn anonymous() -> id::Workspace {
+    ANONYMOUS.parse().expect("the name is a valid one")
+}
+
+/// A request that wants a slot.
+#[derive(Clone, Debug)]
+pub(crate) struct Wish {
+    pub(crate) service: id::Service,
+    pub(crate) workspace: id::Workspace,
+    pub(crate) weight: Weight,
+    pub(crate) room: u32,
+    /// Time until the request's deadline.
+    pub(crate) left: Duration,
+}
+
+/// The queues of this host, by service.
+#[derive(Debug)]
+pub(crate) struct Slots {
+    clock: Arc<dyn Clock>,
+    lines: Mutex<HashMap<id::Service, Line>>,
+}
+
+#[derive(Debug, Default)]
+struct Line {
+    queue: Queue,
+    callers: HashMap<Ticket, oneshot::Sender<Slot>>,
+}
+
+/// A slot; it is given back when dropped.
+pub(crate) struct Slot {
+    slots: Arc<Slots>,
+    service: id::Service,
+    since: Moment,
+}
+
+impl fmt::Debug for Slot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Slot {{ {} since {} }}", self.service, self.since)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.slots.clock.now();
+        if let Some(line) = self.slots.lock().get_mut(&self.service) {
+            line.queue.leave(self.since, now);
+        }
+        self.slots.call(&self.service);
+    }
+}
+
+/// A place in a queue; it is given up when dropped.
+struct Place<'a> {
+    slots: &'a Slots,
+    service: &'a id::Service,
+    ticket: Ticket,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if let Some(line) = self.slots.lock().get_mut(self.service) {
+            line.queue.cancel(self.ticket);
+            line.callers.remove(&self.ticket);
+        }
+    }
+}
+
+impl Slots {
+    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+        Self { clock, lines: Mutex::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<id::Service, Line>> {
+        self.lines.lock().expect("no holder of the lock panics")
+    }
+
+    /// Waits for a slot for as long as the deadline can be met.
+    pub(crate) async fn take(self: &Arc<Self>, wish: &Wish) -> Result<Slot, Refusal> {
+        let Wish { service, workspace, weight, room, left } = wish;
+        let (ticket, called, patience) = {
+            let mut lines = self.lock();
+            let line = lines.entry(service.clone()).or_default();
+            match line.queue.enter(workspace, *weight, *room, *left) {
+                Entry::Go => return Ok(self.slot(service)),
+                Entry::Wait(ticket) => {
+                    let (caller, called) = oneshot::channel();
+                    line.callers.insert(ticket, caller);
+                    (ticket, called, left.saturating_sub(line.queue.service()))
+                }
+                Entry::Late(wait) => return Err(late(wait)),
+                Entry::Full(wait) => return Err(full(wait)),
+            }
+        };
+        // The room may have grown since the last call.
+        self.call(service);
+        let _place = Place { slots: self, service, ticket };
+        match tokio::time::timeout(patience, called).await {
+            Ok(Ok(slot)) => Ok(slot),
+            Ok(Err(_)) | Err(_) => Err(late(Duration::ZERO)),
+        }
+    }
+
+    fn slot(self: &Arc<Self>, service: &id::Service) -> Slot {
+        Slot { slots: self.clone(), service: service.clone(), since: self.clock.now() }
+    }
+
+    /// Hands free slots to those whose turn it is.
+    fn call(self: &Arc<Self>, service: &id::Service) {
+        while let Some(caller) = self.next(service) {
+            // A caller that is gone drops the slot, which then calls the next one.
+            let _ = caller.send(self.slot(service));
+        }
+    }
+
+    fn next(&self, service: &id::Service) -> Option<oneshot::Sender<Slot>> {
+        let mut lines = self.lock();
+        let line = lines.get_mut(service)?;
+        let ticket = line.queue.call()?;
+        line.callers.remove(&ticket)
+    }
+}
+
+fn late(wait: Duration) -> Refusal {
+    let detail = "the request would not get a slot before its deadline";
+    Refusal::not_run(Code::Deadline, detail).retry_after(wait)
+}
+
+fn full(wait: Duration) -> Refusal {
+    let detail = "too many requests of the workspace wait for a slot";
+    Refusal::not_run(Code::NoCapacity, detail).retry_after(wait)
+}
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod moment;
 pub mod pick;
 pub mod placement;
+pub mod queue;
 pub mod replay;
 pub mod retry;
 pub mod roster;
