--- a/chicoryloom_harness/tests/grants_limit.rs
+++ b/chicoryloom_harness/tests/grants_limit.rs
@@ -75,9 +75,9 @@
     let targets = vec![chicoryloom_standin::target::Switches { slots: 64, ..Default::default() }];
     let mut fleet = Fleet::start(Plan { targets, ..Plan::default() }).await.unwrap();
     let text = fleet.document("calendar", ROUTES, WORKSPACES);
-    let version = fleet.put_document(0, "calendar", 0, &text).await.unwrap();
+    fleet.put_document(0, "calendar", 0, &text).await.unwrap();
     let key = fleet.grant_key(0, "prairie").await.unwrap();
-    fleet.in_force(version + 1).await;
+    fleet.in_force(key.version).await;
 
     let counts = Arc::new(Counts::default());
     let end = Arc::new(AtomicBool::new(false));
@@ -130,9 +130,9 @@
     let targets = vec![chicoryloom_standin::target::Switches { slots: 64, ..Default::default() }];
     let fleet = Fleet::start(Plan { targets, ..Plan::default() }).await.unwrap();
     let text = fleet.document("calendar", ROUTES, WORKSPACES);
-    let version = fleet.put_document(0, "calendar", 0, &text).await.unwrap();
+    fleet.put_document(0, "calendar", 0, &text).await.unwrap();
     let key = fleet.grant_key(0, "prairie").await.unwrap();
-    fleet.in_force(version + 1).await;
+    fleet.in_force(key.version).await;
     let url = format!("http://{}/calendar/schedules", fleet.hosts[2].caller);
     let burst = async || {
         let mut requests = JoinSet::new();
--- a/chicoryloom_harness/tests/runs_once.rs
+++ b/chicoryloom_harness/tests/runs_once.rs
@@ -134,9 +134,9 @@
     let plan = Plan { targets, link_targets: true, ..Plan::default() };
     let mut fleet = Fleet::start(plan).await.unwrap();
     let text = fleet.document("calendar", ROUTES, WORKSPACES);
-    let version = fleet.put_document(0, "calendar", 0, &text).await.unwrap();
+    fleet.put_document(0, "calendar", 0, &text).await.unwrap();
     let key = fleet.grant_key(0, "prairie").await.unwrap();
-    fleet.in_force(version + 1).await;
+    fleet.in_force(key.version).await;
     let mut ports = Vec::new();
     for host in &fleet.hosts {
         let any = SocketAddr::new([127, 1, 0, 1].into(), 0);
