Bound the outcomes of all workspaces on a host together

Each workspace could keep 1 MiB of outcomes, so a host that serves a hundred of them could have kept more than its whole memory for control.

Outcomes of all workspaces together are bounded by 16 MiB; the workspace with the most loses its oldest first. Series are swept each minute while series are issued.

A test issues for 100 workspaces and checks the sum after each. Ruled out: a smaller bound per workspace, which would hurt a fleet with few workspaces.

--- a/chicoryloom_policy/src/run.rs
+++ b/chicoryloom_policy/src/run.rs
@@ -30,6 +30,10 @@
 pub const MAX_IN_FLIGHT: usize = 64;
 /// Bytes of outcomes held for one workspace.
 pub const MAX_OUTCOMES: usize = 1024 * 1024;
+/// Bytes of outcomes held for all workspaces together.
+pub const MAX_ALL_OUTCOMES: usize = 16 * 1024 * 1024;
+/// Time between two looks for series that have ended.
+const SWEEP: Duration = Duration::from_secs(60);
 /// Bytes that an outcome costs beside its content.
 const OUTCOME_COST: usize = 160;
 
@@ -209,12 +213,15 @@
     me: Holder,
     issued: u64,
     shelves: HashMap<id::Workspace, Shelf<T>>,
+    /// Bytes of all outcomes; at most [`MAX_ALL_OUTCOMES`].
+    bytes: usize,
+    swept: Moment,
 }
 
 impl<T: Clone> Registry<T> {
     /// Returns the empty registry of a new incarnation.
     pub fn new(me: Holder) -> Self {
-        Self { me, issued: 0, shelves: HashMap::new() }
+        Self { me, issued: 0, shelves: HashMap::new(), bytes: 0, swept: Moment::ZERO }
     }
 
     /// Issues a series to a caller of a workspace, who is known by the digest of its key.
@@ -228,10 +235,12 @@
         now: Moment,
     ) -> Series {
         self.issued += 1;
+        if now.since(self.swept) >= SWEEP {
+            self.expire(now);
+        }
         let shelf = self.shelves.entry(workspace.clone()).or_insert_with(Shelf::new);
-        shelf.expire(now);
         if shelf.series.len() >= MAX_SERIES {
-            shelf.drop_one();
+            self.bytes -= shelf.drop_one();
         }
         let record = Record {
             owner,
@@ -296,12 +305,27 @@
         };
         record.completed.insert(key.number);
         let bytes = bytes + OUTCOME_COST;
+        let before = shelf.bytes;
         shelf.keep((key.series.number, key.number), Outcome { fingerprint, value, bytes });
+        self.bytes = self.bytes - before + shelf.bytes;
+        self.shrink();
+    }
+
+    /// Forgets outcomes of the workspace with the most until all are within the bound.
+    fn shrink(&mut self) {
+        while self.bytes > MAX_ALL_OUTCOMES {
+            let largest = self.shelves.values_mut().max_by_key(|shelf| shelf.bytes);
+            let Some(freed) = largest.and_then(Shelf::forget_oldest) else {
+                return;
+            };
+            self.bytes -= freed;
+        }
     }
 
     /// Forgets series that have not been used for [`EXPIRY`].
     pub fn expire(&mut self, now: Moment) {
-        self.shelves.values_mut().for_each(|shelf| shelf.expire(now));
+        self.swept = now;
+        self.bytes -= self.shelves.values_mut().map(|shelf| shelf.expire(now)).sum::<usize>();
         self.shelves.retain(|_, shelf| !shelf.series.is_empty());
     }
 }
@@ -318,30 +342,33 @@
         self.bytes += outcome.bytes;
         self.outcomes.insert(name, outcome);
         self.ages.push_back(name);
-        while self.bytes > MAX_OUTCOMES {
-            let Some(oldest) = self.ages.pop_front() else {
-                return;
-            };
-            self.forget(oldest);
-        }
+        while self.bytes > MAX_OUTCOMES && self.forget_oldest().is_some() {}
     }
 
-    fn forget(&mut self, name: (u64, u64)) {
-        if let Some(outcome) = self.outcomes.remove(&name) {
-            self.bytes -= outcome.bytes;
-        }
+    /// Forgets the oldest outcome and returns its bytes.
+    fn forget_oldest(&mut self) -> Option<usize> {
+        let oldest = self.ages.pop_front()?;
+        Some(self.forget(oldest))
+    }
+
+    fn forget(&mut self, name: (u64, u64)) -> usize {
+        let freed = self.outcomes.remove(&name).map_or(0, |outcome| outcome.bytes);
+        self.bytes -= freed;
+        freed
     }
 
-    fn expire(&mut self, now: Moment) {
+    /// Drops the series that have ended and returns the bytes of their outcomes.
+    fn expire(&mut self, now: Moment) -> usize {
         let is_over =
             |record: &Record| now.since(record.used) >= EXPIRY && record.in_flight.is_empty();
         let over: Vec<_> =
             self.series.iter().filter(|(_, record)| is_over(record)).map(|(n, _)| *n).collect();
-        over.into_iter().for_each(|number| self.drop_series(number));
+        over.into_iter().map(|number| self.drop_series(number)).sum()
     }
 
-    /// Drops the least recently used series of the caller with the most.
-    fn drop_one(&mut self) {
+    /// Drops the least recently used series of the caller with the most, and returns the bytes of
+    /// its outcomes.
+    fn drop_one(&mut self) -> usize {
         let mut counts = HashMap::<id::Digest, usize>::new();
         for record in self.series.values() {
             *counts.entry(record.owner).or_default() += 1;
@@ -350,17 +377,16 @@
         let of_most = |record: &Record| most.is_some_and(|(owner, _)| owner == record.owner);
         let theirs = self.series.iter().filter(|(_, record)| of_most(record));
         let oldest = theirs.min_by_key(|(_, record)| (!record.in_flight.is_empty(), record.used));
-        if let Some(number) = oldest.map(|(number, _)| *number) {
-            self.drop_series(number);
-        }
+        let number = oldest.map(|(number, _)| *number);
+        number.map_or(0, |number| self.drop_series(number))
     }
 
-    fn drop_series(&mut self, number: u64) {
+    fn drop_series(&mut self, number: u64) -> usize {
         self.series.remove(&number);
         let (gone, kept): (VecDeque<_>, VecDeque<_>) =
             self.ages.drain(..).partition(|(series, _)| *series == number);
         self.ages = kept;
-        gone.into_iter().for_each(|name| self.forget(name));
+        gone.into_iter().map(|name| self.forget(name)).sum()
     }
 }
 
@@ -429,6 +455,26 @@
         assert_eq!(verdict, Verdict::Run);
     }
 
+    #[test]
+    fn all_workspaces_together_stay_within_the_bound() {
+        let (mut registry, _, service) = registry();
+        for n in 0..100 {
+            let workspace: id::Workspace = format!("workspace-{n}").parse().unwrap();
+            let now = Moment::from_millis(n * 10_000);
+            let series = registry.issue(&workspace, id::Digest::of("k"), &service, now);
+            for number in FIRST..FIRST + 12 {
+                let key = Key { series: series.clone(), number };
+                registry.begin(&workspace, &service, &key, print("a"), now);
+                registry.end(&workspace, &key, 0, 100_000);
+            }
+            let bytes: usize = registry.shelves.values().map(|shelf| shelf.bytes).sum();
+            assert_eq!(bytes, registry.bytes);
+            assert!(bytes <= MAX_ALL_OUTCOMES);
+        }
+        // Series end after ten minutes, and with them their workspaces.
+        assert!(registry.shelves.len() <= 67, "{} workspaces", registry.shelves.len());
+    }
+
     #[test]
     fn forgotten_numbers_never_run_again() {
         let (mut registry, workspace, service) = registry();
