--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 
 use chicoryloom_policy::id;
 use chicoryloom_policy::replay::Guard;
@@ -28,6 +29,7 @@
 use crate::peer;
 use crate::proxy::Listener;
 use crate::proxy::Proxy;
+use crate::refusals::Refusals;
 use crate::store::HttpStore;
 use crate::store::Store;
 use crate::target::Targets;
@@ -107,10 +109,13 @@
             grants: Grants::default(),
             targets: Targets::new(source, settings.proxy.connect_timeout),
             metrics: metrics.clone(),
+            refusals: Refusals::default(),
+            open: AtomicUsize::new(0),
         });
-        let listener = Listener::start(settings.listen.caller, proxy).await.map_err(|error| {
-            Error::Bind { step: "caller", address: settings.listen.caller, error }
-        })?;
+        let listener =
+            Listener::start(settings.listen.caller, proxy.clone()).await.map_err(|error| {
+                Error::Bind { step: "caller", address: settings.listen.caller, error }
+            })?;
 
         published.set_caller(listener.address());
 
@@ -139,12 +144,12 @@
         let mut admin_address = None;
         if let Some(address) = settings.listen.admin {
             let admin = Arc::new(Admin {
-                name: settings.host.name.clone(),
                 settings: settings.admin.clone(),
                 clock,
                 published: published.clone(),
                 store,
                 metrics,
+                proxy,
             });
             let started = admin::start(address, admin).await;
             let (address, task) =
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -3,12 +3,18 @@
 mod answer;
 mod attempt;
 mod body;
+mod form;
 mod forward;
 mod headers;
+pub(crate) mod key;
 mod listener;
+mod path;
 mod request;
+mod stream;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,6 +35,7 @@
 use crate::locator;
 use crate::metrics::Labels;
 use crate::metrics::Metrics;
+use crate::refusals::Refusals;
 use crate::target::Body;
 use crate::target::Targets;
 
@@ -48,22 +55,37 @@
     pub(crate) grants: Grants,
     pub(crate) targets: Targets,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) refusals: Refusals,
+    /// Connections of callers that are open.
+    pub(crate) open: AtomicUsize,
 }
 
 impl Proxy {
     /// Answers one request of a caller.
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
-        let answered = match Resource::of(request.uri()) {
-            Ok(Resource::Hosts { service }) => self.hosts(&request, &service),
-            Ok(Resource::Service { service, path }) => self.serve(request, service, path).await,
-            Err(refusal) => Err(refusal),
-        };
+        let origin = request::Origin::of(&request);
+        let answered = self.checked_answer(request).await;
         answered.unwrap_or_else(|refusal| {
             self.metrics.refusal(refusal.code);
+            let kind = origin.kind(&self.published.view(), refusal.code);
+            self.refusals.record(kind, &refusal, self.clock.now());
             answer::refuse(&refusal)
         })
     }
 
+    /// Returns how many connections of callers are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    async fn checked_answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+        form::check(&request, &self.settings)?;
+        match Resource::of(request.uri())? {
+            Resource::Hosts { service } => self.hosts(&request, &service),
+            Resource::Service { service, path } => self.serve(request, service, path).await,
+        }
+    }
+
     fn hosts(
         &self,
         request: &Request<Incoming>,
@@ -78,14 +100,14 @@
             // A host that may lack the document can't tell that there is none.
             self.check_fresh()?;
         }
-        let hosts =
-            hosts.ok_or_else(|| Refusal::not_run(Code::Route, format!("no service {service}")))?;
+        let unknown = || Refusal::not_run(Code::Route, "no service of this name");
+        let hosts = hosts.ok_or_else(unknown)?;
         Ok(answer::json(&hosts))
     }
 
     async fn serve(
         &self,
-        request: Request<Incoming>,
+        mut request: Request<Incoming>,
         service: id::Service,
         path: String,
     ) -> Result<Response<Body>, Refusal> {
@@ -93,6 +115,7 @@
         let view = self.published.view();
         self.check_fresh()?;
         let asked = Asked::new(&request, &view, service, path)?;
+        headers::strip_keys(request.headers_mut(), &view);
         if !view.homes(&asked.document.service).contains(&self.name) {
             return self.forward(request, &view, &asked).await;
         }
--- a/chicoryloom_dev/src/fleet.rs
+++ b/chicoryloom_dev/src/fleet.rs
@@ -25,7 +25,7 @@
 /// Operator token of the fleet.
 const TOKEN: &str = "operator";
 /// Key of the workspace.
-const KEY: &str = "try-me";
+const KEY: &str = "prairie-trial-key";
 /// Pause between two looks at whether the fleet serves.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -159,7 +159,7 @@
         "listen": { "caller": any, "peer": any, "admin": any },
         "platform": { "url": format!("http://{platform}") },
         "peers": { "secret": "development" },
-        "admin": { "tokens": [TOKEN] },
+        "admin": { "tokens": [{ "name": "newcomer", "token": TOKEN }] },
         "log": { "level": "warn" },
     });
     let parsed = yaml::parse::<chicoryloom_wire::generated::settings::Settings>(&text.to_string())?;
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -6,12 +6,15 @@
 
 pub mod document;
 pub mod freshness;
+pub mod health;
+pub mod holdback;
 pub mod id;
 pub mod limit;
 pub mod moment;
 pub mod pick;
 pub mod placement;
 pub mod replay;
+pub mod retry;
 pub mod roster;
 pub mod unit;
 
