--- a/chicoryloom/src/control/actor.rs
+++ b/chicoryloom/src/control/actor.rs
@@ -15,6 +15,7 @@
 use chicoryloom_wire::generated::frame::Pull;
 use chicoryloom_wire::platform::Changes;
 use chicoryloom_wire::platform::Host;
+use chicoryloom_wire::platform::Kind;
 use xtra::prelude::*;
 
 use super::Published;
@@ -23,6 +24,7 @@
 use super::peers::Peers;
 use super::report::Known;
 use super::report::Standing;
+use super::roster::NAME;
 use super::view::View;
 use super::watch::Duty;
 use crate::clock::Clock;
@@ -35,6 +37,9 @@
 /// Heartbeats that a new host waits for others before the platform alone confirms its state.
 const HEARTBEATS_TO_JOIN: u32 = 2;
 
+/// Older answers in a row that show more than a change on its way.
+const DOUBTS: u32 = 3;
+
 /// What the control actor works with.
 #[derive(Clone, Debug)]
 pub(crate) struct Setup {
@@ -71,6 +76,10 @@
     platform: Option<Moment>,
     /// Revision of a platform that shows an older state than the fleet holds.
     reverted: Option<id::Revision>,
+    /// Older answers of the platform in a row.
+    doubts: u32,
+    /// Version of the status that the platform was last seen to hold.
+    platform_status: id::Revision,
     /// When this host first knew a roster.
     joined: Option<Moment>,
 }
@@ -91,6 +100,8 @@
             held: VecDeque::new(),
             platform: None,
             reverted: None,
+            doubts: 0,
+            platform_status: id::Revision::default(),
             joined: None,
         }
     }
@@ -112,7 +123,21 @@
 
     /// Tells whether the platform confirmed this host's state within the window.
     pub(super) fn reaches_platform(&self, now: Moment) -> bool {
-        self.platform.is_some_and(|moment| now < moment.after(self.setup.window))
+        let recent = |moment: Moment| now < moment.after(self.setup.window);
+        self.reverted.is_none() && self.platform.is_some_and(recent)
+    }
+
+    /// Returns the version of the status that this host holds.
+    pub(super) fn status_held(&self) -> id::Revision {
+        let status = self.objects.get(Kind::Status, NAME);
+        status.map(|object| object.version).unwrap_or_default()
+    }
+
+    /// Drops all objects of a host that never was fresh.
+    fn forget(&mut self) {
+        self.objects = Objects::default();
+        self.view = View { hosts: self.view.hosts.clone(), ..View::default() };
+        self.held.clear();
     }
 
     /// Applies changes and publishes what came of them; tells whether the revision grew.
@@ -210,6 +235,7 @@
             echo,
             vouched: if self.reaches_platform(now) { vouched } else { 0 },
             revision: self.objects.revision().0,
+            status: self.status_held().0,
             confirmed: self.confirmed,
             leaving: self.setup.published.is_leaving(),
             serving: self.setup.published.is_serving(now),
@@ -263,15 +289,15 @@
 
     async fn handle(&mut self, learned: Learned, _: &mut Context<Self>) -> bool {
         let Learned { changes, asked } = learned;
-        let reached = changes.revision;
-        let held = self.objects.revision().max(self.peers.peak());
-        if reached < held && !changes.more {
-            if self.reverted.is_none() {
-                log::warn!("control: the platform shows revision {reached}, the fleet {held}");
+        if self.has_reverted(&changes) {
+            self.doubts += 1;
+            if self.doubts == DOUBTS {
+                log::warn!("control: the platform shows an older state than the fleet holds");
             }
-            self.reverted = Some(reached);
+            self.reverted = (self.doubts >= DOUBTS).then_some(changes.revision);
             return false;
         }
+        self.doubts = 0;
         self.reverted = None;
         let complete = !changes.more;
         let grew = self.apply(changes);
@@ -289,6 +315,19 @@
 }
 
 impl Control {
+    /// Tells whether the platform lacks what this host or any peer holds.
+    ///
+    /// A platform that went back and grew again shows it by its status, which the fleet writes
+    /// only on top of the version that it holds.
+    fn has_reverted(&mut self, changes: &Changes) -> bool {
+        let statuses = changes.objects.iter().filter(|object| object.kind == Kind::Status);
+        let shown = statuses.map(|object| object.version).max().unwrap_or_default();
+        self.platform_status = self.platform_status.max(shown);
+        let status = self.status_held().max(self.peers.peak_status());
+        let revision = self.objects.revision().max(self.peers.peak());
+        self.platform_status < status || (changes.revision < revision && !changes.more)
+    }
+
     /// Tells whether the platform alone may confirm this host's state.
     ///
     /// A new host first gives the others time to show that the platform has gone back.
@@ -300,6 +339,18 @@
     }
 }
 
+/// The version of the status at the platform.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Marked(pub(crate) id::Revision);
+
+impl Handler<Marked> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, Marked(version): Marked, _: &mut Context<Self>) {
+        self.platform_status = version;
+    }
+}
+
 /// The platform's list of hosts.
 #[derive(Debug)]
 pub(crate) struct Listed(pub(crate) Vec<Host>);
@@ -318,7 +369,9 @@
 #[derive(Debug)]
 pub(crate) struct Pulled {
     pub(crate) changes: Changes,
-    /// Whether a further page is to follow.
+    /// Whether they begin a whole copy.
+    pub(crate) first: bool,
+    /// Whether the pull has ended.
     pub(crate) last: bool,
 }
 
@@ -327,6 +380,10 @@
 
     async fn handle(&mut self, pulled: Pulled, _: &mut Context<Self>) {
         self.pulling &= !pulled.last;
+        if pulled.first && !self.confirmed {
+            // What the platform gave out before may belong to a history that was lost.
+            self.forget();
+        }
         self.apply(pulled.changes);
         self.publish_freshness();
     }
--- a/chicoryloom/src/control/heard.rs
+++ b/chicoryloom/src/control/heard.rs
@@ -66,17 +66,20 @@
         let now = self.now();
         let changed = self.peers.hear(&frame.sender, source, heartbeat, now);
         let revision = id::Revision(heartbeat.revision);
+        // Nobody can write the status of a platform that has gone back and grown again, so a
+        // later status tells a longer history where revisions don't.
+        let same_history = id::Revision(heartbeat.status) <= self.status_held();
         if heartbeat.echo > 0 {
             let answer = Answer {
                 incarnation: frame.incarnation,
                 challenged: moment(heartbeat.echo),
                 heard: now,
                 revision,
-                confirmed: heartbeat.confirmed,
+                confirmed: heartbeat.confirmed && same_history,
             };
             self.tracker.hear(frame.sender.clone(), answer);
         }
-        let covered = revision <= self.objects.revision();
+        let covered = revision <= self.objects.revision() && same_history;
         if heartbeat.vouched > 0 && covered {
             self.tracker.confirm(moment(heartbeat.vouched));
         }
@@ -85,12 +88,12 @@
         }
         self.publish_freshness();
         if !covered {
-            self.pull(&frame.sender, context);
+            self.pull(&frame.sender, revision, context);
         }
     }
 
     /// Starts to pull what a peer holds and this host lacks.
-    fn pull(&mut self, peer: &id::Host, context: &mut Context<Self>) {
+    fn pull(&mut self, peer: &id::Host, revision: id::Revision, context: &mut Context<Self>) {
         let Some(host) = self.view.roster.hosts.get(peer).filter(|_| !self.pulling) else {
             return;
         };
@@ -99,7 +102,10 @@
         };
         self.pulling = true;
         let puller = self.setup.puller.clone();
-        let (address, since) = (host.peer, self.objects.revision());
+        let held = self.objects.revision();
+        // A host of another history may hold wrong objects at any version.
+        let since = if revision > held { held } else { id::Revision::default() };
+        let address = host.peer;
         tokio::spawn(async move { puller.pull(address, since, &control).await });
     }
 }
--- a/chicoryloom/src/control/mod.rs
+++ b/chicoryloom/src/control/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) use actor::Control;
 pub(crate) use actor::Learned;
 pub(crate) use actor::Listed;
+pub(crate) use actor::Marked;
 pub(crate) use actor::Pulled;
 pub(crate) use actor::Setup;
 pub(crate) use actor::Tick;
--- a/chicoryloom/src/control/peers.rs
+++ b/chicoryloom/src/control/peers.rs
@@ -24,6 +24,8 @@
     /// Latest challenge that arrived before the platform was asked.
     vouched: u64,
     revision: id::Revision,
+    /// Version of the status that it holds.
+    status: id::Revision,
     leaving: bool,
     serving: bool,
     /// Address for callers, if it isn't the one of the roster.
@@ -52,6 +54,7 @@
             challenges: VecDeque::new(),
             vouched: 0,
             revision: id::Revision::default(),
+            status: id::Revision::default(),
             leaving: false,
             serving: false,
             caller: None,
@@ -64,6 +67,7 @@
             peer.challenges.pop_front();
         }
         peer.revision = id::Revision(heartbeat.revision);
+        peer.status = id::Revision(heartbeat.status);
         if heartbeat.vouched > 0 {
             peer.vouch = Some(now);
         }
@@ -105,6 +109,11 @@
         self.0.values().map(|peer| peer.revision).max().unwrap_or_default()
     }
 
+    /// Returns the latest version of the status that any peer holds.
+    pub(super) fn peak_status(&self) -> id::Revision {
+        self.0.values().map(|peer| peer.status).max().unwrap_or_default()
+    }
+
     /// Tells whether a peer vouched for this host within a window.
     pub(super) fn has_voucher(&self, now: Moment, window: Duration) -> bool {
         self.0.values().any(|peer| peer.vouch.is_some_and(|vouch| now < vouch.after(window)))
--- a/chicoryloom/src/control/watch.rs
+++ b/chicoryloom/src/control/watch.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use chicoryloom_policy::id;
+use chicoryloom_wire::platform::Kind;
 use rand::Rng;
 use xtra::Address;
 
 use super::Control;
 use super::Learned;
 use super::Listed;
+use super::Marked;
 use super::Published;
+use super::roster::NAME;
 use crate::clock::Clock;
 use crate::store::Error;
 use crate::store::Store;
@@ -23,8 +26,8 @@
 const FLEET_TRY: Duration = Duration::from_millis(100);
 /// How often a host that rests looks at its duty.
 const DUTY_CHECK: Duration = Duration::from_millis(100);
-/// Rounds of watching between two looks at the host list.
-const ROUNDS_PER_LIST: u32 = 2;
+/// Rounds of watching between two looks at the host list, and at the status.
+const ROUNDS_PER_LOOK: u32 = 2;
 
 /// What a host has to do about the platform.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -87,7 +90,7 @@
         if watch.published.duty() == Duty::Rest {
             continue;
         }
-        match watch.round(&mut cursor, wait, rounds % ROUNDS_PER_LIST == 0).await {
+        match watch.round(&mut cursor, wait, rounds).await {
             Ok(true) => pause = MIN_PAUSE,
             Ok(false) => pause = back_off(pause).await,
             Err(error) => {
@@ -105,11 +108,16 @@
         &self,
         cursor: &mut id::Revision,
         wait: Duration,
-        list: bool,
+        number: u32,
     ) -> Result<bool, Error> {
-        if list {
+        // A gone actor ends the loop of the caller.
+        if number == 0 || number % ROUNDS_PER_LOOK == 1 {
+            let status = self.store.get(Kind::Status, NAME).await?;
+            let version = status.map(|object| object.version).unwrap_or_default();
+            let _ = self.control.send(Marked(version)).await;
+        }
+        if number.is_multiple_of(ROUNDS_PER_LOOK) {
             let hosts = self.store.hosts().await?;
-            // A gone actor ends the loop of the caller.
             let _ = self.control.send(Listed(hosts)).await;
         }
         let asked = self.clock.now();
--- a/chicoryloom/src/peer/stream.rs
+++ b/chicoryloom/src/peer/stream.rs
@@ -89,7 +89,7 @@
         }
         let changes = Changes { more: true, ..Changes::default() };
         // A gone actor means that the host shuts down.
-        let _ = control.send(Pulled { changes, last: true }).await;
+        let _ = control.send(Pulled { changes, first: false, last: true }).await;
     }
 
     async fn pull_pages(
@@ -99,12 +99,14 @@
         control: &Address<Control>,
     ) -> Result<(), Error> {
         let mut stream = within(self.connect(peer)).await?;
+        let mut first = since == id::Revision::default();
         loop {
             let changes = within(self.ask(&mut stream, since)).await?;
             let more = changes.more;
             since = changes.revision;
             // A gone actor means that the host shuts down.
-            let _ = control.send(Pulled { changes, last: false }).await;
+            let _ = control.send(Pulled { changes, first, last: false }).await;
+            first = false;
             if !more {
                 return Ok(());
             }
--- a/chicoryloom_harness/src/fleet.rs
+++ b/chicoryloom_harness/src/fleet.rs
@@ -90,6 +90,8 @@
 pub struct Granted {
     pub key: String,
     pub digest: String,
+    /// Version of the key's object; the fleet's own writes may lie between it and others.
+    pub version: u64,
 }
 
 /// A running fleet.
--- a/chicoryloom_harness/tests/admin.rs
+++ b/chicoryloom_harness/tests/admin.rs
@@ -88,7 +88,9 @@
     }
     let misnamed = call(&fleet, 0, Method::PUT, "/v1/documents/library", &text).await;
     assert_eq!(misnamed.status(), 422);
-    assert_eq!(fleet.platform_counts().await.unwrap().writes, 0, "a refused edit was written");
+    let changes = format!("http://{}/v1/changes?since=0", fleet.platform.address("listen"));
+    let changes = fleet.client().get(changes).send().await.unwrap().text().await.unwrap();
+    assert!(!changes.contains("\"documents\""), "a refused edit was written: {changes}");
 
     let unknown = format!("{text}flor: 1\n");
     let checked = call(&fleet, 0, Method::POST, "/v1/check", &unknown).await;
@@ -185,9 +187,9 @@
     let fleet = small_fleet(1).await;
     let text = fleet.document("calendar", ROUTES, WORKSPACES);
     let leaving = text.replacen("slots: 2", "leaving: true, slots: 2", 1);
-    let version = fleet.put_document(0, "calendar", 0, &leaving).await.unwrap();
+    fleet.put_document(0, "calendar", 0, &leaving).await.unwrap();
     let granted = fleet.grant_key(0, "prairie").await.unwrap();
-    fleet.in_force(version + 1).await;
+    fleet.in_force(granted.version).await;
     let url = format!("http://{}/calendar/a", fleet.hosts[0].caller);
     until("the workspace is refused past its rate", async || {
         let answer = fleet.client().get(&url).bearer_auth(&granted.key).send().await.unwrap();
--- a/chicoryloom_harness/tests/edge/support.rs
+++ b/chicoryloom_harness/tests/edge/support.rs
@@ -46,9 +46,9 @@
     }
 
     async fn serve(fleet: Fleet, text: &str) -> Self {
-        let version = fleet.put_document(0, "calendar", 0, text).await.unwrap();
+        fleet.put_document(0, "calendar", 0, text).await.unwrap();
         let granted = fleet.grant_key(0, "prairie").await.unwrap();
-        fleet.in_force(version + 1).await;
+        fleet.in_force(granted.version).await;
         let edge = Self { fleet, key: granted.key };
         until("the workspace's bucket fills", async || {
             let url = edge.url("/ready");
--- a/chicoryloom_harness/tests/path.rs
+++ b/chicoryloom_harness/tests/path.rs
@@ -12,9 +12,9 @@
 async fn request_reaches_a_target_and_foreign_key_does_not() {
     let fleet = Fleet::start(Plan::default()).await.unwrap();
     let text = fleet.document("calendar", ROUTES, WORKSPACES);
-    let version = fleet.put_document(0, "calendar", 0, &text).await.unwrap();
+    fleet.put_document(0, "calendar", 0, &text).await.unwrap();
     let key = fleet.grant_key(0, "prairie").await.unwrap();
-    fleet.in_force(version + 1).await;
+    fleet.in_force(key.version).await;
 
     let locator = format!("http://{}/chicory/v1/hosts?service=calendar", fleet.hosts[0].caller);
     let hosts: Value = fleet.client().get(locator).send().await.unwrap().json().await.unwrap();
--- a/chicoryloom_wire/src/frame.rs
+++ b/chicoryloom_wire/src/frame.rs
@@ -168,6 +168,7 @@
             leaving: false,
             revision: 12,
             serving: true,
+            status: 11,
             vouched: 0,
         };
         Frame {
--- a/chicoryloom_wire/tests/frames.rs
+++ b/chicoryloom_wire/tests/frames.rs
@@ -23,6 +23,7 @@
             challenge: numbers[0],
             echo: numbers[1],
             revision: numbers[2],
+            status: numbers[2],
             vouched: numbers[3],
             confirmed: flags[0],
             leaving: flags[1],
