--- a/chicoryloom/src/control/actor.rs
+++ b/chicoryloom/src/control/actor.rs
@@ -325,7 +325,11 @@
         self.platform_status = self.platform_status.max(shown);
         let status = self.status_held().max(self.peers.peak_status());
         let revision = self.objects.revision().max(self.peers.peak());
-        self.platform_status < status || (changes.revision < revision && !changes.more)
+        // All up to the own revision is held, so another status there is another history.
+        let held = self.platform_status <= self.objects.revision();
+        let foreign = held && self.platform_status != self.status_held();
+        let behind = changes.revision < revision && !changes.more;
+        foreign || behind || self.platform_status < status
     }
 
     /// Tells whether the platform alone may confirm this host's state.
--- a/chicoryloom_harness/tests/state/outage.rs
+++ b/chicoryloom_harness/tests/state/outage.rs
@@ -38,6 +38,17 @@
     case.fleet.platform_counts().await.unwrap().writes
 }
 
+impl Case {
+    /// Returns the version of the key's object at the platform.
+    async fn key_version(&self) -> u64 {
+        let platform = self.fleet.platform.address("listen");
+        let url = format!("http://{platform}/v1/objects/keys/{}", self.key.digest);
+        let object: Value =
+            self.fleet.client().get(url).send().await.unwrap().json().await.unwrap();
+        object["version"].as_u64().unwrap()
+    }
+}
+
 #[tokio::test]
 async fn host_that_finds_nobody_serves_nothing() {
     let mut case = Case::start(2).await;
@@ -61,6 +72,12 @@
     case.platform_post("save").await;
     case.withdraw(0).await;
     case.assert_withdrawn().await;
+    // What was not accepted yet may be lost with the platform.
+    until("the withdrawal is accepted", async || {
+        let accepted = case.state(0).await["accepted"].as_u64();
+        accepted >= Some(case.key_version().await)
+    })
+    .await;
     case.platform_post("restore").await;
     until("the status reports it", async || {
         let states = [case.state(0).await, case.state(1).await, case.state(2).await];
--- a/chicoryloom_policy/tests/health.rs
+++ b/chicoryloom_policy/tests/health.rs
@@ -14,6 +14,7 @@
 use chicoryloom_policy::health::Outcome;
 use chicoryloom_policy::health::Report;
 use chicoryloom_policy::health::Reports;
+use chicoryloom_policy::health::Score;
 use chicoryloom_policy::health::Standing;
 use chicoryloom_policy::id;
 use chicoryloom_policy::unit::Connections;
@@ -114,7 +115,7 @@
 #[case::late(Outcome::Late)]
 fn only_the_sick_target_is_ejected(#[case] sick: Outcome) {
     let mut bench = Bench::new(Detection::Sequential, 5, 2);
-    bench.run(20, |target, _| if target == 3 { sick } else { ok(5) });
+    bench.run(60, |target, _| if target == 3 { sick } else { ok(5) });
     assert_eq!(bench.out(0), [3]);
     assert_eq!(bench.out(1), [3]);
 }
@@ -196,7 +197,7 @@
     let report = Report {
         target: address(1),
         route: Some("route-0".parse().unwrap()),
-        score: 1000.0,
+        score: Score { failed: 1000.0, ..Score::default() },
         draining: false,
     };
     let reports = Reports { seen: 4, reports: vec![report] };
@@ -364,7 +365,7 @@
                     let report = Report {
                         target: address(t),
                         route: Some(format!("route-{r}").parse().unwrap()),
-                        score: 30.0,
+                        score: Score { failed: 30.0, slow: 30.0, slow_for: Duration::from_secs(9) },
                         draining: false,
                     };
                     let reports = Reports { seen: 3, reports: vec![report] };
