--- a/chicoryloom/src/control/view.rs
+++ b/chicoryloom/src/control/view.rs
@@ -13,6 +13,7 @@
 
 use super::roster;
 use super::roster::Roster;
+use crate::grant::Stored;
 
 /// Why the latest version of an object is not in force.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -31,6 +32,8 @@
     /// A change that gives, such as a share taken over, binds once its version is accepted.
     pub(crate) accepted: id::Revision,
     pub(crate) documents: HashMap<id::Service, Arc<Document>>,
+    /// Division of the grants by service.
+    pub(crate) ledgers: HashMap<id::Service, Arc<Stored>>,
     /// Versions of the documents in force.
     pub(crate) versions: HashMap<id::Service, id::Revision>,
     /// Documents whose latest version can't be read; the last good one is in force.
--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 
 use chicoryloom_policy::id;
+use chicoryloom_policy::ledger::Holder;
 use chicoryloom_policy::replay::Guard;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -27,11 +28,15 @@
 use crate::control::Tick;
 use crate::control::Watch;
 use crate::grant::Grants;
+use crate::grant::Keeper;
+use crate::grant::Lender;
 use crate::metrics::Metrics;
 use crate::peer;
 use crate::proxy::Listener;
 use crate::proxy::Proxy;
+use crate::queue::Slots;
 use crate::refusals::Refusals;
+use crate::run::Runs;
 use crate::store::HttpStore;
 use crate::store::Store;
 use crate::target::Share;
@@ -69,6 +74,7 @@
     listener: Arc<Listener>,
     published: Arc<Published>,
     settings: Settings,
+    keeper: Keeper,
     /// Keeps the control actor alive.
     _control: Address<Control>,
     tasks: Vec<JoinHandle<()>>,
@@ -85,11 +91,16 @@
         let store: Arc<dyn Store> = Arc::new(store);
         let (socket, stream, peer_address) = bind_peer(settings.listen.peer).await?;
 
+        let incarnation = id::Incarnation(rand::random());
+        let me = Holder { host: settings.host.name.clone(), incarnation };
+        let policy = settings.policy;
+        let (grants, shorts) = Grants::new(me.clone(), policy.division, policy.fresh_window);
+        let grants = Arc::new(grants);
         let sender = peer::Sender::new(
             socket.clone(),
             settings.peers.secret.clone(),
             settings.host.name.clone(),
-            id::Incarnation(rand::random()),
+            incarnation,
             metrics.clone(),
         );
         let targets = Arc::new(Targets::new(
@@ -122,7 +133,9 @@
             settings: settings.proxy,
             clock: clock.clone(),
             published: published.clone(),
-            grants: Grants::default(),
+            grants: grants.clone(),
+            runs: Runs::new(me.clone()),
+            slots: Arc::new(Slots::new(clock.clone())),
             targets: targets.clone(),
             metrics: metrics.clone(),
             refusals: Refusals::default(),
@@ -151,15 +164,24 @@
             published: published.clone(),
             wait: settings.policy.heartbeat * HEARTBEATS_PER_WAIT,
         };
+        let lender = Lender {
+            grants: grants.clone(),
+            published: published.clone(),
+            clock: clock.clone(),
+            sender: sender.clone(),
+        };
         let seeds = settings.peers.seeds.clone();
         let mut tasks = vec![
-            tokio::spawn(receive(receiver, control.clone(), targets)),
+            tokio::spawn(receive(receiver, control.clone(), lender.clone(), targets)),
             tokio::spawn(share.run()),
+            tokio::spawn(lender.lend(shorts)),
+            tokio::spawn(keeper(&grants, &published, &clock, &store).run()),
             tokio::spawn(peer::serve(stream, sender, control.clone())),
             tokio::spawn(tick(control.clone(), settings.policy.heartbeat)),
             tokio::spawn(control::watch(watch)),
             tokio::spawn(control::join(seeds, puller, published.clone(), control.clone())),
         ];
+        let keeper = keeper(&grants, &published, &clock, &store);
         let mut admin_address = None;
         if let Some(address) = settings.listen.admin {
             let admin = Arc::new(Admin {
@@ -184,6 +206,7 @@
             listener,
             published,
             settings,
+            keeper,
             _control: control,
             tasks,
         })
@@ -220,7 +243,9 @@
     /// The host serves on for as long as callers may keep a locator answer that names it.
     pub async fn shutdown(self) {
         self.published.leave();
-        tokio::time::sleep(self.settings.proxy.max_age).await;
+        // Seats are given up first; the host then admits by loans and hands requests on.
+        let serve_on = tokio::time::sleep(self.settings.proxy.max_age);
+        tokio::join!(serve_on, self.keeper.release());
         self.listener.close().await;
         for task in self.tasks {
             task.abort();
@@ -283,12 +308,32 @@
     Err(failed(io::ErrorKind::AddrInUse.into()))
 }
 
-async fn receive(receiver: peer::Receiver, control: Address<Control>, targets: Arc<Targets>) {
+fn keeper(
+    grants: &Arc<Grants>,
+    published: &Arc<Published>,
+    clock: &Arc<dyn Clock>,
+    store: &Arc<dyn Store>,
+) -> Keeper {
+    Keeper {
+        grants: grants.clone(),
+        published: published.clone(),
+        clock: clock.clone(),
+        store: store.clone(),
+    }
+}
+
+async fn receive(
+    receiver: peer::Receiver,
+    control: Address<Control>,
+    lender: Lender,
+    targets: Arc<Targets>,
+) {
     let take = move |heard: Heard| {
         let control = control.clone();
+        let lender = lender.clone();
         let taken = heard.proven && targets.hear(&heard.frame);
         async move {
-            if taken {
+            if taken || lender.hear(&heard.frame).await {
                 return;
             }
             // A gone actor means that the host shuts down.
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -45,7 +45,7 @@
     pub(super) payload: Payload,
     pub(super) fingerprint: Fingerprint,
     pub(super) deadline: Instant,
-    /// Whether the deadline is the route's and not an earlier one of the caller.
+    /// Whether the deadline leaves a target at least half of the route's time.
     pub(super) is_route_deadline: bool,
     /// Whether a target may have run the request already.
     pub(super) may_have_run: AtomicBool,
--- a/chicoryloom/src/proxy/attempts.rs
+++ b/chicoryloom/src/proxy/attempts.rs
@@ -2,23 +2,19 @@
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
 use chicoryloom_wire::caller::Code;
 use chicoryloom_wire::caller::Refusal;
 use chicoryloom_wire::caller::Run;
-use chicoryloom_wire::header;
 use futures::future::Either;
 use futures::future::select;
-use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::Uri;
 use http::Version;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::Proxy;
@@ -43,13 +39,13 @@
     /// Sends a request to a target, or to several in turn, and returns the answer.
     pub(super) async fn attempt(
         &self,
-        request: Request<Incoming>,
+        request: Request<Body>,
         view: &View,
         asked: &Asked,
         workspace: Option<id::Workspace>,
     ) -> Result<Response<Body>, Refusal> {
         let started = Instant::now();
-        let budget = budget(request.headers(), asked.route.deadline);
+        let budget = super::request::budget(request.headers(), asked.route.deadline);
         let deadline = started + budget;
         let place = Place::of(view, &asked.document.service, &self.name);
         let service = self.targets.service(&asked.document, place);
@@ -73,7 +69,7 @@
             payload,
             fingerprint,
             deadline,
-            is_route_deadline: budget == asked.route.deadline,
+            is_route_deadline: budget * 2 >= asked.route.deadline,
             may_have_run: AtomicBool::new(false),
         };
         let answer = job.run().await?;
@@ -83,8 +79,8 @@
         Ok(response)
     }
 
-    async fn payload(&self, body: Incoming, deadline: Instant) -> Result<Payload, Refusal> {
-        let read = Payload::read(body, self.settings.body_bytes, self.settings.idle_timeout);
+    async fn payload(&self, body: Body, deadline: Instant) -> Result<Payload, Refusal> {
+        let read = Payload::read(body);
         match tokio::time::timeout_at(deadline, read).await {
             Ok(Ok(payload)) => Ok(payload),
             Ok(Err(error)) => Err(Refusal::not_run(Code::Bound, error.to_string())),
@@ -93,13 +89,6 @@
     }
 }
 
-/// Returns the time that is left for a request: the route's, or less if the caller says so.
-fn budget(headers: &HeaderMap, route: Duration) -> Duration {
-    let value = headers.get(header::DEADLINE_MS).and_then(|value| value.to_str().ok());
-    let asked = value.and_then(|value| value.trim().parse().ok()).map(Duration::from_millis);
-    asked.map_or(route, |asked| asked.min(route))
-}
-
 impl Job<'_> {
     /// Sends the request until a target answers or nothing more may be tried.
     async fn run(&self) -> Result<Answer, Refusal> {
--- a/chicoryloom/src/proxy/payload.rs
+++ b/chicoryloom/src/proxy/payload.rs
@@ -4,7 +4,6 @@
 use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -12,10 +11,8 @@
 use http_body_util::Full;
 use hyper::body::Body as _;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
-use super::body;
 use crate::target::Body;
 use crate::target::BodyError;
 
@@ -43,16 +40,11 @@
 
 impl Payload {
     /// Reads a body's beginning.
-    pub(super) async fn read(
-        body: Incoming,
-        bound: u64,
-        idle: Duration,
-    ) -> Result<Self, BodyError> {
+    pub(super) async fn read(mut body: Body) -> Result<Self, BodyError> {
         let sized = body.size_hint().exact().is_some();
         if body.is_end_stream() {
             return Ok(Self { head: Bytes::new(), sized, rest: Rest::None });
         }
-        let mut body = body::bounded(body, bound, idle);
         let mut head = BytesMut::new();
         while head.len() <= MAX_HELD {
             let Some(frame) = body.frame().await else {
