Prove that a refusal reaches a caller that is still sending

Cause: with the lingering close taken out on a trial, all tests at the edge still passed; the client of the tests reads answers while it sends.

Change: a test sends 8 MB of an announced body that is too long before it reads, and must find the whole refusal.

Seen: without the lingering close it fails with a broken pipe, with it it passes.

--- a/chicoryloom_harness/tests/edge/bound.rs
+++ b/chicoryloom_harness/tests/edge/bound.rs
@@ -37,6 +37,17 @@
     assert!(!runs.iter().any(|run| run.path == "/announced"));
 }
 
+/// A close with unread bytes would reset the connection and take the refusal with it.
+#[tokio::test]
+async fn refusal_reaches_a_caller_that_sends_its_whole_body_first() {
+    let edge = Edge::start("proxy: { body_bytes: 100000 }", ROUTES).await;
+    let body = "x".repeat(8_000_000);
+    let headers = format!("host: h\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let answer = edge.raw("POST /calendar/whole HTTP/1.1", &headers).await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(answer.contains("chicory-run: not-run"), "{answer}");
+}
+
 #[tokio::test]
 async fn body_that_passes_the_bound_midway_is_unknown() {
     let edge = Edge::start("proxy: { body_bytes: 100000 }", ROUTES).await;
