Give the newcomer's workspace a bucket that fills at once

Cause: with the divided grants, test printed_calls_work failed once: the third printed call was answered 429, since every bucket starts empty and the eight calls that the program waits for had used what had come in.

Change: the document of chicoryloom-dev grants 1,000 a second and a burst of 2,000, so that half a second fills a share far past what a newcomer pastes. The test is as it was.

Left: a fleet whose limits are small refuses within the rate right after a start; that is the limits' matter, not the edge's.

--- a/chicoryloom_dev/src/fleet.rs
+++ b/chicoryloom_dev/src/fleet.rs
@@ -34,7 +34,7 @@
   - { name: book, path: /seats, methods: [POST] }
   - { name: hours, path: /hours, methods: [GET], open: true }
 workspaces:
-  - { workspace: prairie, rate: 100, burst: 200 }
+  - { workspace: prairie, rate: 1000, burst: 2000 }
 targets:
 ";
 /// Key of the workspace.
