--- a/chicoryloom/src/control/actor.rs
+++ b/chicoryloom/src/control/actor.rs
@@ -34,11 +34,6 @@
 
 /// Revisions whose arrival is remembered; the oldest are forgotten.
 const MAX_HELD: usize = 64;
-/// Heartbeats that a new host waits for others before the platform alone confirms its state.
-const HEARTBEATS_TO_JOIN: u32 = 2;
-
-/// Older answers in a row that show more than a change on its way.
-const DOUBTS: u32 = 3;
 
 /// What the control actor works with.
 #[derive(Clone, Debug)]
@@ -73,15 +68,15 @@
     /// Revisions with the moment from which this host holds them, both growing.
     held: VecDeque<(id::Revision, Moment)>,
     /// When the platform last confirmed this host's state.
-    platform: Option<Moment>,
+    pub(super) platform: Option<Moment>,
     /// Revision of a platform that shows an older state than the fleet holds.
-    reverted: Option<id::Revision>,
+    pub(super) reverted: Option<id::Revision>,
     /// Older answers of the platform in a row.
-    doubts: u32,
+    pub(super) doubts: u32,
     /// Version of the status that the platform was last seen to hold.
-    platform_status: id::Revision,
+    pub(super) platform_status: id::Revision,
     /// When this host first knew a roster.
-    joined: Option<Moment>,
+    pub(super) joined: Option<Moment>,
 }
 
 impl Control {
@@ -141,7 +136,7 @@
     }
 
     /// Applies changes and publishes what came of them; tells whether the revision grew.
-    fn apply(&mut self, changes: Changes) -> bool {
+    pub(super) fn apply(&mut self, changes: Changes) -> bool {
         let before = self.objects.revision();
         let roster = self.view.roster.version;
         let changed = self.objects.apply(changes, &mut self.view);
@@ -256,7 +251,7 @@
     }
 
     /// Sends a heartbeat to every other host.
-    async fn beat(&self) {
+    pub(super) async fn beat(&self) {
         let now = self.now();
         for peer in &self.others {
             let Some(host) = self.view.roster.hosts.get(peer) else {
@@ -275,100 +270,6 @@
     }
 }
 
-/// Changes that the platform gave out.
-#[derive(Debug)]
-pub(crate) struct Learned {
-    pub(crate) changes: Changes,
-    /// When the platform was asked.
-    pub(crate) asked: Moment,
-}
-
-impl Handler<Learned> for Control {
-    /// Whether the answer was usable.
-    type Return = bool;
-
-    async fn handle(&mut self, learned: Learned, _: &mut Context<Self>) -> bool {
-        let Learned { changes, asked } = learned;
-        if self.has_reverted(&changes) {
-            self.doubts += 1;
-            if self.doubts == DOUBTS {
-                log::warn!("control: the platform shows an older state than the fleet holds");
-            }
-            self.reverted = (self.doubts >= DOUBTS).then_some(changes.revision);
-            return false;
-        }
-        self.doubts = 0;
-        self.reverted = None;
-        let complete = !changes.more;
-        let grew = self.apply(changes);
-        if complete && self.may_trust_platform() {
-            self.tracker.confirm(asked);
-            self.platform = self.platform.max(Some(asked));
-            self.peers.vouch(asked);
-        }
-        self.publish_freshness();
-        if grew {
-            self.beat().await;
-        }
-        true
-    }
-}
-
-impl Control {
-    /// Tells whether the platform lacks what this host or any peer holds.
-    ///
-    /// A platform that went back and grew again shows it by its status, which the fleet writes
-    /// only on top of the version that it holds.
-    fn has_reverted(&mut self, changes: &Changes) -> bool {
-        let statuses = changes.objects.iter().filter(|object| object.kind == Kind::Status);
-        let shown = statuses.map(|object| object.version).max().unwrap_or_default();
-        self.platform_status = self.platform_status.max(shown);
-        let status = self.status_held().max(self.peers.peak_status());
-        let revision = self.objects.revision().max(self.peers.peak());
-        // All up to the own revision is held, so another status there is another history.
-        let held = self.platform_status <= self.objects.revision();
-        let foreign = held && self.platform_status != self.status_held();
-        let behind = changes.revision < revision && !changes.more;
-        foreign || behind || self.platform_status < status
-    }
-
-    /// Tells whether the platform alone may confirm this host's state.
-    ///
-    /// A new host first gives the others time to show that the platform has gone back.
-    fn may_trust_platform(&self) -> bool {
-        let pause = self.setup.heartbeat * HEARTBEATS_TO_JOIN;
-        let over = |joined: Moment| self.now() >= joined.after(pause);
-        let alone = self.joined.is_some() && self.others.is_empty();
-        self.confirmed || alone || self.joined.is_some_and(over)
-    }
-}
-
-/// The version of the status at the platform.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Marked(pub(crate) id::Revision);
-
-impl Handler<Marked> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, Marked(version): Marked, _: &mut Context<Self>) {
-        self.platform_status = version;
-    }
-}
-
-/// The platform's list of hosts.
-#[derive(Debug)]
-pub(crate) struct Listed(pub(crate) Vec<Host>);
-
-impl Handler<Listed> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, listed: Listed, _: &mut Context<Self>) {
-        let hosts = listed.0.into_iter().map(|host| (host.name.clone(), host)).collect();
-        self.listed = Some(hosts);
-        self.write_roster();
-    }
-}
-
 /// Changes that a peer gave out.
 #[derive(Debug)]
 pub(crate) struct Pulled {
--- a/chicoryloom/src/control/mod.rs
+++ b/chicoryloom/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod actor;
 mod heard;
 mod join;
+mod learned;
 mod objects;
 mod peers;
 mod report;
@@ -27,15 +28,15 @@
 
 pub(crate) use actor::Asked;
 pub(crate) use actor::Control;
-pub(crate) use actor::Learned;
-pub(crate) use actor::Listed;
-pub(crate) use actor::Marked;
 pub(crate) use actor::Pulled;
 pub(crate) use actor::Setup;
 pub(crate) use actor::Tick;
 pub(crate) use heard::Heard;
 pub(crate) use heard::moment;
 pub(crate) use join::join;
+pub(crate) use learned::Learned;
+pub(crate) use learned::Listed;
+pub(crate) use learned::Marked;
 #[cfg(test)]
 pub(crate) use report::Known;
 pub(crate) use report::Report;
--- a/chicoryloom_policy/src/placement.rs
+++ b/chicoryloom_policy/src/placement.rs
@@ -82,4 +82,20 @@
         centres.dedup();
         assert_eq!(centres.len(), 4);
     }
+
+    /// A host that goes moves the homes only of the services that it was home to.
+    #[test]
+    fn loss_of_a_host_moves_only_its_own_services() {
+        for size in [36, 1100] {
+            let hosts = fleet(size);
+            for service in (0..50).map(|n| format!("service-{n}").parse().unwrap()) {
+                let before = homes(&service, &hosts, 4);
+                let rest: Vec<_> = hosts[1..].to_vec();
+                let after = homes(&service, &rest, 4);
+                let stayed = before.iter().filter(|home| after.contains(home)).count();
+                let was_home = before.contains(&hosts[0].host);
+                assert_eq!(stayed, before.len() - usize::from(was_home), "{before:?} {after:?}");
+            }
+        }
+    }
 }
