--- a/chicoryloom/src/control/heard.rs
+++ b/chicoryloom/src/control/heard.rs
@@ -37,7 +37,7 @@
             Body::Heartbeat(heartbeat) => {
                 self.answer(&frame.sender, heartbeat.challenge, heard.source).await;
             }
-            Body::Evidence(_) | Body::Transfer(_) | Body::Pull(_) | Body::Page(_) => {}
+            Body::Evidence(_) | Body::Ask(_) | Body::Gift(_) | Body::Pull(_) | Body::Page(_) => {}
         }
     }
 }
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 mod listener;
 mod path;
 mod request;
+mod runs;
 mod stream;
 
 use std::sync::Arc;
@@ -18,9 +19,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chicoryloom_policy::document::Document;
 use chicoryloom_policy::id;
+use chicoryloom_policy::unit::Weight;
 use chicoryloom_wire::caller::Code;
 use chicoryloom_wire::caller::Refusal;
+use chicoryloom_wire::header::DEADLINE_MS;
+use chicoryloom_wire::header::HOP;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -31,11 +37,17 @@
 use crate::config;
 use crate::control::Published;
 use crate::control::View;
+use crate::grant::Denied;
 use crate::grant::Grants;
 use crate::locator;
 use crate::metrics::Labels;
 use crate::metrics::Metrics;
+use crate::queue;
+use crate::queue::Slot;
+use crate::queue::Slots;
+use crate::queue::Wish;
 use crate::refusals::Refusals;
+use crate::run::Runs;
 use crate::target::Body;
 use crate::target::Targets;
 
@@ -52,7 +64,9 @@
     pub(crate) settings: config::proxy::Proxy,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) published: Arc<Published>,
-    pub(crate) grants: Grants,
+    pub(crate) grants: Arc<Grants>,
+    pub(crate) runs: Runs,
+    pub(crate) slots: Arc<Slots>,
     pub(crate) targets: Targets,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) refusals: Refusals,
@@ -64,7 +78,7 @@
 
 impl Proxy {
     /// Answers one request of a caller.
-    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    pub(crate) async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let _counted = Counted::new(&self.in_flight);
         let origin = request::Origin::of(&request);
         let answered = self.checked_answer(request).await;
@@ -81,17 +95,23 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    async fn checked_answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+    async fn checked_answer(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Refusal> {
         form::check(&request, &self.settings)?;
+        let (bound, idle) = (self.settings.body_bytes, self.settings.idle_timeout);
+        let request = request.map(|body| body::bounded(body, bound, idle));
         match Resource::of(request.uri())? {
             Resource::Hosts { service } => self.hosts(&request, &service),
+            Resource::Runs { service } => self.issue(request, &service).await,
             Resource::Service { service, path } => self.serve(request, service, path).await,
         }
     }
 
     fn hosts(
         &self,
-        request: &Request<Incoming>,
+        request: &Request<Body>,
         service: &id::Service,
     ) -> Result<Response<Body>, Refusal> {
         let view = self.published.view();
@@ -109,30 +129,79 @@
     }
 
     async fn serve(
-        &self,
-        mut request: Request<Incoming>,
+        self: &Arc<Self>,
+        mut request: Request<Body>,
         service: id::Service,
         path: String,
     ) -> Result<Response<Body>, Refusal> {
         let started = Instant::now();
         let view = self.published.view();
-        self.check_fresh()?;
-        let asked = Asked::new(&request, &view, service, path)?;
+        let early = |refusal| runs::early(&request, refusal);
+        self.check_fresh().map_err(early)?;
+        let asked = Asked::new(&request, &view, service, path).map_err(early)?;
         headers::strip_keys(request.headers_mut(), &view);
+        if let Some(key) = runs::shown(&request, &asked)? {
+            return self.serve_keyed(request, &view, asked, key).await;
+        }
         if !view.homes(&asked.document.service).contains(&self.name) {
             return self.forward(request, &view, &asked).await;
         }
-        let workspace = self.admit(&view, &asked)?;
+        let may_hand_over = !request.headers().contains_key(HOP);
+        let workspace = match self.admit(&view, &asked, may_hand_over)? {
+            Admission::Here(workspace) => workspace,
+            Admission::Elsewhere(workspace, holder) => {
+                return self.hand_over(request, &view, &asked, &workspace, &holder).await;
+            }
+        };
+        self.run(request, &asked, workspace, started).await
+    }
+
+    /// Runs an admitted request.
+    async fn run(
+        &self,
+        mut request: Request<Body>,
+        asked: &Asked,
+        workspace: Option<id::Workspace>,
+        started: Instant,
+    ) -> Result<Response<Body>, Refusal> {
         let labels = Labels {
             service: asked.document.service.clone(),
             workspace: workspace.clone(),
             class: asked.route.class.clone(),
         };
-        let response = self.attempt(request, &asked, workspace).await?;
+        let slot = self.slot(&mut request, asked, workspace.as_ref(), started).await?;
+        let response = self.attempt(request, asked, workspace).await?;
+        drop(slot);
         self.metrics.request(&labels, response.status().as_u16(), started.elapsed());
         Ok(response)
     }
 
+    /// Waits for a slot, and takes the wait off the time that is left for the request.
+    async fn slot(
+        &self,
+        request: &mut Request<Body>,
+        asked: &Asked,
+        workspace: Option<&id::Workspace>,
+        started: Instant,
+    ) -> Result<Slot, Refusal> {
+        let document = &asked.document;
+        let grant = workspace.and_then(|workspace| document.grants.get(workspace));
+        let homes = self.published.view().homes(&document.service).len();
+        let budget = request::budget(request.headers(), asked.route.deadline);
+        let wish = Wish {
+            service: document.service.clone(),
+            workspace: workspace.cloned().unwrap_or_else(queue::anonymous),
+            weight: grant.map_or(Weight(1), |grant| grant.weight),
+            room: queue::room(document, homes),
+            left: budget.saturating_sub(started.elapsed()),
+        };
+        let slot = self.slots.take(&wish).await?;
+        let left = budget.saturating_sub(started.elapsed()).as_millis();
+        let left = HeaderValue::from(u64::try_from(left).unwrap_or(u64::MAX));
+        request.headers_mut().insert(DEADLINE_MS, left);
+        Ok(slot)
+    }
+
     /// Refuses if the host may have missed a change.
     fn check_fresh(&self) -> Result<(), Refusal> {
         if self.published.is_fresh(self.clock.now()) {
@@ -143,28 +212,67 @@
     }
 
     /// Refuses unless the key's workspace may use the service now.
-    ///
-    /// Returns the workspace, or `None` on an open route without a key.
-    fn admit(&self, view: &View, asked: &Asked) -> Result<Option<id::Workspace>, Refusal> {
+    fn admit(&self, view: &View, asked: &Asked, may_hand_over: bool) -> Result<Admission, Refusal> {
         let workspace = asked.workspace(view)?;
         let Some(workspace) = workspace else {
-            return Ok(None);
+            return Ok(Admission::Here(None));
         };
-        let service = &asked.document.service;
-        let Some(grant) = asked.document.grants.get(&workspace) else {
+        self.admit_workspace(view, &asked.document, workspace, may_hand_over)
+    }
+
+    /// Refuses unless a workspace may use a service now.
+    fn admit_workspace(
+        &self,
+        view: &View,
+        document: &Document,
+        workspace: id::Workspace,
+        may_hand_over: bool,
+    ) -> Result<Admission, Refusal> {
+        let service = &document.service;
+        if !document.grants.contains_key(&workspace) {
             let detail = format!("workspace {workspace} has no grant for {service}");
             return Err(Refusal::not_run(Code::Grant, detail));
-        };
-        let homes = view.homes(service).len();
-        let admitted = self.grants.admit(service, &workspace, grant, homes, self.clock.now());
-        admitted.map_err(|wait| {
-            let detail = format!("workspace {workspace} is past its rate and burst");
-            Refusal::not_run(Code::Rate, detail).retry_after(wait)
-        })?;
-        Ok(Some(workspace))
+        }
+        let now = self.clock.now();
+        match self.grants.admit(view, service, &workspace, may_hand_over, now) {
+            Ok(()) => Ok(Admission::Here(Some(workspace))),
+            Err(Denied { holder: Some(holder), .. }) => Ok(Admission::Elsewhere(workspace, holder)),
+            Err(Denied { wait, .. }) => {
+                let detail = format!("workspace {workspace} is past its rate and burst");
+                Err(Refusal::not_run(Code::Rate, detail).retry_after(wait.unwrap_or(SOON)))
+            }
+        }
+    }
+
+    /// Hands a request to another holder of the grant, which admits it or refuses.
+    async fn hand_over(
+        &self,
+        request: Request<Body>,
+        view: &View,
+        asked: &Asked,
+        workspace: &id::Workspace,
+        holder: &id::Host,
+    ) -> Result<Response<Body>, Refusal> {
+        self.metrics.handed_over();
+        let home = view.hosts.get(holder);
+        let answered = self.forward_to(request, home, asked.route.deadline).await;
+        let is_past = |response: &Response<Body>| response.status() == Code::Rate.status();
+        if answered.as_ref().map_or(true, is_past) {
+            let service = &asked.document.service;
+            self.grants.note_empty(service, workspace, holder, self.clock.now());
+        }
+        answered
     }
 }
 
+/// Where a request may run.
+enum Admission {
+    /// Here, for this workspace; for none on an open route without a key.
+    Here(Option<id::Workspace>),
+    /// By the grant of this workspace, at another holder.
+    Elsewhere(id::Workspace, id::Host),
+}
+
 /// Counts something while it lives.
 struct Counted<'a>(&'a AtomicUsize);
 
--- a/chicoryloom/src/proxy/request.rs
+++ b/chicoryloom/src/proxy/request.rs
@@ -1,12 +1,14 @@
 //! What a caller asks for.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chicoryloom_policy::document::Document;
 use chicoryloom_policy::document::Route;
 use chicoryloom_policy::id;
 use chicoryloom_wire::caller::Code;
 use chicoryloom_wire::caller::Refusal;
+use chicoryloom_wire::header;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -27,6 +29,8 @@
 pub(super) enum Resource {
     /// The hosts to use for a service.
     Hosts { service: id::Service },
+    /// A new series of run keys for a service.
+    Runs { service: id::Service },
     /// A request for a service; `path` holds the query too.
     Service { service: id::Service, path: String },
 }
@@ -51,13 +55,16 @@
     }
 
     fn own(path: &str, query: &str) -> Result<Self, Refusal> {
-        if path != "hosts" {
+        if !["hosts", "runs"].contains(&path) {
             return Err(no_route("the fleet has no such resource"));
         }
         let service = query.split('&').find_map(|pair| pair.strip_prefix("service="));
         let service = service.ok_or_else(|| no_route("name a service: ?service=NAME"))?;
         let service = service.parse().map_err(|_| no_route("service: not a name"))?;
-        Ok(Self::Hosts { service })
+        Ok(match path {
+            "runs" => Self::Runs { service },
+            _ => Self::Hosts { service },
+        })
     }
 }
 
@@ -129,6 +136,13 @@
     }
 }
 
+/// Returns the time that a request may take: its route's, or less if the caller says so.
+pub(super) fn budget(headers: &HeaderMap, route: Duration) -> Duration {
+    let value = headers.get(header::DEADLINE_MS).and_then(|value| value.to_str().ok());
+    let asked = value.and_then(|value| value.trim().parse().ok()).map(Duration::from_millis);
+    asked.map_or(route, |asked| asked.min(route))
+}
+
 /// Returns a number that differs by key, for turning the locator's order.
 pub(super) fn seed(headers: &HeaderMap) -> u64 {
     let key = key::shown(headers).ok().flatten();
