--- a/chicoryloom_policy/examples/placement_moves.rs
+++ b/chicoryloom_policy/examples/placement_moves.rs
@@ -1,6 +1,6 @@
 //! Measures how many services' homes move when one host goes.
 //!
-//! `cargo run -p chicoryloom_policy --example placement_moves`; prints a line for each size.
+//! `cargo run --release -p chicoryloom_policy --example placement_moves`; prints a line for each size.
 
 use chicoryloom_policy::id;
 use chicoryloom_policy::placement;
