--- a/chicoryloom_load/src/driver.rs
+++ b/chicoryloom_load/src/driver.rs
@@ -239,7 +239,8 @@
             return Ok(span.collect());
         }
         let homes = self.homes(&action.home_of).await?;
-        Ok(homes.get(span).unwrap_or_default().to_vec())
+        let chosen = homes.get(span).map(<[usize]>::to_vec);
+        chosen.ok_or_else(|| Error::invalid("host", format!("only {} homes stand", homes.len())))
     }
 
     /// Returns the hosts that the locator names for a service, in order of their index.
