--- a/chicoryloom/src/control/mod.rs
+++ b/chicoryloom/src/control/mod.rs
@@ -109,7 +109,6 @@
     }
 
     /// Keeps the host out of locator answers, its own and others', while it suspects itself.
-    #[allow(dead_code)]
     pub(crate) fn set_suspect(&self, suspect: bool) {
         self.suspect.store(suspect, Ordering::Release);
     }
--- a/chicoryloom/src/grant/lend.rs
+++ b/chicoryloom/src/grant/lend.rs
@@ -84,7 +84,11 @@
                 self.hear_gift(frame, gift, clock);
                 None
             }
-            Body::Heartbeat(_) | Body::Evidence(_) | Body::Pull(_) | Body::Page(_) => None,
+            Body::Heartbeat(_)
+            | Body::Evidence(_)
+            | Body::Crash(_)
+            | Body::Pull(_)
+            | Body::Page(_) => None,
         }
     }
 
--- a/chicoryloom/src/host.rs
+++ b/chicoryloom/src/host.rs
@@ -39,6 +39,7 @@
 use crate::run::Runs;
 use crate::store::HttpStore;
 use crate::store::Store;
+use crate::target::Share;
 use crate::target::Targets;
 
 /// Heartbeats that one call to the platform may wait for changes.
@@ -102,6 +103,19 @@
             incarnation,
             metrics.clone(),
         );
+        let targets = Arc::new(Targets::new(
+            source,
+            settings.proxy.connect_timeout,
+            settings.policy.detection,
+            clock.clone(),
+        ));
+        let share = Share {
+            name: settings.host.name.clone(),
+            clock: clock.clone(),
+            published: published.clone(),
+            targets: targets.clone(),
+            sender: sender.clone(),
+        };
         let puller = peer::Puller { source, sender: sender.clone() };
         let actor = Control::new(control::Setup {
             name: settings.host.name.clone(),
@@ -122,7 +136,7 @@
             grants: grants.clone(),
             runs: Runs::new(me.clone()),
             slots: Arc::new(Slots::new(clock.clone())),
-            targets: Targets::new(source, settings.proxy.connect_timeout),
+            targets: targets.clone(),
             metrics: metrics.clone(),
             refusals: Refusals::default(),
             open: AtomicUsize::new(0),
@@ -158,7 +172,8 @@
         };
         let seeds = settings.peers.seeds.clone();
         let mut tasks = vec![
-            tokio::spawn(receive(receiver, control.clone(), lender.clone())),
+            tokio::spawn(receive(receiver, control.clone(), lender.clone(), targets)),
+            tokio::spawn(share.run()),
             tokio::spawn(lender.lend(shorts)),
             tokio::spawn(keeper(&grants, &published, &clock, &store).run()),
             tokio::spawn(peer::serve(stream, sender, control.clone())),
@@ -307,12 +322,18 @@
     }
 }
 
-async fn receive(receiver: peer::Receiver, control: Address<Control>, lender: Lender) {
+async fn receive(
+    receiver: peer::Receiver,
+    control: Address<Control>,
+    lender: Lender,
+    targets: Arc<Targets>,
+) {
     let take = move |heard: Heard| {
         let control = control.clone();
         let lender = lender.clone();
+        let taken = heard.proven && targets.hear(&heard.frame);
         async move {
-            if lender.hear(&heard.frame).await {
+            if taken || lender.hear(&heard.frame).await {
                 return;
             }
             // A gone actor means that the host shuts down.
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod attempts;
 mod body;
 mod form;
 mod forward;
@@ -9,6 +10,7 @@
 pub(crate) mod key;
 mod listener;
 mod path;
+mod payload;
 mod request;
 mod runs;
 mod stream;
@@ -29,6 +31,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header::CONNECTION;
 use hyper::body::Incoming;
 
 pub(crate) use listener::Listener;
@@ -67,7 +70,7 @@
     pub(crate) grants: Arc<Grants>,
     pub(crate) runs: Runs,
     pub(crate) slots: Arc<Slots>,
-    pub(crate) targets: Targets,
+    pub(crate) targets: Arc<Targets>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) refusals: Refusals,
     /// Connections of callers that are open.
@@ -82,12 +85,17 @@
         let _counted = Counted::new(&self.in_flight);
         let origin = request::Origin::of(&request);
         let answered = self.checked_answer(request).await;
-        answered.unwrap_or_else(|refusal| {
+        let mut response = answered.unwrap_or_else(|refusal| {
             self.metrics.refusal(refusal.code);
             let kind = origin.kind(&self.published.view(), refusal.code);
             self.refusals.record(kind, &refusal, self.clock.now());
             answer::refuse(&refusal)
-        })
+        });
+        if self.published.is_leaving() {
+            // The caller turns to another host before this one ends.
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
 
     /// Returns how many connections of callers are open.
@@ -170,7 +178,8 @@
             class: asked.route.class.clone(),
         };
         let slot = self.slot(&mut request, asked, workspace.as_ref(), started).await?;
-        let response = self.attempt(request, asked, workspace).await?;
+        let view = self.published.view();
+        let response = self.attempt(request, &view, asked, workspace).await?;
         drop(slot);
         self.metrics.request(&labels, response.status().as_u16(), started.elapsed());
         Ok(response)
--- a/chicoryloom_policy/src/health/eject.rs
+++ b/chicoryloom_policy/src/health/eject.rs
@@ -3,14 +3,15 @@
 use std::time::Duration;
 
 use super::Board;
-use super::MIN_REPORT;
 use super::SICK;
 use super::entry::Entry;
 use super::floor::Floor;
 use crate::Moment;
 
 /// Age past which a route of a target counts as unused.
-const ACTIVE: Duration = Duration::from_secs(10);
+const ACTIVE: Duration = Duration::from_secs(60);
+/// Evidence at which a route counts towards the ejection of the whole target.
+const SUSPICIOUS: f64 = SICK / 2.0;
 /// How much worse a target must be to take an ejected target's place.
 const SWAP_FACTOR: f64 = 1.5;
 
@@ -37,6 +38,7 @@
     fn examine(&self, target: usize, entry: &Entry, now: Moment, found: &mut Vec<Candidate>) {
         let first = found.len();
         let mut active = 0;
+        let mut rest = 0;
         let mut suspicious = 0;
         let mut bad = 0;
         let mut worst = self.score(entry, None, now);
@@ -48,14 +50,17 @@
             let used = state.cell.is_used() && now.since(state.cell.last) < ACTIVE;
             active += usize::from(used || sick || out);
             bad += usize::from(sick || out);
-            suspicious += usize::from(score >= MIN_REPORT || out);
+            let other = used && !sick && !out;
+            rest += usize::from(other);
+            suspicious += usize::from(other && score >= SUSPICIOUS);
             if sick && !out {
                 worst = worst.max(score);
                 found.push(Candidate { target, route: Some(route), score });
             }
         }
         let most_bad = found.len() > first && bad * 2 > active;
-        if most_bad || (whole && suspicious * 2 > active) {
+        // What sick routes add to the whole says nothing of the rest.
+        if most_bad || (whole && suspicious * 2 > rest) {
             found.truncate(first);
             found.push(Candidate { target, route: None, score: worst });
         }
@@ -73,7 +78,11 @@
         if !floor.allows(&self.entries, target, route) && !self.swap(floor, candidate) {
             return false;
         }
-        self.entries[target].gate_mut(route).eject(score, floor.now);
+        let entry = &mut self.entries[target];
+        entry.gate_mut(route).eject(score, floor.now);
+        if route.is_some() {
+            entry.whole.settle(0.0, floor.now);
+        }
         true
     }
 
--- a/chicoryloom_policy/src/health/share.rs
+++ b/chicoryloom_policy/src/health/share.rs
@@ -11,6 +11,8 @@
 use crate::Moment;
 use crate::id;
 
+/// Part of a span's evidence that all hosts together add at most in one span.
+const PACE: f64 = 0.7;
 /// Time for which a report counts.
 pub(super) const LIFE: Duration = Duration::from_secs(3);
 
@@ -90,13 +92,14 @@
         let scores = self.by_host.values().filter_map(|peer| peer.scores.get(&name));
         let mut joined = own;
         for (score, at) in scores.filter(|(_, at)| now.since(*at) < LIFE) {
-            joined.failed += score.failed.clamp(0.0, PEER_WEIGHT);
-            joined.slow += score.slow.clamp(0.0, PEER_WEIGHT);
+            let failed = score.failed.clamp(0.0, PEER_WEIGHT);
+            joined.failed += failed;
+            joined.slow += score.slow.clamp(0.0, PEER_WEIGHT - failed);
             let slow_for = score.slow_for + now.since(*at);
             joined.slow_for = joined.slow_for.max(slow_for);
         }
         let spans = joined.slow_for.as_secs_f64() / reference.span().as_secs_f64();
-        joined.slow = joined.slow.min(spans * slow_step(reference)).max(own.slow);
+        joined.slow = joined.slow.min(spans * PACE * slow_step(reference)).max(own.slow);
         joined
     }
 
