Take up released seats sooner, and test the release with real processes

Seats that a host released on shutdown lay idle for 4 s, as long as those of a lost host are left to it.

Holders now claim vacant seats after 1.5 s. A new test terminates a host and checks at the platform that its seats are given up and none is marked as seized.

Claiming at once was ruled out, since hosts that start together would take each other's part.

--- a/chicoryloom/src/grant/keep.rs
+++ b/chicoryloom/src/grant/keep.rs
@@ -27,7 +27,9 @@
 const JOIN_STEP: Duration = Duration::from_millis(100);
 /// Time before a host proposes to take seats from another one, which may be releasing them.
 const SEIZE_DELAY: Duration = Duration::from_millis(1500);
-/// Time before a holder proposes to drop others or to claim what they left.
+/// Time before a holder proposes to claim vacant seats, which a starting host may be joining for.
+const CLAIM_DELAY: Duration = Duration::from_millis(1500);
+/// Time before a holder proposes to drop others.
 const TIDY_DELAY: Duration = Duration::from_secs(4);
 /// Pause after a proposal, in which its effect becomes visible.
 const PAUSE: Duration = Duration::from_secs(2);
@@ -175,7 +177,8 @@
 fn delay(ledger: &Ledger, holds: bool, rank: usize) -> Duration {
     let is_vacant = ledger.seats.iter().any(|seat| seat.holder.is_none());
     let least = match (holds, is_vacant) {
-        (true, _) => TIDY_DELAY,
+        (true, true) => CLAIM_DELAY,
+        (true, false) => TIDY_DELAY,
         (false, true) => Duration::ZERO,
         (false, false) => SEIZE_DELAY,
     };
--- a/chicoryloom_harness/tests/grants_limit.rs
+++ b/chicoryloom_harness/tests/grants_limit.rs
@@ -159,3 +159,37 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn host_that_shuts_down_releases_its_seats() {
+    let fleet = Fleet::start(Plan::default()).await.unwrap();
+    let text = fleet.document("calendar", ROUTES, WORKSPACES);
+    let version = fleet.put_document(0, "calendar", 0, &text).await.unwrap();
+    fleet.in_force(version).await;
+    let listen = fleet.platform.address("listen");
+    let url = format!("http://{listen}/v1/objects/ledgers/calendar");
+    let seats = async || -> Vec<serde_json::Value> {
+        let Ok(answer) = fleet.client().get(&url).send().await else {
+            return Vec::new();
+        };
+        let object: serde_json::Value = answer.json().await.unwrap_or_default();
+        let ledger = object["value"].as_str().and_then(|text| serde_json::from_str(text).ok());
+        let ledger: serde_json::Value = ledger.unwrap_or_default();
+        ledger["seats"].as_array().cloned().unwrap_or_default()
+    };
+    let held =
+        |seats: &[serde_json::Value]| seats.iter().filter(|seat| seat["host"] == "host-4").count();
+    until("four hosts hold all seats", async || {
+        let seats = seats().await;
+        held(&seats) == 6 && seats.iter().all(|seat| seat["host"] != "")
+    })
+    .await;
+    fleet.hosts[3].process.terminate();
+    until("the seats of the host are given up", async || {
+        let seats = seats().await;
+        !seats.is_empty() && held(&seats) == 0
+    })
+    .await;
+    // Released seats may be used at once; seized ones would have to wait.
+    assert!(seats().await.iter().all(|seat| seat["seized"] != true));
+}
