Leave the route's deadline as it is after a short wait for a slot

The wait for a slot was always taken off the time that is left, in a header that the attempt reads. Time-outs before the route's own deadline don't count against a target, so every time-out would have gone uncounted.

A wait below a twentieth of the route's deadline now leaves it as it is. A longer wait, or a deadline of the caller, is still taken off.

Passing the wait along beside the request was ruled out for now, since it changes what an attempt is called with.

--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -57,6 +57,9 @@
 /// Wait that a caller is told after a refusal that ends by itself soon.
 const SOON: Duration = Duration::from_secs(1);
 
+/// Part of a route's deadline below which a wait for a slot is not taken off it.
+const SHORT_WAIT: u32 = 20;
+
 /// Everything that the request path uses.
 #[derive(Debug)]
 pub(crate) struct Proxy {
@@ -196,7 +199,13 @@
             left: budget.saturating_sub(started.elapsed()),
         };
         let slot = self.slots.take(&wish).await?;
-        let left = budget.saturating_sub(started.elapsed()).as_millis();
+        let waited = started.elapsed();
+        // A time-out at the route's own deadline counts against the target, so that deadline
+        // stands unless the wait took a good part of it.
+        if budget == asked.route.deadline && waited < budget / SHORT_WAIT {
+            return Ok(slot);
+        }
+        let left = budget.saturating_sub(waited).as_millis();
         let left = HeaderValue::from(u64::try_from(left).unwrap_or(u64::MAX));
         request.headers_mut().insert(DEADLINE_MS, left);
         Ok(slot)
