Warn of a platform that is away only after an ordinary start's time

Cause: every ordinary start logged "neither the platform nor a peer answers", since the first look came after half a second, before the host knew a roster.

Change: the first line comes in the sixth round, three seconds after the start, and further ones every ten seconds as before. Nothing else depends on it.

--- a/chicoryloom/src/control/join.rs
+++ b/chicoryloom/src/control/join.rs
@@ -16,6 +16,8 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Rounds between two lines of the log.
 const ROUNDS_PER_LINE: u32 = 20;
+/// Round with the first line; an ordinary start needs fewer.
+const FIRST_LINE: u32 = 5;
 
 /// Asks the seeds, one after the other, until the host knows a roster.
 pub(crate) async fn join(
@@ -36,7 +38,7 @@
         if is_known(&published) || !control.is_connected() {
             return;
         }
-        if round % ROUNDS_PER_LINE == 0 {
+        if round % ROUNDS_PER_LINE == FIRST_LINE {
             log::warn!("control: neither the platform nor a peer answers; serving nothing");
         }
     }
