Wait for restarted targets themselves in the test of held-back requests

The test waited until the host has no target out, but a target that a crashing request takes down is not blamed and stays in use; in the 300 ms of its restart the stand-in accepts and closes, so the request was lost and the fleet's "502, unknown" was true. Ruled out: a dying pooled connection, since those are closed long before.

Change: the test waits until each target answers its own health endpoint, and then as before until it is in use. The checks are as they were.

Conclusion: a race of the test. That an unblamed target gets requests while it restarts is the price of not blaming it; "unknown" is the true answer then.

--- a/chicoryloom_harness/tests/gray/crash.rs
+++ b/chicoryloom_harness/tests/gray/crash.rs
@@ -33,6 +33,13 @@
     assert!((2..=3).contains(&deaths), "{deaths} targets went down on one request");
 
     for target in 0..6 {
+        // A target that the crash doesn't count against is in use while it still restarts.
+        let health = format!("http://{}/health", gray.fleet.targets[target].direct);
+        let answers = async || {
+            let answer = gray.fleet.client().get(&health).send().await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        };
+        until("the target answers again", answers).await;
         let back = async || !gray.is_out(0, target, None).await;
         until("the target is back", back).await;
     }
