--- /dev/null
+++ b/chicoryloom/src/gateway/answer.rs
@@ -0,0 +1,50 @@
+//! Answers of targets on their way to callers.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use super::dispatcher::Seat;
+use crate::target::AnswerBody;
+use crate::target::BodyError;
+
+/// The body of a target's answer; the place at the target is given back at its end.
+pub(super) struct Streamed {
+    body: AnswerBody,
+    seat: Option<Seat>,
+}
+
+impl Streamed {
+    pub(super) fn new(body: AnswerBody, seat: Seat) -> Self {
+        Self { body, seat: Some(seat) }
+    }
+}
+
+impl hyper::body::Body for Streamed {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        let is_over = matches!(frame, Poll::Ready(None | Some(Err(_))));
+        if is_over || hyper::body::Body::is_end_stream(&self.body) {
+            self.seat = None;
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        hyper::body::Body::is_end_stream(&self.body)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        hyper::body::Body::size_hint(&self.body)
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/dispatcher.rs
@@ -0,0 +1,605 @@
+//! Targets, requests in flight at them, and requests that wait for one.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::fmt;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::Weak;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::catalog::Catalog;
+use chicoryloom_policy::catalog::Repeat;
+use chicoryloom_policy::catalog::Target;
+use chicoryloom_policy::dispatch;
+use chicoryloom_policy::dispatch::Candidate;
+use chicoryloom_policy::dispatch::Late;
+use chicoryloom_policy::dispatch::Line;
+use chicoryloom_policy::dispatch::Rank;
+use chicoryloom_policy::dispatch::Ticket;
+use chicoryloom_policy::entry;
+use chicoryloom_policy::gray::Board;
+use chicoryloom_policy::gray::News;
+use chicoryloom_policy::gray::Outcome;
+use chicoryloom_policy::gray::Standing;
+use chicoryloom_policy::holdback::Fingerprint;
+use chicoryloom_policy::holdback::Holdback;
+use chicoryloom_policy::id;
+use chicoryloom_policy::retry::Budget;
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use super::events::Events;
+use super::message::Load;
+use super::settings::Bounds;
+use crate::clock::Clock;
+use crate::target::Backend;
+
+/// Longest time for a connection to a target; twenty times the way between data centres and back.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time that a connection to a target is kept idle; targets close theirs after ten
+/// seconds at the earliest.
+const KEEP: Duration = Duration::from_secs(4);
+/// Age past which another host's requests in flight say nothing.
+const LOAD_LIFE: Duration = Duration::from_secs(3);
+/// Weight of the newest sample in a service's smoothed time of work.
+const WORK_WEIGHT: f64 = 0.05;
+/// Requests at the head of a line that may wait for different targets.
+const HEADS: usize = 8;
+/// Fewest connections to one target that a host may hold.
+const LEAST_CONNECTIONS: u32 = 4;
+
+/// A target that the feed lists.
+#[derive(Debug)]
+pub(super) struct Live {
+    pub(super) target: Target,
+    pub(super) backend: Arc<Backend>,
+    /// Until when it is slow after its start.
+    warm_at: Moment,
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub(super) struct Wish {
+    pub(super) service: id::Service,
+    pub(super) rank: Rank,
+    pub(super) repeat: Repeat,
+    /// Whether the request could go to another target if the next one fails it.
+    pub(super) can_retry: bool,
+    /// Targets that had it already.
+    pub(super) tried: Vec<id::Instance>,
+    pub(super) arrived: Moment,
+    /// Latest moment at which it still makes sense to send it.
+    pub(super) latest: Moment,
+}
+
+struct Waiter {
+    wish: Wish,
+    caller: oneshot::Sender<Seat>,
+}
+
+#[derive(Default)]
+struct Service {
+    targets: Vec<Arc<Live>>,
+    line: Line,
+    waiters: BTreeMap<Ticket, Waiter>,
+    budget: Option<Budget>,
+    /// Smoothed time from sending to the head of the answer, in seconds, by route.
+    work: HashMap<id::Route, f64>,
+}
+
+/// Requests in flight of another host.
+struct Other {
+    incarnation: id::Incarnation,
+    sequence: u64,
+    heard: Moment,
+    loads: HashMap<id::Instance, u32>,
+}
+
+#[derive(Default)]
+struct State {
+    services: HashMap<id::Service, Service>,
+    own: HashMap<id::Instance, u32>,
+    others: HashMap<id::Host, Other>,
+    board: Board,
+    holdback: Holdback,
+    /// Hosts that take callers, by data centre; each target's trials are the duty of one of them.
+    entries: Vec<(id::Host, id::DataCentre)>,
+    news: Vec<(id::Instance, News)>,
+    crashes: Vec<(Fingerprint, SocketAddr, bool)>,
+    hosts: u32,
+}
+
+/// Assigns requests to targets.
+pub(super) struct Dispatcher {
+    me: id::Host,
+    data_centre: id::DataCentre,
+    source: IpAddr,
+    bounds: Bounds,
+    clock: Arc<dyn Clock>,
+    events: Events,
+    state: Mutex<State>,
+    /// Notified when there is something to tell the other hosts.
+    pub(super) changed: Notify,
+    itself: Weak<Self>,
+}
+
+impl fmt::Debug for Dispatcher {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Dispatcher {{ {} }}", self.me)
+    }
+}
+
+/// One request's place at a target; given back when dropped.
+pub(super) struct Seat {
+    pub(super) live: Arc<Live>,
+    /// Whether the request tries a target that was held back.
+    pub(super) is_trial: bool,
+    dispatcher: Arc<Dispatcher>,
+    /// Whether the place was given back under the lock already.
+    is_released: bool,
+}
+
+impl fmt::Debug for Seat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Seat {{ {} }}", self.live.target.instance)
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if self.is_released {
+            return;
+        }
+        let mut state = self.dispatcher.lock();
+        if let Some(count) = state.own.get_mut(&self.live.target.instance) {
+            *count = count.saturating_sub(1);
+        }
+        drop(state);
+        self.dispatcher.changed.notify_one();
+        self.dispatcher.pump(&self.live.target.service);
+    }
+}
+
+/// A place in a line; given up when dropped.
+struct Place<'a> {
+    dispatcher: &'a Dispatcher,
+    service: &'a id::Service,
+    ticket: Ticket,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if let Some(service) = self.dispatcher.lock().services.get_mut(self.service) {
+            service.line.leave(self.ticket);
+            service.waiters.remove(&self.ticket);
+        }
+    }
+}
+
+impl Dispatcher {
+    pub(super) fn new(
+        me: id::Host,
+        data_centre: id::DataCentre,
+        source: IpAddr,
+        bounds: Bounds,
+        clock: Arc<dyn Clock>,
+        events: Events,
+    ) -> Arc<Self> {
+        Arc::new_cyclic(|itself| Self {
+            me,
+            data_centre,
+            source,
+            bounds,
+            clock,
+            events,
+            state: Mutex::default(),
+            changed: Notify::new(),
+            itself: itself.clone(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Takes in the targets that the feed lists at present.
+    pub(super) fn set_targets(&self, targets: Vec<Target>, catalog: Option<&Catalog>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let mut old: HashMap<id::Instance, Arc<Live>> = HashMap::new();
+        for service in state.services.values_mut() {
+            for live in service.targets.drain(..) {
+                old.insert(live.target.instance.clone(), live);
+            }
+        }
+        for target in targets {
+            let known = old.remove(&target.instance).filter(|live| is_same(&live.target, &target));
+            let live = match known {
+                Some(live) if live.target == target => live,
+                Some(live) => Arc::new(Live {
+                    backend: live.backend.clone(),
+                    warm_at: now.after(target.warmup),
+                    target,
+                }),
+                None => Arc::new(self.open(target, now)),
+            };
+            let service = live.target.service.clone();
+            state.services.entry(service).or_default().targets.push(live);
+        }
+        for service in state.services.values_mut() {
+            service.targets.sort_by(|a, b| a.target.instance.cmp(&b.target.instance));
+        }
+        self.set_caps(state, catalog);
+        let names: Vec<_> = state.services.keys().cloned().collect();
+        for name in names {
+            self.pump_locked(state, &name);
+        }
+    }
+
+    fn open(&self, target: Target, now: Moment) -> Live {
+        let address = id::Target(target.address);
+        let backend = Backend::new(address, self.source, CONNECT_TIMEOUT, KEEP);
+        Live { backend: Arc::new(backend), warm_at: now.after(target.warmup), target }
+    }
+
+    /// Divides each target's connections among the hosts.
+    fn set_caps(&self, state: &State, catalog: Option<&Catalog>) {
+        for (name, service) in &state.services {
+            let most = catalog.and_then(|catalog| catalog.services.get(name));
+            let most = most.map_or(u32::MAX, |service| service.connections.0);
+            let cap = (most / state.hosts.max(1)).max(LEAST_CONNECTIONS);
+            for live in &service.targets {
+                live.backend.set_cap(cap);
+            }
+        }
+    }
+
+    /// Takes in which hosts take callers, and how many hosts there are.
+    pub(super) fn set_fleet(&self, entries: Vec<(id::Host, id::DataCentre)>, hosts: usize) {
+        let mut state = self.lock();
+        state.entries = entries;
+        state.hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let burst = self.burst(&state);
+        for service in state.services.values_mut() {
+            if let Some(budget) = &mut service.budget {
+                budget.set_burst(burst);
+            }
+        }
+    }
+
+    /// Returns this host's part of the retries that the fleet may send beyond the share.
+    fn burst(&self, state: &State) -> f64 {
+        (self.bounds.retry_burst / state.entries.len().max(1) as f64).max(1.0)
+    }
+
+    /// Waits for a target for as long as it makes sense.
+    pub(super) async fn seat(&self, wish: Wish) -> Result<Seat, Late> {
+        let now = self.clock.now();
+        let service_name = wish.service.clone();
+        let (ticket, called, patience) = {
+            let mut state = self.lock();
+            let state = &mut *state;
+            let is_first = state.services.get(&wish.service).is_none_or(|service| {
+                service.line.tickets().first().is_none_or(|first| first.is_behind(wish.rank))
+            });
+            if is_first && let Some(seat) = self.take(state, &wish, now) {
+                return Ok(seat);
+            }
+            let service = state.services.entry(wish.service.clone()).or_default();
+            let ticket = service.line.enter(wish.rank, wish.latest, now)?;
+            let patience = wish.latest.since(now);
+            let (caller, called) = oneshot::channel();
+            service.waiters.insert(ticket, Waiter { wish, caller });
+            (ticket, called, patience)
+        };
+        let place = Place { dispatcher: self, service: &service_name, ticket };
+        let seat = tokio::time::timeout(patience, called).await;
+        drop(place);
+        match seat {
+            Ok(Ok(seat)) => Ok(seat),
+            Ok(Err(_)) | Err(_) => {
+                let ahead = self.waiting(&service_name);
+                Err(Late { wait: self.clock.now().since(now), ahead })
+            }
+        }
+    }
+
+    /// Returns how many requests wait for a service.
+    pub(super) fn waiting(&self, service: &id::Service) -> usize {
+        self.lock().services.get(service).map_or(0, |service| service.line.len())
+    }
+
+    /// Chooses a target for a request and takes a place at it.
+    fn take(&self, state: &mut State, wish: &Wish, now: Moment) -> Option<Seat> {
+        let service = state.services.get(&wish.service)?;
+        let (usable, candidates) = self.candidates(state, service, &wish.tried, now);
+        let ask = dispatch::Ask {
+            repeat: wish.repeat,
+            can_retry: wish.can_retry,
+            waited: now.since(wish.arrived),
+        };
+        let chosen = dispatch::choose(&candidates, ask, &mut rand::rng())?;
+        let live = usable[chosen].clone();
+        let is_trial = matches!(candidates[chosen].standing, Standing::Trial(_));
+        let instance = live.target.instance.clone();
+        if is_trial {
+            state.board.begin_trial(&instance, now);
+        }
+        *state.own.entry(instance).or_default() += 1;
+        self.changed.notify_one();
+        let dispatcher = self.itself.upgrade()?;
+        Some(Seat { live, is_trial, dispatcher, is_released: false })
+    }
+
+    fn candidates(
+        &self,
+        state: &State,
+        service: &Service,
+        tried: &[id::Instance],
+        now: Moment,
+    ) -> (Vec<Arc<Live>>, Vec<Candidate>) {
+        let usable: Vec<_> =
+            service.targets.iter().filter(|live| !live.target.leaving).cloned().collect();
+        let named: Vec<_> =
+            usable.iter().map(|live| (&live.target.instance, live.target.slots.0)).collect();
+        let standings = state.board.standings(&named, self.bounds.floor, now);
+        let others: Vec<_> =
+            state.others.values().filter(|other| now.since(other.heard) < LOAD_LIFE).collect();
+        let candidate = |(live, standing): (&Arc<Live>, Standing)| {
+            let instance = &live.target.instance;
+            let own = state.own.get(instance).copied().unwrap_or_default();
+            let more = others.iter().filter_map(|other| other.loads.get(instance)).sum::<u32>();
+            Candidate {
+                in_flight: own + more,
+                slots: live.target.slots.0,
+                near: live.target.data_centre == self.data_centre,
+                cold: now < live.warm_at,
+                standing,
+                mine: standing == Standing::In || self.is_mine(state, &live.target),
+            }
+        };
+        let candidates: Vec<_> = usable.iter().zip(standings).map(candidate).collect();
+        let fresh: Vec<_> =
+            (0..usable.len()).filter(|at| !tried.contains(&usable[*at].target.instance)).collect();
+        let pick = |at: &usize| (usable[*at].clone(), candidates[*at]);
+        fresh.iter().map(pick).unzip()
+    }
+
+    /// Tells whether trials of a target are this host's duty.
+    fn is_mine(&self, state: &State, target: &Target) -> bool {
+        let near = state.entries.iter().filter(|(_, centre)| *centre == target.data_centre);
+        let mut hosts: Vec<_> = near.map(|(host, _)| host).collect();
+        if hosts.is_empty() {
+            hosts = state.entries.iter().map(|(host, _)| host).collect();
+        }
+        let order = entry::succession(target.instance.as_str(), hosts.into_iter());
+        order.first().is_none_or(|first| **first == self.me)
+    }
+
+    /// Hands free targets to the requests whose turn it is.
+    pub(super) fn pump(&self, service: &id::Service) {
+        let mut state = self.lock();
+        self.pump_locked(&mut state, service);
+    }
+
+    /// Does so for all services.
+    pub(super) fn pump_all(&self) {
+        let mut state = self.lock();
+        let waiting = state.services.iter().filter(|(_, service)| !service.line.is_empty());
+        let names: Vec<_> = waiting.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.pump_locked(&mut state, &name);
+        }
+    }
+
+    fn pump_locked(&self, state: &mut State, name: &id::Service) {
+        let now = self.clock.now();
+        loop {
+            let Some(service) = state.services.get(name) else { return };
+            let heads: Vec<_> = service.line.tickets().into_iter().take(HEADS).collect();
+            let mut progress = false;
+            for ticket in heads {
+                let Some(service) = state.services.get(name) else { return };
+                let Some(wish) = service.waiters.get(&ticket).map(|waiter| waiter.wish.clone())
+                else {
+                    continue;
+                };
+                let Some(seat) = self.take(state, &wish, now) else { continue };
+                progress = true;
+                let Some(service) = state.services.get_mut(name) else { return };
+                service.line.depart(ticket, now);
+                let waiter = service.waiters.remove(&ticket);
+                if let Some(Err(seat)) = waiter.map(|waiter| waiter.caller.send(seat)) {
+                    // The request is gone; its seat is free again without another pump.
+                    release(state, seat);
+                }
+            }
+            if !progress {
+                return;
+            }
+        }
+    }
+
+    /// Takes in how a request at a target ended.
+    pub(super) fn observe(&self, live: &Live, outcome: Outcome, sent: Moment) {
+        let now = self.clock.now();
+        let instance = &live.target.instance;
+        let mut state = self.lock();
+        let news = state.board.observe(instance, outcome, sent, now);
+        let hold = state.board.hold();
+        if let Some(news) = news {
+            state.news.push((instance.clone(), news));
+            drop(state);
+            self.changed.notify_one();
+            self.events.emit(
+                "target",
+                json!({
+                    "target": instance.as_str(), "service": live.target.service.as_str(),
+                    "belief": if news == News::Failed { "held back" } else { "in use" },
+                    "by": "own request", "hold_ms": hold.as_millis() as u64,
+                }),
+            );
+        }
+    }
+
+    /// Takes in what another host found about a target.
+    pub(super) fn hear_target(&self, host: &id::Host, target: &id::Instance, news: News) {
+        let now = self.clock.now();
+        self.lock().board.hear(target, news, now);
+        self.events.emit(
+            "target",
+            json!({
+                "target": target.as_str(), "by": host.as_str(),
+                "belief": if news == News::Failed { "held back" } else { "in use" },
+            }),
+        );
+        self.pump_all();
+    }
+
+    /// Takes in the requests that another host has in flight.
+    pub(super) fn hear_loads(
+        &self,
+        host: &id::Host,
+        incarnation: id::Incarnation,
+        sequence: u64,
+        loads: Vec<Load>,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let Some(known) = state.others.get(host)
+            && known.incarnation == incarnation
+            && known.sequence >= sequence
+        {
+            return;
+        }
+        let loads = loads.into_iter().map(|load| (load.target, load.in_flight.into())).collect();
+        state.others.insert(host.clone(), Other { incarnation, sequence, heard: now, loads });
+        drop(state);
+        self.pump_all();
+    }
+
+    /// Forgets the requests in flight of a host that is lost.
+    pub(super) fn forget_host(&self, host: &id::Host) {
+        self.lock().others.remove(host);
+        self.pump_all();
+    }
+
+    /// Returns the requests of this host that are in flight.
+    pub(super) fn loads(&self) -> Vec<Load> {
+        let state = self.lock();
+        let own = state.own.iter().filter(|(_, count)| **count > 0);
+        own.map(|(target, count)| Load {
+            target: target.clone(),
+            in_flight: u16::try_from(*count).unwrap_or(u16::MAX),
+        })
+        .collect()
+    }
+
+    /// Takes what the other hosts should know of targets.
+    pub(super) fn take_news(&self) -> Vec<(id::Instance, News)> {
+        std::mem::take(&mut self.lock().news)
+    }
+
+    /// Takes what the other hosts should know of requests that take targets down.
+    pub(super) fn take_crashes(&self) -> Vec<(Fingerprint, SocketAddr, bool)> {
+        std::mem::take(&mut self.lock().crashes)
+    }
+
+    /// Returns the time for which a request is held back since it took targets down.
+    pub(super) fn held(&self, request: Fingerprint) -> Option<Duration> {
+        self.lock().holdback.held(request, self.clock.now())
+    }
+
+    /// Records that a target broke the connection on a request, or answered it.
+    pub(super) fn note_crash(&self, request: Fingerprint, address: SocketAddr, answered: bool) {
+        if self.hear_crash(request, address, answered) {
+            self.lock().crashes.push((request, address, answered));
+            self.changed.notify_one();
+        }
+    }
+
+    /// Takes in such a record; tells whether it says something new.
+    pub(super) fn hear_crash(
+        &self,
+        request: Fingerprint,
+        address: SocketAddr,
+        answered: bool,
+    ) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if answered {
+            return state.holdback.answered(request);
+        }
+        let held = state.holdback.lost(request, id::Target(address), now);
+        drop(state);
+        if held.is_some() {
+            let request = format!("{:032x}", request.0);
+            self.events.emit("held_back", json!({ "fingerprint": request }));
+        }
+        true
+    }
+
+    /// Counts the first attempt of a request towards the retry budget of its service.
+    pub(super) fn deposit(&self, service: &id::Service) {
+        let mut state = self.lock();
+        let burst = self.burst(&state);
+        let share = self.bounds.retry_share;
+        let service = state.services.entry(service.clone()).or_default();
+        service.budget.get_or_insert_with(|| Budget::new(share, burst)).deposit();
+    }
+
+    /// Takes one retry out of the budget of a service.
+    pub(super) fn take_retry(&self, service: &id::Service) -> bool {
+        let mut state = self.lock();
+        let budget = state.services.get_mut(service).and_then(|service| service.budget.as_mut());
+        budget.is_some_and(Budget::take)
+    }
+
+    /// Takes in the time to the head of a good answer.
+    pub(super) fn worked(&self, service: &id::Service, route: &id::Route, took: Duration) {
+        let mut state = self.lock();
+        let work = &mut state.services.entry(service.clone()).or_default().work;
+        let took = took.as_secs_f64();
+        let known = work.entry(route.clone()).or_insert(took);
+        *known += WORK_WEIGHT * (took - *known);
+    }
+
+    /// Returns the usual time to the head of an answer, if any was seen.
+    pub(super) fn work(&self, service: &id::Service, route: &id::Route) -> Option<Duration> {
+        let state = self.lock();
+        let work = state.services.get(service)?.work.get(route)?;
+        Some(Duration::from_secs_f64(*work))
+    }
+
+    /// Forgets what is long past.
+    pub(super) fn sweep(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.board.sweep(now);
+        state.own.retain(|_, count| *count > 0);
+        state.others.retain(|_, other| now.since(other.heard) < LOAD_LIFE);
+        for live in state.services.values().flat_map(|service| &service.targets) {
+            live.backend.sweep();
+        }
+    }
+}
+
+/// Gives a seat back under the lock that is held already.
+fn release(state: &mut State, mut seat: Seat) {
+    if let Some(count) = state.own.get_mut(&seat.live.target.instance) {
+        *count = count.saturating_sub(1);
+    }
+    seat.is_released = true;
+}
+
+/// Tells whether two entries are of one life of a target.
+fn is_same(one: &Target, other: &Target) -> bool {
+    one.born == other.born && one.address == other.address && one.service == other.service
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/edge.rs
@@ -0,0 +1,190 @@
+//! Connections of callers, and of those who ask for hosts and readiness.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use super::FIRST_HEAD;
+use super::Gateway;
+use super::refusal::full;
+use super::refusal::json_response;
+use crate::proxy::stream::Stream;
+use crate::target::Body;
+
+/// Connections of callers that are open at once; four in five of the fewest descriptors of a host.
+const CONNECTIONS: usize = 3000;
+/// Pause after a failed accept, such as when the process has no free descriptor.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Bytes past the bound on a head that are still read, so that its refusal can be explained.
+const HEADER_SLACK: usize = 64 * 1024;
+/// Idle time of a connection before any configuration is known.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+/// Time for which a caller may use an answer on which hosts to use. Short, so that callers leave
+/// a lost host soon; the calls cost processor time only.
+const MAX_AGE: Duration = Duration::from_secs(1);
+
+/// Open connections and the signal that ends them.
+#[derive(Clone, Debug)]
+pub(super) struct Edge {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) permits: Arc<Semaphore>,
+    /// Turns true when connections end after their present request.
+    pub(super) closing: watch::Receiver<bool>,
+}
+
+impl Edge {
+    pub(super) fn new(gateway: Arc<Gateway>, closing: watch::Receiver<bool>) -> Self {
+        Self { gateway, permits: Arc::new(Semaphore::new(CONNECTIONS)), closing }
+    }
+
+    /// Returns how many connections of callers are open.
+    pub(super) fn open(&self) -> usize {
+        CONNECTIONS - self.permits.available_permits()
+    }
+
+    /// Accepts callers until the task is aborted.
+    pub(super) async fn accept(self, listener: TcpListener) {
+        loop {
+            let Ok(permit) = self.permits.clone().acquire_owned().await else {
+                return;
+            };
+            let Some(stream) = accept(&listener).await else {
+                continue;
+            };
+            let edge = self.clone();
+            tokio::spawn(async move {
+                edge.serve(stream).await;
+                drop(permit);
+            });
+        }
+    }
+
+    async fn serve(mut self, stream: TcpStream) {
+        let limits = self.gateway.mirror.catalog().map(|catalog| catalog.limits);
+        let idle = limits.map_or(FIRST_IDLE, |limits| limits.idle_timeout);
+        let head = limits.map_or(FIRST_HEAD, |limits| limits.header_bytes);
+        let header_timeout = limits.map_or(FIRST_IDLE, |limits| limits.header_timeout);
+        let gateway = self.gateway.clone();
+        let service = service_fn(move |request| {
+            let gateway = gateway.clone();
+            async move { Ok::<_, Infallible>(gateway.answer(request).await) }
+        });
+        let stream = TokioIo::new(Stream::new(stream, idle));
+        // The library's timer also runs while a connection is idle between requests.
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle.max(header_timeout))
+            .max_buf_size(head + HEADER_SLACK)
+            .serve_connection(stream, service);
+        tokio::pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = closed(&mut self.closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = ended {
+            log::debug!("gateway: connection of a caller ended: {error}");
+        }
+    }
+}
+
+/// Waits until connections are to end.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    // A dropped host ends its connections as well.
+    let _ = closing.wait_for(|closing| *closing).await;
+}
+
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            // Small answers would otherwise wait for the caller's acknowledgement.
+            let _ = stream.set_nodelay(true);
+            Some(stream)
+        }
+        Err(error) => {
+            log::warn!("gateway: accept: {error}");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+/// A page that is served beside the callers' requests.
+pub(super) type Page = fn(&Gateway, &Request<Incoming>) -> Response<Body>;
+
+/// Serves a page until the task is aborted.
+pub(super) async fn serve_page(listener: TcpListener, gateway: Arc<Gateway>, page: Page) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let gateway = gateway.clone();
+        let service = service_fn(move |request| {
+            let response = page(&gateway, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            let stream = TokioIo::new(Stream::new(stream, FIRST_IDLE));
+            let mut server = http1::Builder::new();
+            let server = server.timer(TokioTimer::new()).header_read_timeout(FIRST_IDLE);
+            if let Err(error) = server.serve_connection(stream, service).await {
+                log::debug!("gateway: connection to a page ended: {error}");
+            }
+        });
+    }
+}
+
+/// Tells which hosts a caller should use.
+pub(super) fn locate(gateway: &Gateway, request: &Request<Incoming>) -> Response<Body> {
+    let Some(question) = gateway.dialect.question(request.uri()) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let hosts = gateway.fleet.locate(question.data_centre.as_ref());
+    if hosts.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    json_response(gateway.dialect.answer(&hosts, MAX_AGE))
+}
+
+/// Tells whether this host takes callers.
+pub(super) fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<Body> {
+    if !gateway.dialect.is_readiness(request.uri()) {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let is_ready = gateway.mirror.catalog().is_some() && !gateway.leaving.load(Ordering::Relaxed);
+    status(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+/// Returns the metrics.
+pub(super) fn metrics(gateway: &Gateway, _: &Request<Incoming>) -> Response<Body> {
+    Response::new(full(Bytes::from(gateway.metrics.page())))
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Binds a listener.
+pub(super) async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/events.rs
@@ -0,0 +1,115 @@
+//! Structured events: one JSON line on standard output for each decision.
+//!
+//! Events go through a bounded queue to a thread of their own, so that a reader that stalls costs
+//! events and never a request. What was dropped is counted and told.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use chicoryloom_policy::Moment;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::clock::Clock;
+
+/// Events that wait for the writer; at about 300 bytes each they take 600 KB.
+const QUEUE: usize = 2048;
+/// Events of requests that one host writes a second; twice what a host of one core serves.
+const REQUESTS_PER_SECOND: f64 = 400.0;
+
+/// Writes events.
+#[derive(Clone, Debug)]
+pub struct Events {
+    queue: SyncSender<String>,
+    clock: Arc<dyn Clock>,
+    host: String,
+    dropped: Arc<AtomicU64>,
+    budget: Arc<Mutex<Budget>>,
+}
+
+#[derive(Debug)]
+struct Budget {
+    left: f64,
+    at: Moment,
+}
+
+impl Events {
+    /// Starts the writer.
+    pub fn start(host: &str, clock: Arc<dyn Clock>) -> Self {
+        let (queue, lines) = sync_channel(QUEUE);
+        let writer = thread::Builder::new().name("events".to_owned());
+        if let Err(error) = writer.spawn(move || write(&lines)) {
+            log::error!("events: the writer can't be started: {error}");
+        }
+        let budget = Budget { left: REQUESTS_PER_SECOND, at: clock.now() };
+        Self {
+            queue,
+            clock,
+            host: host.to_owned(),
+            dropped: Arc::default(),
+            budget: Arc::new(Mutex::new(budget)),
+        }
+    }
+
+    /// Writes an event that changes what the process believes.
+    pub fn emit(&self, event: &'static str, fields: Value) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut line = Map::new();
+        line.insert("at_ms".to_owned(), Value::from(unix.as_millis() as u64));
+        line.insert("up_s".to_owned(), Value::from(self.clock.now().since_start().as_secs_f64()));
+        line.insert("host".to_owned(), Value::from(self.host.as_str()));
+        line.insert("event".to_owned(), Value::from(event));
+        if let Value::Object(fields) = fields {
+            line.extend(fields);
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            line.insert("dropped_before".to_owned(), Value::from(dropped));
+        }
+        if self.queue.try_send(Value::Object(line).to_string()).is_err() {
+            self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+        }
+    }
+
+    /// Writes an event of one request, within the bound on such events.
+    pub fn request(&self, event: &'static str, fields: impl FnOnce() -> Value) {
+        if self.take() {
+            self.emit(event, fields());
+        } else {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn take(&self) -> bool {
+        let now = self.clock.now();
+        let mut budget = self.budget.lock().expect("no holder of the lock panics");
+        let refill = now.since(budget.at).as_secs_f64() * REQUESTS_PER_SECOND;
+        budget.left = (budget.left + refill).min(REQUESTS_PER_SECOND);
+        budget.at = now;
+        if budget.left < 1.0 {
+            return false;
+        }
+        budget.left -= 1.0;
+        true
+    }
+}
+
+fn write(lines: &Receiver<String>) {
+    let mut output = io::stdout().lock();
+    while let Ok(line) = lines.recv() {
+        // Nobody reads any more; there is nobody left to tell either.
+        if writeln!(output, "{line}").and_then(|()| output.flush()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -0,0 +1,456 @@
+//! Messages with the other hosts: who is there, what is in flight, what targets do.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::allowance::Allowance;
+use chicoryloom_policy::gray::News;
+use chicoryloom_policy::holdback::Fingerprint;
+use chicoryloom_policy::id;
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+
+use super::dispatcher::Dispatcher;
+use super::events::Events;
+use super::members::Change;
+use super::members::FAR_BEAT;
+use super::members::Members;
+use super::members::NEAR_BEAT;
+use super::members::WIDE_BEAT;
+use super::message;
+use super::message::Body;
+use super::message::Envelope;
+use super::message::Load;
+use super::message::MAX_DATAGRAM;
+use super::message::Member;
+use super::message::Total;
+use super::mirror::Mirror;
+use super::port::Registration;
+use super::port::Store;
+use crate::clock::Clock;
+
+/// Shortest time between two messages on requests in flight within the data centre.
+const NEAR_GAP: Duration = Duration::from_millis(8);
+/// Time between two messages on requests in flight and admitted ones to other data centres.
+const FAR_GAP: Duration = Duration::from_millis(500);
+/// Time between two messages to other data centres while a workspace nears its grant.
+const TIGHT_GAP: Duration = Duration::from_millis(150);
+/// Time between two messages on admitted requests within the data centre.
+const TOTALS_GAP: Duration = Duration::from_millis(100);
+/// Time between two rounds of upkeep.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two calls of a starting host to its seeds.
+const HELLO_GAP: Duration = Duration::from_millis(100);
+/// Time for which a starting host calls its seeds.
+const HELLO_TIME: Duration = Duration::from_secs(3);
+/// Time after the start at which a host registers, so that hosts without live seeds find it.
+const REGISTER_AFTER: Duration = Duration::from_millis(600);
+/// Time between two looks at the registered hosts.
+const REGISTERED_GAP: Duration = Duration::from_secs(15);
+/// Pause after a failed registration.
+const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+/// Members in one datagram.
+const MEMBERS: usize = 8;
+/// Entries of loads or totals in one datagram; about 20 bytes each.
+const ENTRIES: usize = 50;
+/// Share of a grant from which its use is told at the shorter gap.
+const TIGHT: f64 = 0.6;
+
+/// This host among the others.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    me: Mutex<Member>,
+    name: id::Host,
+    incarnation: id::Incarnation,
+    members: Mutex<Members>,
+    socket: UdpSocket,
+    sequence: AtomicU64,
+    seeds: Vec<SocketAddr>,
+    dispatcher: Arc<Dispatcher>,
+    allowance: Arc<Mutex<Allowance>>,
+    clock: Arc<dyn Clock>,
+    events: Events,
+    /// Requests a second that callers may ask for in one data centre.
+    demand: Mutex<f64>,
+}
+
+/// What a fleet member is made of.
+pub(super) struct Setup {
+    pub(super) me: Member,
+    pub(super) socket: UdpSocket,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) dispatcher: Arc<Dispatcher>,
+    pub(super) allowance: Arc<Mutex<Allowance>>,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) events: Events,
+}
+
+impl Fleet {
+    pub(super) fn new(setup: Setup) -> Self {
+        let Setup { me, socket, seeds, dispatcher, allowance, clock, events } = setup;
+        Self {
+            name: me.host.clone(),
+            incarnation: me.incarnation,
+            members: Mutex::new(Members::new(me.data_centre.clone())),
+            me: Mutex::new(me),
+            socket,
+            sequence: AtomicU64::new(0),
+            seeds,
+            dispatcher,
+            allowance,
+            clock,
+            events,
+            demand: Mutex::new(0.0),
+        }
+    }
+
+    pub(super) fn name(&self) -> &id::Host {
+        &self.name
+    }
+
+    fn me(&self) -> Member {
+        self.me.lock().expect("no holder of the lock panics").clone()
+    }
+
+    fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the live hosts of this host's data centre that are not leaving.
+    pub(super) fn near(&self, now: Moment) -> Vec<(id::Host, SocketAddr)> {
+        let me = self.me();
+        let members = self.members();
+        let near = members.alive(&me.data_centre, now).filter(|member| !member.leaving);
+        near.map(|member| (member.host.clone(), member.peer)).collect()
+    }
+
+    /// Returns the addresses that callers of a data centre should use.
+    pub(super) fn locate(&self, data_centre: Option<&id::DataCentre>) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let me = self.me();
+        let members = self.members();
+        let own = me.data_centre.clone();
+        let demand = *self.demand.lock().expect("no holder of the lock panics");
+        let mut found = members.entries(data_centre.unwrap_or(&own), &me, demand, now);
+        if found.is_empty() {
+            found = members.entries(&own, &me, demand, now);
+        }
+        if found.is_empty() {
+            let takes = |member: &&Member| member.ready && !member.leaving;
+            found = members.everyone(now).filter(takes).collect();
+        }
+        if found.is_empty() {
+            found = members.alive(&own, now).filter(|member| !member.leaving).collect();
+            if !me.leaving {
+                found.push(&me);
+            }
+        }
+        found.iter().map(|member| member.caller).collect()
+    }
+
+    /// Has the other hosts know at once that this one stops.
+    pub(super) async fn leave(&self) {
+        self.me.lock().expect("no holder of the lock panics").leaving = true;
+        self.beat(true, true).await;
+    }
+
+    /// Makes itself known to hosts.
+    pub(super) async fn meet(&self, hosts: &[SocketAddr]) {
+        self.send(hosts, Body::Hello(self.me())).await;
+    }
+
+    async fn send(&self, peers: &[SocketAddr], body: Body) {
+        let envelope = Envelope {
+            sender: self.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            body,
+        };
+        let bytes = message::encode(&envelope);
+        for peer in peers {
+            if let Err(error) = self.socket.send_to(&bytes, peer).await {
+                log::debug!("fleet: {peer}: send: {error}");
+            }
+        }
+    }
+
+    async fn beat(&self, far: bool, wide: bool) {
+        let recipients = self.members().recipients(far, wide, self.clock.now());
+        self.send(&recipients, Body::Beat(self.me())).await;
+    }
+
+    /// Receives messages until the task is aborted.
+    pub(super) async fn receive(self: Arc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM + 1];
+        loop {
+            let (length, source) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!("fleet: receive: {error}");
+                    continue;
+                }
+            };
+            match message::decode::<Envelope>(&buffer[..length]) {
+                Ok(envelope) if envelope.sender == self.name => {}
+                Ok(envelope) => self.take(envelope, source).await,
+                Err(error) => log::debug!("fleet: {source}: malformed datagram: {error}"),
+            }
+        }
+    }
+
+    async fn take(&self, envelope: Envelope, source: SocketAddr) {
+        let Envelope { sender, incarnation, sequence, body } = envelope;
+        let now = self.clock.now();
+        match body {
+            Body::Hello(member) => {
+                self.hear(member, now);
+                self.introduce(source).await;
+            }
+            Body::Beat(member) => self.hear(member, now),
+            Body::Members(members) => {
+                let mut known = self.members();
+                for member in members.into_iter().filter(|member| member.host != self.name) {
+                    known.name(member, now);
+                }
+            }
+            Body::Loads(loads) => {
+                self.dispatcher.hear_loads(&sender, incarnation, sequence, loads);
+            }
+            Body::Totals(totals) => {
+                let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
+                for Total { workspace, admitted } in totals {
+                    allowance.hear(&sender, incarnation, &workspace, admitted, now);
+                }
+            }
+            Body::Target { target, recovered } => {
+                let news = if recovered { News::Recovered } else { News::Failed };
+                self.dispatcher.hear_target(&sender, &target, news);
+            }
+            Body::Crash { request, target, answered } => {
+                self.dispatcher.hear_crash(Fingerprint(request), target, answered);
+            }
+        }
+    }
+
+    fn hear(&self, member: Member, now: Moment) {
+        let host = member.host.clone();
+        let change = self.members().hear(member, now);
+        if let Some(change) = change {
+            self.note(&host, change);
+        }
+    }
+
+    fn note(&self, host: &id::Host, change: Change) {
+        if matches!(change, Change::Lost | Change::Restarted) {
+            self.dispatcher.forget_host(host);
+        }
+        let change = format!("{change:?}").to_lowercase();
+        self.events.emit("peer", json!({ "peer": host.as_str(), "change": change }));
+    }
+
+    /// Tells a starting host of all members.
+    async fn introduce(&self, host: SocketAddr) {
+        let mut all: Vec<_> = self.members().all().cloned().collect();
+        all.push(self.me());
+        for members in all.chunks(MEMBERS) {
+            self.send(&[host], Body::Members(members.to_vec())).await;
+        }
+    }
+
+    /// Calls the seeds until some other host is known.
+    pub(super) async fn greet(self: Arc<Self>) {
+        let end = self.clock.now().after(HELLO_TIME);
+        let own = self.me().peer;
+        let seeds: Vec<_> = self.seeds.iter().filter(|seed| **seed != own).copied().collect();
+        let mut heard = 0;
+        while self.clock.now() < end && heard < 3 {
+            self.send(&seeds, Body::Hello(self.me())).await;
+            tokio::time::sleep(HELLO_GAP).await;
+            // Two further rounds reach seeds that started later than this host.
+            heard += usize::from(self.members().all().next().is_some());
+            self.beat(true, true).await;
+        }
+    }
+
+    /// Registers this host at the platform, and looks for others there.
+    pub(super) async fn register(self: Arc<Self>, store: Arc<dyn Store>) {
+        tokio::time::sleep(REGISTER_AFTER).await;
+        let me = self.me();
+        let entry =
+            Registration { host: me.host, data_centre: me.data_centre.clone(), peer: me.peer };
+        while let Err(error) = store.register(&entry).await {
+            log::info!("fleet: registration: {error}");
+            tokio::time::sleep(REGISTER_PAUSE).await;
+        }
+        loop {
+            match store.hosts().await {
+                Ok(hosts) => {
+                    let hosts = hosts.iter().filter(|host| host.host != self.name);
+                    let known: HashMap<_, _> =
+                        self.members().all().map(|one| (one.host.clone(), one.peer)).collect();
+                    let new = hosts.filter(|host| known.get(&host.host) != Some(&host.peer));
+                    let new: Vec<_> = new.map(|host| host.peer).collect();
+                    self.send(&new, Body::Hello(self.me())).await;
+                }
+                Err(error) => log::debug!("fleet: registered hosts: {error}"),
+            }
+            tokio::time::sleep(REGISTERED_GAP).await;
+        }
+    }
+
+    /// Sends beats and looks after the members until the task is aborted.
+    pub(super) async fn upkeep(self: Arc<Self>, mirror: Arc<Mirror>) {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let (mut near, mut far, mut wide) = (Moment::ZERO, Moment::ZERO, Moment::ZERO);
+        let mut swept = Moment::ZERO;
+        loop {
+            interval.tick().await;
+            let now = self.clock.now();
+            self.settle(&mirror, now);
+            if now.since(near) >= NEAR_BEAT {
+                near = now;
+                let is_entry = self.me().entry;
+                let (is_far, is_wide) = (
+                    is_entry && now.since(far) >= FAR_BEAT,
+                    is_entry && now.since(wide) >= WIDE_BEAT,
+                );
+                far = if is_far { now } else { far };
+                wide = if is_wide { now } else { wide };
+                self.beat(is_far, is_wide).await;
+            }
+            if now.since(swept) >= Duration::from_secs(1) {
+                swept = now;
+                self.dispatcher.sweep();
+            }
+            self.dispatcher.pump_all();
+        }
+    }
+
+    /// Works out which hosts take callers, and drops hosts that fell silent.
+    fn settle(&self, mirror: &Mirror, now: Moment) {
+        let catalog = mirror.catalog();
+        let lost = self.members().expire(now);
+        for host in &lost {
+            self.note(host, Change::Lost);
+        }
+        let members = self.members();
+        let mut me = self.me.lock().expect("no holder of the lock panics");
+        me.ready = catalog.is_some();
+        let mut centres: Vec<_> =
+            members.everyone(now).map(|member| member.data_centre.clone()).collect();
+        centres.push(me.data_centre.clone());
+        centres.sort();
+        centres.dedup();
+        let granted = catalog.and_then(|catalog| catalog.granted()).unwrap_or_default();
+        let share = granted / centres.len().max(1) as f64;
+        *self.demand.lock().expect("no holder of the lock panics") = share;
+        let own = members.entries(&me.data_centre, &me, share, now);
+        let is_entry = own.iter().any(|member| member.host == self.name);
+        let mut entries: Vec<_> =
+            own.iter().map(|one| (one.host.clone(), one.data_centre.clone())).collect();
+        let others = members.everyone(now).filter(|one| one.data_centre != me.data_centre);
+        let others = others.filter(|one| one.entry && !one.leaving);
+        entries.extend(others.map(|one| (one.host.clone(), one.data_centre.clone())));
+        entries.sort();
+        let hosts = members.everyone(now).count() + 1;
+        me.entry = is_entry;
+        drop(me);
+        drop(members);
+        self.dispatcher.set_fleet(entries, hosts);
+    }
+
+    /// Tells the others of requests in flight, admitted ones and targets that fail.
+    pub(super) async fn share(self: Arc<Self>, mirror: Arc<Mirror>) {
+        let mut sent = Sent::default();
+        loop {
+            // Upkeep of what is told at longer gaps needs a wake-up now and then.
+            let _ = tokio::time::timeout(TICK, self.dispatcher.changed.notified()).await;
+            let now = self.clock.now();
+            let (near, far) = self.members().sharers(now);
+            let all: Vec<_> = near.iter().chain(&far).copied().collect();
+            for (target, news) in self.dispatcher.take_news() {
+                let recovered = news == News::Recovered;
+                self.send(&all, Body::Target { target, recovered }).await;
+            }
+            for (request, target, answered) in self.dispatcher.take_crashes() {
+                let crash = Body::Crash { request: request.0, target, answered };
+                self.send(&all, crash).await;
+            }
+            let loads = self.dispatcher.loads();
+            if loads != sent.near {
+                self.send_loads(&near, &loads).await;
+                sent.near = loads.clone();
+            }
+            let far_gap = if self.is_tight(&mirror, now) { TIGHT_GAP } else { FAR_GAP };
+            if now.since(sent.far_at) >= far_gap {
+                sent.far_at = now;
+                if loads != sent.far {
+                    self.send_loads(&far, &loads).await;
+                    sent.far = loads;
+                }
+                sent.far_totals = self.send_totals(&far, &sent.far_totals).await;
+            }
+            if now.since(sent.totals_at) >= TOTALS_GAP {
+                sent.totals_at = now;
+                sent.near_totals = self.send_totals(&near, &sent.near_totals).await;
+            }
+            tokio::time::sleep(NEAR_GAP).await;
+        }
+    }
+
+    async fn send_loads(&self, peers: &[SocketAddr], loads: &[Load]) {
+        if peers.is_empty() {
+            return;
+        }
+        let loads = loads.iter().take(ENTRIES).cloned().collect();
+        self.send(peers, Body::Loads(loads)).await;
+    }
+
+    /// Sends the totals that differ from the last ones sent, and returns those sent by now.
+    async fn send_totals(
+        &self,
+        peers: &[SocketAddr],
+        before: &HashMap<id::Workspace, u64>,
+    ) -> HashMap<id::Workspace, u64> {
+        let totals: HashMap<_, _> = {
+            let allowance = self.allowance.lock().expect("no holder of the lock panics");
+            allowance.totals().map(|(name, total)| (name.clone(), total)).collect()
+        };
+        let changed: Vec<_> = totals
+            .iter()
+            .filter(|(name, total)| before.get(*name) != Some(total))
+            .map(|(name, total)| Total { workspace: name.clone(), admitted: *total })
+            .collect();
+        for totals in changed.chunks(ENTRIES) {
+            self.send(peers, Body::Totals(totals.to_vec())).await;
+        }
+        totals
+    }
+
+    /// Tells whether a workspace nears its grant.
+    fn is_tight(&self, mirror: &Mirror, now: Moment) -> bool {
+        let Some(catalog) = mirror.catalog() else { return false };
+        let allowance = self.allowance.lock().expect("no holder of the lock panics");
+        catalog.workspaces.iter().any(|workspace| allowance.use_of(workspace, now) > TIGHT)
+    }
+}
+
+/// What was told last.
+#[derive(Debug, Default)]
+struct Sent {
+    near: Vec<Load>,
+    far: Vec<Load>,
+    far_at: Moment,
+    totals_at: Moment,
+    near_totals: HashMap<id::Workspace, u64>,
+    far_totals: HashMap<id::Workspace, u64>,
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/host.rs
@@ -0,0 +1,271 @@
+//! A gateway host from start to shutdown.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chicoryloom_policy::allowance::Allowance;
+use chicoryloom_policy::id;
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::Gateway;
+use super::dispatcher::Dispatcher;
+use super::edge;
+use super::edge::Edge;
+use super::events::Events;
+use super::fleet;
+use super::fleet::Fleet;
+use super::message::Member;
+use super::mirror::Mirror;
+use super::port::Dialect;
+use super::port::Store;
+use super::relay;
+use super::settings;
+use super::settings::Settings;
+use super::sync::Sync;
+use crate::clock::BootClock;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+
+/// Requests a second that one core carries, with logs and messages, at a third of its time.
+const REQUESTS_PER_CORE: f64 = 250.0;
+/// Requests a second that one megabit a second of a host's link carries, at 100 KB each way.
+const REQUESTS_PER_MBPS: f64 = 0.6;
+/// Shortest time for which a host that was told to stop serves on: callers keep the answer which
+/// hosts to use for a second, some three times as long.
+const SERVE_ON: Duration = Duration::from_millis(3300);
+/// Part of the grace that is left for the last requests once connections are told to end.
+const LAST: Duration = Duration::from_millis(1100);
+/// Part of the grace that is not used, so that the process ends by itself.
+const SPARE: Duration = Duration::from_millis(150);
+/// How often a shutdown looks for open requests.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// How often the settings file is looked at for changes without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(5);
+
+/// Why a host did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// An address could not be bound.
+    Bind { step: &'static str, address: SocketAddr, error: io::Error },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind { step, address, error } => write!(f, "{step}: bind {address}: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// What a host is started with.
+#[derive(Debug)]
+pub struct Setup {
+    pub settings: Settings,
+    /// File that the settings came from.
+    pub path: PathBuf,
+    pub store: Arc<dyn Store>,
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// A running gateway host.
+#[derive(Debug)]
+pub struct Host {
+    gateway: Arc<Gateway>,
+    settings: Settings,
+    path: PathBuf,
+    edge: Edge,
+    closing: watch::Sender<bool>,
+    events: Events,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Host {
+    /// Starts a host; it runs until it is shut down.
+    pub async fn start(setup: Setup) -> Result<Self, Error> {
+        let Setup { settings, path, store, dialect } = setup;
+        let clock: Arc<dyn Clock> = Arc::new(BootClock);
+        let events = Events::start(settings.name.as_str(), clock.clone());
+        let incarnation = id::Incarnation(rand::random());
+        let peer = SocketAddr::new(settings.address, settings.listen.peer_port);
+        let socket = UdpSocket::bind(peer).await.map_err(bind("peer", peer))?;
+        let relay = edge::bind(peer).await.map_err(bind("relay", peer))?;
+        let callers = edge::bind(settings.listen.caller);
+        let callers = callers.await.map_err(bind("caller", settings.listen.caller))?;
+        let locator = edge::bind(settings.listen.locator);
+        let locator = locator.await.map_err(bind("locator", settings.listen.locator))?;
+        let readiness = edge::bind(settings.listen.readiness);
+        let readiness = readiness.await.map_err(bind("readiness", settings.listen.readiness))?;
+
+        let allowance = Arc::new(Mutex::new(Allowance::new(settings.bounds.rate_window)));
+        let dispatcher = Dispatcher::new(
+            settings.name.clone(),
+            settings.data_centre.clone(),
+            settings.address,
+            settings.bounds,
+            clock.clone(),
+            events.clone(),
+        );
+        let mirror = Arc::new(Mirror::new(
+            dispatcher.clone(),
+            dialect.clone(),
+            clock.clone(),
+            events.clone(),
+        ));
+        let fleet = Arc::new(Fleet::new(fleet::Setup {
+            me: member(&settings, incarnation, peer),
+            socket,
+            seeds: seeds(&settings),
+            dispatcher: dispatcher.clone(),
+            allowance: allowance.clone(),
+            clock: clock.clone(),
+            events: events.clone(),
+        }));
+        let gateway = Arc::new(Gateway {
+            dialect,
+            clock: clock.clone(),
+            events: events.clone(),
+            mirror: mirror.clone(),
+            dispatcher,
+            fleet: fleet.clone(),
+            allowance,
+            splits: Mutex::new(HashMap::new()),
+            metrics: Arc::new(Metrics::new()),
+            leaving: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        });
+        let (closing, closed) = watch::channel(false);
+        let edge = Edge::new(gateway.clone(), closed);
+        let sync = Sync {
+            mirror: mirror.clone(),
+            store: store.clone(),
+            fleet: fleet.clone(),
+            clock,
+            events: events.clone(),
+        };
+        let mut tasks = vec![
+            tokio::spawn(fleet.clone().receive()),
+            tokio::spawn(fleet.clone().greet()),
+            tokio::spawn(fleet.clone().register(store)),
+            tokio::spawn(fleet.clone().upkeep(mirror.clone())),
+            tokio::spawn(fleet.clone().share(mirror.clone())),
+            tokio::spawn(relay::serve(relay, incarnation, mirror.clone())),
+            tokio::spawn(sync.run()),
+            tokio::spawn(edge.clone().accept(callers)),
+            tokio::spawn(edge::serve_page(locator, gateway.clone(), edge::locate)),
+            tokio::spawn(edge::serve_page(readiness, gateway.clone(), edge::readiness)),
+        ];
+        if let Some(address) = settings.listen.metrics {
+            let listener = edge::bind(address).await.map_err(bind("metrics", address))?;
+            tasks.push(tokio::spawn(edge::serve_page(listener, gateway.clone(), edge::metrics)));
+        }
+        events.emit(
+            "start",
+            json!({
+                "incarnation": incarnation.to_string(), "version": env!("CARGO_PKG_VERSION"),
+                "data_centre": settings.data_centre.as_str(),
+                "caller": settings.listen.caller.to_string(), "store": settings.store.to_string(),
+            }),
+        );
+        Ok(Self { gateway, settings, path, edge, closing, events, tasks })
+    }
+
+    /// Reads the settings file again now and then, and whenever `signal` resolves.
+    pub async fn watch_settings(&self, mut signal: impl AsyncFnMut()) {
+        let mut known = self.settings.clone();
+        loop {
+            // Either way the file is read again.
+            let told = tokio::time::timeout(SETTINGS_CHECK, signal()).await.is_ok();
+            match settings::load(&self.path) {
+                Ok((settings, _)) if settings == known => {
+                    if told {
+                        self.events.emit("reload", json!({ "changed": false }));
+                    }
+                }
+                Ok((settings, unknown)) => {
+                    // Addresses and bounds hold for the life of the process; a new seed is a
+                    // host to talk to.
+                    let needs_restart =
+                        Settings { seeds: known.seeds.clone(), ..settings.clone() } != known;
+                    let fields = json!({
+                        "changed": true, "unknown": unknown, "needs_restart": needs_restart,
+                        "seeds": settings.seeds.len(),
+                    });
+                    self.events.emit("reload", fields);
+                    self.gateway.fleet.meet(&seeds(&settings)).await;
+                    known = settings;
+                }
+                Err(error) => {
+                    self.events.emit("reload_failed", json!({ "error": error.to_string() }));
+                }
+            }
+        }
+    }
+
+    /// Stops: callers are sent elsewhere, open requests are finished, then connections end.
+    pub async fn shutdown(self) {
+        let begun = Instant::now();
+        let grace = self.settings.bounds.grace;
+        self.events.emit("stop", json!({ "grace_ms": grace.as_millis() as u64 }));
+        self.gateway.leaving.store(true, Ordering::Relaxed);
+        self.gateway.fleet.leave().await;
+        let last = begun + grace.saturating_sub(LAST);
+        let quiet = begun + SERVE_ON;
+        while Instant::now() < last && (Instant::now() < quiet || self.edge.open() > 1) {
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+        self.closing.send_replace(true);
+        let end = begun + grace.saturating_sub(SPARE);
+        while Instant::now() < end && self.gateway.in_flight.load(Ordering::Relaxed) > 0 {
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+        // What is written by now still has to leave.
+        tokio::time::sleep(DRAIN_CHECK).await;
+        let cut = self.gateway.in_flight.load(Ordering::Relaxed);
+        self.events.emit("stopped", json!({ "requests_cut": cut }));
+        tokio::time::sleep(DRAIN_CHECK).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn member(settings: &Settings, incarnation: id::Incarnation, peer: SocketAddr) -> Member {
+    let by_core = settings.cores * REQUESTS_PER_CORE;
+    let by_link = settings.link_mbps * REQUESTS_PER_MBPS;
+    Member {
+        host: settings.name.clone(),
+        incarnation,
+        data_centre: settings.data_centre.clone(),
+        peer,
+        caller: settings.listen.caller,
+        capacity: by_core.min(by_link) as f32,
+        ready: false,
+        leaving: false,
+        entry: false,
+    }
+}
+
+/// Returns the seeds at the port for messages, which is the same on all hosts.
+fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+    let port = settings.listen.peer_port;
+    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+}
+
+fn bind(step: &'static str, address: SocketAddr) -> impl FnOnce(io::Error) -> Error {
+    move |error| Error::Bind { step, address, error }
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/members.rs
@@ -0,0 +1,168 @@
+//! The other hosts of the fleet, by what they say of themselves.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::entry;
+use chicoryloom_policy::id;
+
+use super::message::Member;
+
+/// Time between two beats to the hosts of one's own data centre.
+pub(super) const NEAR_BEAT: Duration = Duration::from_millis(250);
+/// Time between two beats to the hosts that take callers in other data centres.
+pub(super) const FAR_BEAT: Duration = Duration::from_secs(1);
+/// Time between two beats to all known hosts, so that parts of a fleet find each other again.
+pub(super) const WIDE_BEAT: Duration = Duration::from_secs(5);
+/// Silence after which a host of one's own data centre counts as lost; three beats.
+const NEAR_LIFE: Duration = Duration::from_millis(800);
+/// Silence after which a host of another data centre counts as lost; three beats.
+const FAR_LIFE: Duration = Duration::from_millis(3300);
+/// Silence after which a host is no longer sent anything.
+const FORGET: Duration = Duration::from_secs(120);
+
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    /// When the host itself was last heard; `None` if others named it only.
+    heard: Option<Moment>,
+    /// When it was first or last heard of.
+    named: Moment,
+}
+
+/// What became of a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Change {
+    Joined,
+    Restarted,
+    Leaving,
+    Lost,
+}
+
+/// The other hosts.
+#[derive(Debug)]
+pub(super) struct Members {
+    data_centre: id::DataCentre,
+    known: HashMap<id::Host, Known>,
+    /// Hosts that were alive at the last look.
+    alive: HashMap<id::Host, bool>,
+}
+
+impl Members {
+    pub(super) fn new(data_centre: id::DataCentre) -> Self {
+        Self { data_centre, known: HashMap::new(), alive: HashMap::new() }
+    }
+
+    /// Takes in what a host says of itself.
+    pub(super) fn hear(&mut self, member: Member, now: Moment) -> Option<Change> {
+        let host = member.host.clone();
+        let before = self.known.get(&host).filter(|known| known.heard.is_some());
+        let change = match before {
+            None => Some(Change::Joined),
+            Some(known) if known.member.incarnation != member.incarnation => {
+                Some(Change::Restarted)
+            }
+            Some(known) if member.leaving && !known.member.leaving => Some(Change::Leaving),
+            Some(_) => None,
+        };
+        self.known.insert(host, Known { member, heard: Some(now), named: now });
+        change
+    }
+
+    /// Takes in what others say of a host; its own word goes first.
+    pub(super) fn name(&mut self, member: Member, now: Moment) {
+        let known = self.known.entry(member.host.clone());
+        known.or_insert(Known { member, heard: None, named: now });
+    }
+
+    fn is_alive(&self, known: &Known, now: Moment) -> bool {
+        let is_near = known.member.data_centre == self.data_centre;
+        let life = if is_near { NEAR_LIFE } else { FAR_LIFE };
+        known.heard.is_some_and(|heard| now.since(heard) < life)
+    }
+
+    /// Returns the hosts that fell silent since the last look.
+    pub(super) fn expire(&mut self, now: Moment) -> Vec<id::Host> {
+        self.known.retain(|_, known| now.since(known.heard.unwrap_or(known.named)) < FORGET);
+        let alive: HashMap<_, _> = self
+            .known
+            .iter()
+            .map(|(host, known)| (host.clone(), self.is_alive(known, now)))
+            .collect();
+        let was_alive = |host: &id::Host| self.alive.get(host).copied().unwrap_or_default();
+        let lost = alive.iter().filter(|(host, alive)| !**alive && was_alive(host));
+        let lost = lost.map(|(host, _)| host.clone()).collect();
+        self.alive = alive;
+        lost
+    }
+
+    /// Returns the hosts that have been heard of lately, themselves or by others.
+    pub(super) fn all(&self) -> impl Iterator<Item = &Member> {
+        self.known.values().map(|known| &known.member)
+    }
+
+    /// Returns the live hosts of a data centre.
+    pub(super) fn alive(
+        &self,
+        data_centre: &id::DataCentre,
+        now: Moment,
+    ) -> impl Iterator<Item = &Member> {
+        self.known
+            .values()
+            .filter(move |known| self.is_alive(known, now))
+            .map(|known| &known.member)
+            .filter(move |member| member.data_centre == *data_centre)
+    }
+
+    /// Returns all live hosts.
+    pub(super) fn everyone(&self, now: Moment) -> impl Iterator<Item = &Member> {
+        let alive = self.known.values().filter(move |known| self.is_alive(known, now));
+        alive.map(|known| &known.member)
+    }
+
+    /// Returns the hosts that callers of a data centre are sent to.
+    pub(super) fn entries<'a>(
+        &'a self,
+        data_centre: &id::DataCentre,
+        me: &'a Member,
+        demand: f64,
+        now: Moment,
+    ) -> Vec<&'a Member> {
+        let mine = std::iter::once(me).filter(|me| me.data_centre == *data_centre);
+        let takes: Vec<_> = self
+            .alive(data_centre, now)
+            .chain(mine)
+            .filter(|member| member.ready && !member.leaving)
+            .collect();
+        let candidates: Vec<_> = takes
+            .iter()
+            .map(|member| entry::Candidate {
+                host: member.host.clone(),
+                capacity: member.capacity.into(),
+            })
+            .collect();
+        entry::choose(&candidates, demand).into_iter().map(|at| takes[at]).collect()
+    }
+
+    /// Returns where to send a beat, by the time since the last ones.
+    pub(super) fn recipients(&self, far: bool, wide: bool, now: Moment) -> Vec<SocketAddr> {
+        let takes = |known: &&Known| {
+            let is_near = known.member.data_centre == self.data_centre;
+            wide || is_near || (far && known.member.entry && self.is_alive(known, now))
+        };
+        self.known.values().filter(takes).map(|known| known.member.peer).collect()
+    }
+
+    /// Returns the live hosts that take callers and know of requests in flight, near and far.
+    pub(super) fn sharers(&self, now: Moment) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let alive = self.everyone(now).filter(|member| member.entry || !member.leaving);
+        let (near, far): (Vec<_>, Vec<_>) =
+            alive.partition(|member| member.data_centre == self.data_centre);
+        let entries = |members: Vec<&Member>| {
+            members.iter().filter(|member| member.entry).map(|member| member.peer).collect()
+        };
+        (entries(near), entries(far))
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -0,0 +1,209 @@
+//! This host's copy of the platform's objects, and what it makes of them.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::catalog::Catalog;
+use chicoryloom_policy::catalog::Target;
+use chicoryloom_policy::replica::Changes;
+use chicoryloom_policy::replica::Kind;
+use chicoryloom_policy::replica::Replica;
+use chicoryloom_policy::replica::Update;
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+use super::dispatcher::Dispatcher;
+use super::events::Events;
+use super::port::Dialect;
+use crate::clock::Clock;
+
+/// Time after which a copy may lack changes that others act on already. It leaves room within the
+/// two seconds in which a change binds.
+pub(super) const FRESH: Duration = Duration::from_millis(1400);
+
+#[derive(Debug, Default)]
+struct Copy {
+    replica: Replica,
+    targets: std::collections::HashMap<SmolStr, Target>,
+    /// When the copy of each kind was last surely the platform's state.
+    confirmed: [Option<Moment>; Kind::ALL.len()],
+}
+
+/// The copy, and the configuration and targets read from it.
+pub(super) struct Mirror {
+    copy: Mutex<Copy>,
+    catalog: ArcSwapOption<Catalog>,
+    dispatcher: Arc<Dispatcher>,
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    events: Events,
+    /// Number of the copy's latest change.
+    latest: watch::Sender<u64>,
+}
+
+impl fmt::Debug for Mirror {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Mirror {{ latest {} }}", *self.latest.borrow())
+    }
+}
+
+impl Mirror {
+    pub(super) fn new(
+        dispatcher: Arc<Dispatcher>,
+        dialect: Arc<dyn Dialect>,
+        clock: Arc<dyn Clock>,
+        events: Events,
+    ) -> Self {
+        Self {
+            copy: Mutex::default(),
+            catalog: ArcSwapOption::empty(),
+            dispatcher,
+            dialect,
+            clock,
+            events,
+            latest: watch::Sender::new(0),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Copy> {
+        self.copy.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the newest configuration that is known.
+    pub(super) fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.load_full()
+    }
+
+    /// Returns the time since the copy was surely the platform's state.
+    pub(super) fn age(&self) -> Duration {
+        let confirmed = self.lock().confirmed;
+        let oldest = confirmed.iter().min().copied().flatten();
+        oldest.map_or(Duration::MAX, |oldest| self.clock.now().since(oldest))
+    }
+
+    /// Returns the platform's revision that the objects of a kind reach.
+    pub(super) fn revision(&self, kind: Kind) -> u64 {
+        self.lock().replica.revision(kind)
+    }
+
+    /// Returns the number of the latest change and what changed after another one.
+    pub(super) fn after(&self, number: u64) -> (u64, Vec<Update>) {
+        let copy = self.lock();
+        (copy.replica.latest(), copy.replica.after(number))
+    }
+
+    /// Waits until there is a change after a numbered one, `wait` at most.
+    pub(super) async fn changed_after(&self, number: u64, wait: Duration) {
+        let mut latest = self.latest.subscribe();
+        // The sender lives as long as the mirror, and running out of time is no error.
+        let _ = tokio::time::timeout(wait, latest.wait_for(|latest| *latest > number)).await;
+    }
+
+    /// Notes that the platform answers again after it was away.
+    pub(super) fn platform_returned(&self) {
+        let now = self.clock.now();
+        self.lock().replica.platform_returned(now);
+    }
+
+    /// Applies an update that was surely the platform's state `age` ago.
+    pub(super) fn apply(&self, update: Update, age: Duration, source: &str) {
+        let now = self.clock.now();
+        let mut copy = self.lock();
+        let index = usize::from(update.kind == Kind::Target);
+        if update.revision >= copy.replica.revision(update.kind) {
+            let confirmed = now.before(age);
+            copy.confirmed[index] = copy.confirmed[index].max(Some(confirmed));
+        }
+        let changes = copy.replica.apply(update, now);
+        self.take(&mut copy, &changes, source);
+    }
+
+    /// Drops targets whose entries lapsed and did not come back in time.
+    pub(super) fn expire(&self) {
+        let now = self.clock.now();
+        let mut copy = self.lock();
+        let changes = copy.replica.expire(now);
+        self.take(&mut copy, &changes, "grace over");
+    }
+
+    fn take(&self, copy: &mut Copy, changes: &Changes, source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        if changes.catalog {
+            self.read_catalog(copy, source);
+        }
+        for name in &changes.targets {
+            self.read_target(copy, name, source);
+        }
+        let targets = copy.targets.values().cloned().collect();
+        self.dispatcher.set_targets(targets, self.catalog().as_deref());
+        let number = copy.replica.latest();
+        self.latest.send_replace(number);
+    }
+
+    fn read_catalog(&self, copy: &Copy, source: &str) {
+        // The kind has one object; any other name was written by someone else.
+        let record = copy.replica.records(Kind::Catalog).max_by_key(|record| record.revision);
+        let Some((revision, value)) =
+            record.and_then(|record| Some((record.revision, record.value.as_ref()?)))
+        else {
+            return;
+        };
+        match self.dialect.catalog(value) {
+            Ok(catalog) => {
+                let known = self.catalog().map(|known| known.version);
+                let fields = json!({
+                    "version": catalog.version.0, "before": known.map(|version| version.0),
+                    "revision": revision, "from": source,
+                });
+                if known.is_some_and(|known| known >= catalog.version) {
+                    self.events.emit("configuration_older", fields);
+                    return;
+                }
+                self.events.emit("configuration", fields);
+                self.catalog.store(Some(Arc::new(catalog)));
+            }
+            Err(error) => {
+                let error = error.to_string();
+                let fields = json!({ "revision": revision, "error": error, "from": source });
+                self.events.emit("configuration_invalid", fields);
+            }
+        }
+    }
+
+    fn read_target(&self, copy: &mut Copy, name: &SmolStr, source: &str) {
+        let record = copy.replica.get(Kind::Target, name);
+        let value = record.and_then(|record| Some((record.revision, record.value.clone()?)));
+        let Some((revision, value)) = value else {
+            copy.targets.remove(name);
+            let fields = json!({ "target": name.as_str(), "from": source });
+            self.events.emit("target_gone", fields);
+            return;
+        };
+        match self.dialect.target(name, &value) {
+            Ok(target) => {
+                let fields = json!({
+                    "target": name.as_str(), "service": target.service.as_str(),
+                    "address": target.address.to_string(), "leaving": target.leaving,
+                    "born": target.born, "revision": revision, "from": source,
+                });
+                self.events.emit("target_listed", fields);
+                copy.targets.insert(name.clone(), target);
+            }
+            Err(error) => {
+                copy.targets.remove(name);
+                let error = error.to_string();
+                let fields =
+                    json!({ "target": name.as_str(), "revision": revision, "error": error });
+                self.events.emit("target_invalid", fields);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/mod.rs
@@ -0,0 +1,342 @@
+//! A gateway: requests that are routed by host name, on a platform that lists routes and targets.
+//!
+//! The platform's adapter provides the [`port`]s. Each host keeps a copy of the platform's objects
+//! ([`sync`], [`mirror`]), tells the others what it sees ([`fleet`]), and assigns requests to
+//! targets ([`dispatcher`], [`job`]).
+
+mod answer;
+mod dispatcher;
+mod edge;
+pub mod events;
+mod fleet;
+mod host;
+mod job;
+mod members;
+mod message;
+mod mirror;
+pub mod port;
+mod refusal;
+mod relay;
+pub mod settings;
+mod sync;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use chicoryloom_policy::allowance::Allowance;
+use chicoryloom_policy::catalog::Catalog;
+use chicoryloom_policy::catalog::Route;
+use chicoryloom_policy::catalog::Workspace;
+use chicoryloom_policy::holdback::Fingerprint;
+use chicoryloom_policy::id;
+use chicoryloom_policy::split::Split;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use http::header::EXPECT;
+use http::header::HOST;
+use http::header::UPGRADE;
+use http::uri::PathAndQuery;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::time::Instant;
+
+pub use crate::target::Protocol;
+pub use host::Host;
+pub use host::Setup;
+
+use self::dispatcher::Dispatcher;
+use self::events::Events;
+use self::fleet::Fleet;
+use self::job::Job;
+use self::job::Progress;
+use self::mirror::FRESH;
+use self::mirror::Mirror;
+use self::port::Dialect;
+use self::refusal::Reason;
+use self::refusal::Refusal;
+use crate::clock::Clock;
+use crate::metrics::Labels;
+use crate::metrics::Metrics;
+use crate::proxy::body;
+use crate::proxy::headers;
+use crate::proxy::payload::Payload;
+use crate::target::Body;
+
+/// Wait that a caller is told when the cause is expected to pass soon.
+const SOON: Duration = Duration::from_millis(300);
+/// Bytes around a header's name and value in its line.
+const LINE_OVERHEAD: usize = 4;
+/// Largest head that is taken before any configuration is known.
+const FIRST_HEAD: usize = 16 * 1024;
+
+/// Everything that the request path uses.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    dialect: Arc<dyn Dialect>,
+    clock: Arc<dyn Clock>,
+    events: Events,
+    mirror: Arc<Mirror>,
+    dispatcher: Arc<Dispatcher>,
+    fleet: Arc<Fleet>,
+    allowance: Arc<Mutex<Allowance>>,
+    splits: Mutex<HashMap<id::Route, Split>>,
+    metrics: Arc<Metrics>,
+    leaving: AtomicBool,
+    /// Requests that have no head of an answer yet.
+    in_flight: AtomicUsize,
+}
+
+/// What a request turned out to ask for.
+struct Asked {
+    catalog: Arc<Catalog>,
+    route: Arc<Route>,
+    workspace: Option<Arc<Workspace>>,
+    key: Option<id::Digest>,
+}
+
+/// What the event of a request tells.
+#[derive(Default)]
+struct Story {
+    route: Option<Arc<Route>>,
+    service: Option<id::Service>,
+    workspace: Option<id::Workspace>,
+    version: Option<u64>,
+    tried: Vec<id::Instance>,
+}
+
+impl Gateway {
+    /// Answers one request of a caller.
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let _counted = Counted(&self.in_flight);
+        let started = Instant::now();
+        let name = &self.dialect.headers().request_id;
+        let id = request.headers().get(name).cloned();
+        let mut story = Story::default();
+        let served = self.serve(request, &mut story).await;
+        let (mut response, refusal) = match served {
+            Ok(response) => (response, None),
+            Err(refusal) => (refusal.response(), Some(refusal)),
+        };
+        if refusal.is_some()
+            && let Some(id) = &id
+        {
+            response.headers_mut().insert(name, id.clone());
+        }
+        if self.leaving.load(Ordering::Relaxed) {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        let took = started.elapsed();
+        self.count(&story, response.status().as_u16(), refusal.as_ref(), took);
+        self.events.request("request", || {
+            let id = id.as_ref().and_then(|id| id.to_str().ok());
+            let tried: Vec<_> = story.tried.iter().map(id::Instance::as_str).collect();
+            json!({
+                "id": id, "status": response.status().as_u16(), "took_ms": took.as_millis() as u64,
+                "reason": refusal.as_ref().map(|refusal| refusal.reason.as_str()),
+                "detail": refusal.as_ref().map(|refusal| refusal.detail.as_str()),
+                "route": story.route.as_ref().map(|route| route.name.as_str()),
+                "service": story.service.as_ref().map(id::Service::as_str),
+                "workspace": story.workspace.as_ref().map(id::Workspace::as_str),
+                "targets": tried, "configuration": story.version,
+                "copy_age_ms": self.mirror.age().as_millis().min(u128::from(u32::MAX)) as u64,
+            })
+        });
+        response
+    }
+
+    fn count(&self, story: &Story, status: u16, refusal: Option<&Refusal>, took: Duration) {
+        if let Some(refusal) = refusal {
+            self.metrics.gateway_refusal(refusal.reason.as_str());
+        }
+        if let (Some(route), Some(service)) = (&story.route, &story.service)
+            && let Ok(class) = route.name.as_str().parse()
+        {
+            let workspace = story.workspace.clone();
+            let labels = Labels { service: service.clone(), workspace, class };
+            self.metrics.request(&labels, status, took);
+        }
+    }
+
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+        story: &mut Story,
+    ) -> Result<Response<Body>, Refusal> {
+        let arrived = self.clock.now();
+        let begun = Instant::now();
+        let asked = self.ask(&request)?;
+        let Asked { catalog, route, workspace, key } = asked;
+        story.route = Some(route.clone());
+        story.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
+        story.version = Some(catalog.version.0);
+        if let Some(workspace) = &workspace {
+            self.check(workspace)?;
+        }
+        let budget = self.budget(&request, &route);
+        let end = begun + budget;
+        let limits = catalog.limits;
+        let (parts, body) = request.into_parts();
+        let body = body::bounded(body, limits.body_bytes, limits.idle_timeout);
+        let payload = match tokio::time::timeout_at(end, Payload::read(body)).await {
+            Ok(Ok(payload)) => payload,
+            Ok(Err(error)) => return Err(Refusal::new(Reason::Body, error.to_string())),
+            Err(_) => return Err(Refusal::new(Reason::SlowBody, "the body did not come in time")),
+        };
+        let service = self.service(&route)?;
+        story.service = Some(service.clone());
+        let id = parts.headers.get(&self.dialect.headers().request_id).cloned();
+        let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let fingerprint = Fingerprint::of(
+            story.workspace.as_ref().map_or("", id::Workspace::as_str),
+            parts.method.as_str(),
+            parts.uri.path_and_query().map_or("/", PathAndQuery::as_str),
+            payload.head(),
+        );
+        if let Some(wait) = self.dispatcher.held(fingerprint) {
+            let detail = "requests like this one took targets down";
+            return Err(Refusal::new(Reason::HeldBack, detail).retry_after(wait));
+        }
+        let job = Job {
+            gateway: self,
+            id,
+            route,
+            service,
+            workspace,
+            key,
+            parts: self.to_target(parts)?,
+            payload,
+            fingerprint,
+            arrived,
+            end,
+            progress: Progress::default(),
+        };
+        let answered = job.run().await;
+        story.tried = job.progress.tried();
+        answered
+    }
+
+    /// Checks a request's form and finds its route and workspace.
+    fn ask(&self, request: &Request<Incoming>) -> Result<Asked, Refusal> {
+        let Some(catalog) = self.mirror.catalog() else {
+            let refusal = Refusal::new(Reason::Unknowing, "this host knows no configuration yet");
+            return Err(refusal.retry_after(SOON));
+        };
+        let site = check_form(request, &catalog)?;
+        let Some(route) = catalog.route(site, request.uri().path()).cloned() else {
+            return Err(self.unknown(Reason::Route, "no route takes the request"));
+        };
+        if route.open {
+            return Ok(Asked { catalog, route, workspace: None, key: None });
+        }
+        let key = self.dialect.key(request.headers()).map(id::Digest::of);
+        let workspace = key.as_ref().and_then(|key| catalog.keys.get(key)).cloned();
+        if workspace.is_none() {
+            return Err(self.unknown(Reason::Key, "the key is missing, unknown or withdrawn"));
+        }
+        Ok(Asked { catalog, route, workspace, key })
+    }
+
+    /// Refuses what the configuration does not know, unless a newer one may know it.
+    fn unknown(&self, reason: Reason, detail: &str) -> Refusal {
+        if self.mirror.age() < FRESH {
+            return Refusal::new(reason, detail);
+        }
+        let detail = format!("{detail}, but this host may have missed a change");
+        Refusal::new(Reason::Unknowing, detail).retry_after(SOON)
+    }
+
+    fn check(&self, workspace: &Workspace) -> Result<(), Refusal> {
+        let allowance = self.allowance.lock().expect("no holder of the lock panics");
+        allowance.check(workspace, self.clock.now()).map_err(|excess| past_rate(workspace, &excess))
+    }
+
+    /// Counts a request towards its workspace's grant.
+    fn admit(&self, workspace: &Workspace) -> Result<(), Refusal> {
+        let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
+        allowance.admit(workspace, self.clock.now()).map_err(|excess| past_rate(workspace, &excess))
+    }
+
+    /// Returns the time that a request may take: its route's, or less if the caller says so.
+    fn budget(&self, request: &Request<Incoming>, route: &Route) -> Duration {
+        let value = request.headers().get(&self.dialect.headers().deadline_ms);
+        let value = value.and_then(|value| value.to_str().ok());
+        let asked = value.and_then(|value| value.trim().parse().ok()).map(Duration::from_millis);
+        asked.map_or(route.timeout, |asked| asked.min(route.timeout))
+    }
+
+    /// Returns the service that the next request of a route goes to.
+    fn service(&self, route: &Route) -> Result<id::Service, Refusal> {
+        let mut splits = self.splits.lock().expect("no holder of the lock panics");
+        let split = splits
+            .entry(route.name.clone())
+            .or_insert_with(|| Split::shuffled(&route.parts, &mut rand::rng()));
+        let service = split.next(&route.parts).cloned();
+        service.ok_or_else(|| Refusal::new(Reason::Route, "the route leads to no service"))
+    }
+
+    /// Turns a caller's head into one for targets.
+    fn to_target(&self, mut parts: http::request::Parts) -> Result<http::request::Parts, Refusal> {
+        let names = self.dialect.headers();
+        headers::strip_hop_by_hop(&mut parts.headers);
+        for name in [&names.key, &names.workspace, &names.instance, &EXPECT] {
+            parts.headers.remove(name);
+        }
+        let path = parts.uri.path_and_query().cloned();
+        let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+        parts.uri = http::Uri::from(path);
+        Ok(parts)
+    }
+
+    /// Returns the wait that a caller is told when the cause is expected to pass soon.
+    fn soon(&self) -> Duration {
+        SOON
+    }
+}
+
+fn past_rate(workspace: &Workspace, excess: &chicoryloom_policy::allowance::Excess) -> Refusal {
+    let detail = format!(
+        "workspace {} used {:.1} of {:.1} requests in the window",
+        workspace.name, excess.used, excess.limit
+    );
+    Refusal::new(Reason::Rate, detail).retry_after(excess.wait)
+}
+
+/// Refuses a request that is too large, ambiguous or asks for another protocol; returns its host
+/// name otherwise.
+fn check_form<'a, B>(request: &'a Request<B>, catalog: &Catalog) -> Result<&'a str, Refusal> {
+    let headers = request.headers();
+    let lines =
+        headers.iter().map(|(name, value)| name.as_str().len() + value.len() + LINE_OVERHEAD);
+    let size = lines.sum::<usize>() + request.uri().path().len();
+    if size > catalog.limits.header_bytes {
+        let detail = format!("the head is longer than {} bytes", catalog.limits.header_bytes);
+        return Err(Refusal::new(Reason::Head, detail));
+    }
+    if request.method() == Method::CONNECT || headers.contains_key(UPGRADE) {
+        return Err(Refusal::new(Reason::Malformed, "a change of protocol is not served"));
+    }
+    let mut hosts = headers.get_all(HOST).iter();
+    match (hosts.next().and_then(|host| host.to_str().ok()), hosts.next()) {
+        (Some(host), None) => Ok(host),
+        (None, _) => Err(Refusal::new(Reason::Malformed, "no host is named")),
+        (Some(_), Some(_)) => Err(Refusal::new(Reason::Malformed, "two hosts are named")),
+    }
+}
+
+/// Counts something down when dropped.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/settings.rs
@@ -0,0 +1,215 @@
+//! Settings of a gateway host.
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use chicoryloom_policy::id;
+use chicoryloom_policy::unit::Share;
+use chicoryloom_wire::yaml;
+use serde::Deserialize;
+
+/// Settings as they stand in the file.
+#[derive(Clone, Debug, Deserialize)]
+struct Raw {
+    host: RawHost,
+    listen: RawListen,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    store: RawStore,
+    #[serde(default)]
+    bounds: RawBounds,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct RawHost {
+    name: String,
+    data_centre: String,
+    address: IpAddr,
+    #[serde(default = "default_cores")]
+    cores: f64,
+    #[serde(default = "default_link_mbps")]
+    link_mbps: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct RawListen {
+    caller: SocketAddr,
+    readiness: SocketAddr,
+    locator: SocketAddr,
+    peer_port: u16,
+    metrics: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct RawStore {
+    address: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+struct RawBounds {
+    grace_s: f64,
+    retry_share: f64,
+    retry_burst: f64,
+    retry_window_s: f64,
+    rate_window_s: f64,
+    floor: f64,
+}
+
+/// A core of its own.
+fn default_cores() -> f64 {
+    1.0
+}
+
+/// A gigabit link.
+fn default_link_mbps() -> f64 {
+    1000.0
+}
+
+impl Default for RawBounds {
+    fn default() -> Self {
+        Self {
+            grace_s: 6.0,
+            retry_share: 0.2,
+            retry_burst: 50.0,
+            retry_window_s: 10.0,
+            rate_window_s: 5.0,
+            floor: 0.7,
+        }
+    }
+}
+
+/// Checked settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub name: id::Host,
+    pub data_centre: id::DataCentre,
+    pub address: IpAddr,
+    /// Processor time that the host has, in cores; above zero.
+    pub cores: f64,
+    /// Bandwidth of the host's link, in megabits a second; above zero.
+    pub link_mbps: f64,
+    pub listen: Listen,
+    /// Addresses of other hosts, whose ports are not those for messages.
+    pub seeds: Vec<SocketAddr>,
+    pub store: SocketAddr,
+    pub bounds: Bounds,
+}
+
+/// Addresses that a host listens on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listen {
+    pub caller: SocketAddr,
+    pub readiness: SocketAddr,
+    pub locator: SocketAddr,
+    /// Port for messages of other hosts, the same on all hosts.
+    pub peer_port: u16,
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Bounds that the fleet keeps together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time from the signal to stop to the end of the process.
+    pub grace: Duration,
+    /// Retries that each request allows.
+    pub retry_share: f64,
+    /// Retries beyond that share which the fleet may send to a service in the window.
+    pub retry_burst: f64,
+    pub retry_window: Duration,
+    /// Window over which rates and bursts are counted.
+    pub rate_window: Duration,
+    /// Share of a service's slots that holding targets back leaves in use.
+    pub floor: Share,
+}
+
+/// Why settings could not be loaded.
+#[derive(Debug)]
+pub enum Error {
+    Read(PathBuf, io::Error),
+    Yaml(PathBuf, yaml::Error),
+    Field(PathBuf, &'static str, String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::Yaml(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::Field(path, field, reason) => {
+                write!(f, "{}: {field}: {reason}", path.display())
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Loads and checks a settings file; unknown fields are listed beside the settings.
+pub fn load(path: &Path) -> Result<(Settings, Vec<String>), Error> {
+    let text = fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))?;
+    let parsed = yaml::parse::<Raw>(&text).map_err(|error| Error::Yaml(path.to_owned(), error))?;
+    let settings = Settings::try_from(parsed.value)
+        .map_err(|(field, reason)| Error::Field(path.to_owned(), field, reason))?;
+    Ok((settings, parsed.unknown))
+}
+
+impl TryFrom<Raw> for Settings {
+    type Error = (&'static str, String);
+
+    fn try_from(raw: Raw) -> Result<Self, Self::Error> {
+        let Raw { host, listen, seeds, store, bounds } = raw;
+        let name = host.name.parse().map_err(|error| ("host.name", format!("{error}")))?;
+        let data_centre =
+            host.data_centre.parse().map_err(|error| ("host.data_centre", format!("{error}")))?;
+        Ok(Self {
+            name,
+            data_centre,
+            address: host.address,
+            cores: above_zero("host.cores", host.cores)?,
+            link_mbps: above_zero("host.link_mbps", host.link_mbps)?,
+            listen: Listen {
+                caller: listen.caller,
+                readiness: listen.readiness,
+                locator: listen.locator,
+                peer_port: listen.peer_port,
+                metrics: listen.metrics,
+            },
+            seeds,
+            store: store.address,
+            bounds: bounds.try_into()?,
+        })
+    }
+}
+
+impl TryFrom<RawBounds> for Bounds {
+    type Error = (&'static str, String);
+
+    fn try_from(raw: RawBounds) -> Result<Self, Self::Error> {
+        let floor = Share::new(raw.floor);
+        Ok(Self {
+            grace: span("bounds.grace_s", raw.grace_s)?,
+            retry_share: above_zero("bounds.retry_share", raw.retry_share)?,
+            retry_burst: above_zero("bounds.retry_burst", raw.retry_burst)?,
+            retry_window: span("bounds.retry_window_s", raw.retry_window_s)?,
+            rate_window: span("bounds.rate_window_s", raw.rate_window_s)?,
+            floor: floor.ok_or(("bounds.floor", "must be 0 to 1".to_owned()))?,
+        })
+    }
+}
+
+fn above_zero(field: &'static str, value: f64) -> Result<f64, (&'static str, String)> {
+    let fits = value.is_finite() && value > 0.0;
+    if fits { Ok(value) } else { Err((field, "must be above zero".to_owned())) }
+}
+
+fn span(field: &'static str, seconds: f64) -> Result<Duration, (&'static str, String)> {
+    let seconds = above_zero(field, seconds)?;
+    Duration::try_from_secs_f64(seconds).map_err(|error| (field, error.to_string()))
+}
--- /dev/null
+++ b/chicoryloom/src/gateway/sync.rs
@@ -0,0 +1,200 @@
+//! Keeps the mirror up to date: from the platform, or from a host that watches the platform.
+//!
+//! In each data centre one host watches and the others follow it. The order in which hosts take
+//! over is the same everywhere. A host follows the first one before it in that order whose copy
+//! is fresh, and watches the platform itself if there is none. So one silent watcher costs the
+//! time until its copy counts as old, and the platform gets a few calls a second.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::entry;
+use chicoryloom_policy::id;
+use chicoryloom_policy::replica::Kind;
+use rand::Rng;
+use serde_json::json;
+use tokio::sync::watch;
+
+use super::events::Events;
+use super::fleet::Fleet;
+use super::mirror::FRESH;
+use super::mirror::Mirror;
+use super::port;
+use super::port::Store;
+use super::relay::Follower;
+use crate::clock::Clock;
+
+/// Purpose under which the hosts of a data centre are ordered.
+const PURPOSE: &str = "watch";
+/// Wait of one watch at the platform. Its end confirms the copy, so that it is below [`FRESH`].
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Wait of a follower at its relay.
+const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+/// Time beyond its wait after which a relay counts as lost.
+const FOLLOW_SLACK: Duration = Duration::from_millis(300);
+/// Time for which a relay that failed is passed over.
+const AVOID: Duration = Duration::from_secs(1);
+/// Hosts of a data centre that watch at once while the platform does not answer them.
+const WATCHERS: usize = 2;
+/// Additional age of the copy at which each further host starts to watch.
+const TURN: Duration = Duration::from_millis(250);
+/// Shortest and longest pause after a failed call.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+/// Time after the start in which other hosts are looked for before the platform is asked.
+const LOOK_AROUND: Duration = Duration::from_millis(250);
+/// How often the choice of a source is looked at.
+const CHECK: Duration = Duration::from_millis(50);
+/// Time without the platform after which it counts as having been away.
+const AWAY: Duration = Duration::from_millis(1500);
+
+/// Keeps a mirror up to date.
+#[derive(Clone, Debug)]
+pub(super) struct Sync {
+    pub(super) mirror: Arc<Mirror>,
+    pub(super) store: Arc<dyn Store>,
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) events: Events,
+}
+
+impl Sync {
+    /// Runs until the task is aborted.
+    pub(super) async fn run(self) {
+        let (direct, duty) = watch::channel(false);
+        for kind in Kind::ALL {
+            tokio::spawn(self.clone().watch(kind, duty.clone()));
+        }
+        let started = self.clock.now();
+        let mut avoided: HashMap<id::Host, Moment> = HashMap::new();
+        let mut follower: Option<Follower> = None;
+        loop {
+            self.mirror.expire();
+            let now = self.clock.now();
+            avoided.retain(|_, until| now < *until);
+            let (before, rank) = self.order(now);
+            let relay = before.iter().find(|(host, _)| !avoided.contains_key(host));
+            let Some((host, address)) = relay else {
+                let age = self.mirror.age();
+                let alone = before.is_empty() && now.since(started) < LOOK_AROUND;
+                let patience = TURN * u32::try_from(rank.saturating_sub(WATCHERS)).unwrap_or(0);
+                let is_due = !alone && (rank < WATCHERS || age >= FRESH + patience);
+                self.set_direct(&direct, is_due);
+                tokio::time::sleep(CHECK).await;
+                continue;
+            };
+            if self.follow(&mut follower, *address).await {
+                self.set_direct(&direct, false);
+            } else {
+                follower = None;
+                avoided.insert(host.clone(), now.after(AVOID));
+            }
+        }
+    }
+
+    fn set_direct(&self, direct: &watch::Sender<bool>, wanted: bool) {
+        let changed = direct.send_if_modified(|present| {
+            let differs = *present != wanted;
+            *present = wanted;
+            differs
+        });
+        if changed {
+            let source = if wanted { "platform" } else { "peer" };
+            let age = self.mirror.age().as_millis().min(u128::from(u32::MAX)) as u64;
+            self.events.emit("source", json!({ "source": source, "age_ms": age }));
+        }
+    }
+
+    /// Returns the hosts that come before this one, and this one's rank.
+    fn order(&self, now: Moment) -> (Vec<(id::Host, SocketAddr)>, usize) {
+        let near = self.fleet.near(now);
+        let me = self.fleet.name();
+        let names = near.iter().map(|(host, _)| host).chain([me]);
+        let order = entry::succession(PURPOSE, names);
+        let rank = order.iter().position(|host| *host == me).unwrap_or_default();
+        let address =
+            |host: &id::Host| near.iter().find(|(name, _)| name == host).map(|(_, at)| *at);
+        let before =
+            order[..rank].iter().filter_map(|host| Some(((*host).clone(), address(host)?)));
+        (before.collect(), rank)
+    }
+
+    /// Asks a relay once; tells whether its copy is fresh.
+    async fn follow(&self, follower: &mut Option<Follower>, relay: SocketAddr) -> bool {
+        if follower.as_ref().is_none_or(|follower| follower.relay != relay) {
+            let connected = tokio::time::timeout(FOLLOW_SLACK, Follower::connect(relay)).await;
+            *follower = connected.ok().and_then(Result::ok);
+        }
+        let Some(connected) = follower else {
+            return false;
+        };
+        let asked = self.clock.now();
+        let polled = tokio::time::timeout(FOLLOW_WAIT + FOLLOW_SLACK, connected.poll(FOLLOW_WAIT));
+        let Ok(Ok(told)) = polled.await else {
+            return false;
+        };
+        // The relay's age is as of its answer, which left after the call did.
+        let lag = self.clock.now().since(asked).saturating_sub(FOLLOW_WAIT);
+        let age = Duration::from_millis(told.age_ms).saturating_add(lag);
+        let source = relay.to_string();
+        for update in told.updates {
+            self.mirror.apply(update, age, &source);
+        }
+        age < FRESH
+    }
+
+    /// Watches one kind of objects while this is the host's duty.
+    async fn watch(self, kind: Kind, mut duty: watch::Receiver<bool>) {
+        let mut pause = PAUSE.0;
+        let mut is_listed = false;
+        let mut reached: Option<Moment> = None;
+        let mut is_lost = false;
+        loop {
+            if !*duty.borrow_and_update() {
+                is_listed = self.mirror.revision(kind) > 0;
+                if duty.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let after = self.mirror.revision(kind);
+            let called = if is_listed && after > 0 {
+                self.store.watch(kind, after, WATCH_WAIT).await
+            } else {
+                self.store.list(kind).await
+            };
+            let now = self.clock.now();
+            match called {
+                Ok(update) => {
+                    let was_away = reached.is_some_and(|at| now.since(at) > AWAY + WATCH_WAIT);
+                    if was_away || is_lost {
+                        is_lost = false;
+                        self.events.emit("store_regained", json!({ "kind": format!("{kind:?}") }));
+                        self.mirror.platform_returned();
+                        // What lapsed meanwhile shows in a listing only.
+                        is_listed = update.whole;
+                    } else {
+                        is_listed = true;
+                    }
+                    reached = Some(now);
+                    pause = PAUSE.0;
+                    self.mirror.apply(update, Duration::ZERO, "platform");
+                }
+                Err(port::Error::Compacted) => is_listed = false,
+                Err(error) => {
+                    if !is_lost {
+                        is_lost = true;
+                        let error = error.to_string();
+                        let fields = json!({ "kind": format!("{kind:?}"), "error": error });
+                        self.events.emit("store_lost", fields);
+                    }
+                    let jitter = rand::rng().random_range(0.7..1.3);
+                    tokio::time::sleep(pause.mul_f64(jitter)).await;
+                    pause = (pause * 2).min(PAUSE.1);
+                }
+            }
+        }
+    }
+}
--- a/chicoryloom/src/lib.rs
+++ b/chicoryloom/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod gateway;
 pub mod host;
 pub mod logging;
 
--- a/chicoryloom/src/logging.rs
+++ b/chicoryloom/src/logging.rs
@@ -47,6 +47,11 @@
     let _ = started.try_apply();
 }
 
+/// Sends logs from a level on to standard error as JSON lines.
+pub fn init_at(level: log::Level) {
+    init(&Log { level, format: Format::Json });
+}
+
 fn level(level: log::Level) -> Level {
     match level {
         log::Level::Error => Level::Error,
--- a/chicoryloom/src/metrics.rs
+++ b/chicoryloom/src/metrics.rs
@@ -140,6 +140,11 @@
         self.refusals.add(1, &[KeyValue::new("code", code.as_str())]);
     }
 
+    /// Counts an answer that a gateway gave by itself.
+    pub(crate) fn gateway_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("code", reason)]);
+    }
+
     /// Counts a datagram that is no genuine frame.
     pub(crate) fn frame_dropped(&self, error: frame::Error) {
         self.frames_dropped.add(1, &[KeyValue::new("reason", error.to_string())]);
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -24,6 +24,7 @@
 use crate::target::Failure;
 use crate::target::Lease;
 use crate::target::Member;
+use crate::target::Protocol;
 use crate::target::Service;
 use crate::target::exchange;
 
@@ -101,7 +102,7 @@
         self.check_key()?;
         let started = Instant::now();
         let mut late = false;
-        let exchange = exchange(lease, request, self.proxy.settings.idle_timeout);
+        let exchange = exchange(lease, request, self.proxy.settings.idle_timeout, Protocol::own());
         let sent = self.watched(member, exchange, started, &mut late).await;
         match sent {
             Ok(mut answer) => {
@@ -214,7 +215,9 @@
                 self.service.lost(self.fingerprint, member.target.id, now);
                 Failed::Reset
             }
-            Failure::Crossed | Failure::Endless => Failed::Error,
+            Failure::Crossed | Failure::Endless | Failure::Unsealed | Failure::Misdirected => {
+                Failed::Error
+            }
             // A caller that waits for a moment only must not have targets ejected.
             Failure::Deadline if !self.is_route_deadline => return,
             Failure::Deadline => Failed::Timeout,
--- a/chicoryloom/src/proxy/body.rs
+++ b/chicoryloom/src/proxy/body.rs
@@ -28,7 +28,7 @@
 }
 
 /// Returns a body that fails once it is longer than `bound` bytes or pauses for `idle`.
-pub(super) fn bounded(body: Incoming, bound: u64, idle: Duration) -> Body {
+pub(crate) fn bounded(body: Incoming, bound: u64, idle: Duration) -> Body {
     Bounded { body, left: bound, idle, timer: None }.boxed_unsync()
 }
 
--- a/chicoryloom/src/proxy/headers.rs
+++ b/chicoryloom/src/proxy/headers.rs
@@ -33,7 +33,7 @@
 ];
 
 /// Removes the headers that concern one connection only, those named by `connection` included.
-pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<_> = headers
         .get_all(CONNECTION)
         .iter()
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -3,17 +3,17 @@
 mod answer;
 mod attempt;
 mod attempts;
-mod body;
+pub(crate) mod body;
 mod form;
 mod forward;
-mod headers;
+pub(crate) mod headers;
 pub(crate) mod key;
 mod listener;
 mod path;
-mod payload;
+pub(crate) mod payload;
 mod request;
 mod runs;
-mod stream;
+pub(crate) mod stream;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
--- a/chicoryloom/src/proxy/payload.rs
+++ b/chicoryloom/src/proxy/payload.rs
@@ -21,7 +21,7 @@
 
 /// The body of a request: its beginning, and the rest if it is long.
 #[derive(Debug)]
-pub(super) struct Payload {
+pub(crate) struct Payload {
     /// The whole body, or its beginning.
     head: Bytes,
     /// Whether the caller announced the length; a target sees the same form.
@@ -40,7 +40,7 @@
 
 impl Payload {
     /// Reads a body's beginning.
-    pub(super) async fn read(mut body: Body) -> Result<Self, BodyError> {
+    pub(crate) async fn read(mut body: Body) -> Result<Self, BodyError> {
         let sized = body.size_hint().exact().is_some();
         if body.is_end_stream() {
             return Ok(Self { head: Bytes::new(), sized, rest: Rest::None });
@@ -58,12 +58,12 @@
     }
 
     /// Returns the bytes that tell this body from others.
-    pub(super) fn head(&self) -> &Bytes {
+    pub(crate) fn head(&self) -> &Bytes {
         &self.head
     }
 
     /// Tells whether another attempt could send the body.
-    pub(super) fn is_left(&self) -> bool {
+    pub(crate) fn is_left(&self) -> bool {
         match &self.rest {
             Rest::None => true,
             Rest::Stream(rest) => rest.lock().expect("no holder of the lock panics").is_some(),
@@ -71,12 +71,12 @@
     }
 
     /// Tells whether the body can be sent as often as needed.
-    pub(super) fn is_whole(&self) -> bool {
+    pub(crate) fn is_whole(&self) -> bool {
         matches!(self.rest, Rest::None)
     }
 
     /// Returns the body for one attempt, or `None` if it is spent.
-    pub(super) fn body(&self) -> Option<Body> {
+    pub(crate) fn body(&self) -> Option<Body> {
         match &self.rest {
             Rest::None if self.sized => Some(whole(self.head.clone())),
             Rest::None => Some(Unsized(Some(self.head.clone())).boxed_unsync()),
--- a/chicoryloom/src/proxy/stream.rs
+++ b/chicoryloom/src/proxy/stream.rs
@@ -24,7 +24,7 @@
 /// A caller that stops reading would otherwise hold a slot of its target for good. A close with
 /// unread bytes would reset the connection, and the caller could lose the answer before them.
 #[derive(Debug)]
-pub(super) struct Stream {
+pub(crate) struct Stream {
     stream: TcpStream,
     bound: Duration,
     /// Runs while a write waits.
@@ -34,7 +34,7 @@
 }
 
 impl Stream {
-    pub(super) fn new(stream: TcpStream, bound: Duration) -> Self {
+    pub(crate) fn new(stream: TcpStream, bound: Duration) -> Self {
         Self { stream, bound, stalled: None, linger: None }
     }
 
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -2,12 +2,14 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::sync::LazyLock;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
 use chicoryloom_wire::header;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -22,6 +24,38 @@
 
 use super::pool::Lease;
 
+/// Headers by which targets tell what became of a request.
+#[derive(Clone, Debug)]
+pub struct Protocol {
+    /// Identifier of the attempt, which a target echoes.
+    pub request_id: HeaderName,
+    /// Whether an answer without the echo is taken as the request's.
+    pub allows_no_echo: bool,
+    /// Set on an answer to a request that was not run.
+    pub not_run: HeaderName,
+    /// Set by a target that drains.
+    pub draining: Option<HeaderName>,
+    /// Set on each whole answer of a target; none is expected if empty.
+    pub seal: Option<HeaderName>,
+    /// Whether the close of the connection may end an answer.
+    pub allows_endless: bool,
+}
+
+impl Protocol {
+    /// Returns the protocol of chicoryloom's own targets.
+    pub(crate) fn own() -> &'static Self {
+        static OWN: LazyLock<Protocol> = LazyLock::new(|| Protocol {
+            request_id: HeaderName::from_static(header::REQUEST_ID),
+            allows_no_echo: true,
+            not_run: HeaderName::from_static(header::NOT_RUN),
+            draining: Some(HeaderName::from_static(header::DRAINING)),
+            seal: None,
+            allows_endless: false,
+        });
+        &OWN
+    }
+}
+
 /// Body of a request to a target, or of an answer to a caller.
 pub(crate) type Body = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -69,6 +103,10 @@
     Deadline,
     /// The target says that it did not run the request.
     Shed { draining: bool },
+    /// Another target has the address by now; it did not run the request.
+    Misdirected,
+    /// The answer lacks the mark of a target's whole answer.
+    Unsealed,
 }
 
 impl Failure {
@@ -76,7 +114,12 @@
     pub(crate) fn is_not_run(&self) -> bool {
         !matches!(
             self,
-            Self::Lost(_) | Self::Body(_) | Self::Crossed | Self::Endless | Self::Deadline
+            Self::Lost(_)
+                | Self::Body(_)
+                | Self::Crossed
+                | Self::Endless
+                | Self::Unsealed
+                | Self::Deadline
         )
     }
 }
@@ -94,6 +137,8 @@
             Self::Deadline => f.write_str("the target did not answer before the deadline"),
             Self::Shed { draining: true } => f.write_str("shed by a draining target"),
             Self::Shed { draining: false } => f.write_str("shed by the target"),
+            Self::Misdirected => f.write_str("another target has the address"),
+            Self::Unsealed => f.write_str("answer without a target's seal"),
         }
     }
 }
@@ -106,8 +151,9 @@
     mut lease: Lease,
     request: Request<Body>,
     idle: Duration,
+    protocol: &Protocol,
 ) -> Result<Answer, Failure> {
-    let id = request.headers().get(header::REQUEST_ID).cloned();
+    let id = request.headers().get(&protocol.request_id).cloned();
     let Some(sender) = lease.sender() else {
         return Err(Failure::Unsent);
     };
@@ -121,7 +167,7 @@
             });
         }
     };
-    check(&response, id.as_ref())?;
+    check(&response, id.as_ref(), protocol)?;
     Ok(response.map(|body| AnswerBody::new(body, lease, idle)))
 }
 
@@ -134,19 +180,36 @@
     }
 }
 
-fn check(response: &Response<Incoming>, id: Option<&HeaderValue>) -> Result<(), Failure> {
+fn check(
+    response: &Response<Incoming>,
+    id: Option<&HeaderValue>,
+    protocol: &Protocol,
+) -> Result<(), Failure> {
     if response.status() == StatusCode::SWITCHING_PROTOCOLS {
         return Err(Failure::Lost("the target changed the protocol unasked".to_owned()));
     }
-    let echoed = response.headers().get(header::REQUEST_ID);
-    if echoed.is_some() && echoed != id {
-        return Err(Failure::Crossed);
+    let headers = response.headers();
+    let echoed = headers.get(&protocol.request_id);
+    if response.status() == StatusCode::MISDIRECTED_REQUEST && (echoed.is_none() || echoed == id) {
+        return Err(Failure::Misdirected);
     }
-    if response.headers().contains_key(header::NOT_RUN) {
-        let draining = response.headers().contains_key(header::DRAINING);
+    let is_own = echoed == id || (echoed.is_none() && protocol.allows_no_echo);
+    // A target that sheds before it reads the head can't echo it.
+    let is_shed = headers.contains_key(&protocol.not_run) && echoed.is_none_or(|_| is_own);
+    if is_shed {
+        let draining = protocol.draining.as_ref().is_some_and(|name| headers.contains_key(name));
         return Err(Failure::Shed { draining });
     }
-    if is_endless(response) {
+    if !is_own {
+        return Err(Failure::Crossed);
+    }
+    if let Some(seal) = &protocol.seal
+        && response.status().is_success()
+        && !headers.contains_key(seal)
+    {
+        return Err(Failure::Unsealed);
+    }
+    if !protocol.allows_endless && is_endless(response) {
         return Err(Failure::Endless);
     }
     Ok(())
--- a/chicoryloom/src/target/mod.rs
+++ b/chicoryloom/src/target/mod.rs
@@ -20,9 +20,11 @@
 use tokio::sync::Notify;
 
 pub(crate) use exchange::Answer;
+pub(crate) use exchange::AnswerBody;
 pub(crate) use exchange::Body;
 pub(crate) use exchange::BodyError;
 pub(crate) use exchange::Failure;
+pub use exchange::Protocol;
 pub(crate) use exchange::exchange;
 pub(crate) use pool::Backend;
 pub(crate) use pool::Lease;
@@ -74,7 +76,8 @@
     /// Returns the target's state on this host, new if it is first used.
     pub(crate) fn backend(&self, target: &document::Target) -> Arc<Backend> {
         let mut by_address = self.by_address.lock().expect("no holder of the lock panics");
-        let new = || Arc::new(Backend::new(target.id, self.source, self.connect_timeout));
+        let new =
+            || Arc::new(Backend::new(target.id, self.source, self.connect_timeout, pool::IDLE));
         by_address.entry(target.id).or_insert_with(new).clone()
     }
 
--- a/chicoryloom/src/target/pool.rs
+++ b/chicoryloom/src/target/pool.rs
@@ -24,8 +24,8 @@
 use super::exchange::Failure;
 use super::gauge::Gauge;
 
-/// Longest time that a connection is kept without a request.
-const IDLE: Duration = Duration::from_secs(10);
+/// Longest time that a connection is kept without a request, unless asked otherwise.
+pub(crate) const IDLE: Duration = Duration::from_secs(10);
 /// Longest wait for a pooled connection to end its previous exchange.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -36,6 +36,8 @@
     /// Address that connections come from.
     source: IpAddr,
     connect_timeout: Duration,
+    /// Longest time that a connection is kept without a request.
+    keep: Duration,
     idle: Mutex<Vec<Idle>>,
     /// Connections that are open or being opened.
     open: Arc<AtomicU32>,
@@ -52,11 +54,17 @@
 }
 
 impl Backend {
-    pub(super) fn new(target: id::Target, source: IpAddr, connect_timeout: Duration) -> Self {
+    pub(crate) fn new(
+        target: id::Target,
+        source: IpAddr,
+        connect_timeout: Duration,
+        keep: Duration,
+    ) -> Self {
         Self {
             target,
             source,
             connect_timeout,
+            keep,
             idle: Mutex::default(),
             open: Arc::default(),
             cap: AtomicU32::new(0),
@@ -91,8 +99,13 @@
     }
 
     /// Closes connections that have been idle for too long.
-    pub(super) fn sweep(&self) {
-        self.idle().retain(|idle| idle.since.elapsed() < IDLE && !idle.connection.is_closed());
+    pub(crate) fn sweep(&self) {
+        self.idle().retain(|idle| idle.since.elapsed() < self.keep && !idle.connection.is_closed());
+    }
+
+    /// Closes all idle connections, such as when the path to the target has gone silent.
+    pub(crate) fn close_idle(&self) {
+        self.idle().clear();
     }
 
     fn idle(&self) -> MutexGuard<'_, Vec<Idle>> {
@@ -107,7 +120,7 @@
                 break;
             };
             let mut connection = idle.connection;
-            if idle.since.elapsed() < IDLE && connection.is_ready().await {
+            if idle.since.elapsed() < self.keep && connection.is_ready().await {
                 return Ok(Lease { connection: Some(connection), busy, fresh: false });
             }
         }
--- /dev/null
+++ b/chicoryloom_policy/src/entry.rs
@@ -0,0 +1,48 @@
+//! Which hosts callers of a data centre are sent to.
+//!
+//! Few hosts know more: in-flight counts, evidence and shares of grants meet in them. Enough of
+//! them must stand that the loss of one is a small part of a data centre's callers.
+
+use crate::id;
+use crate::placement;
+
+/// Fewest hosts that a data centre's callers are spread over, as far as it has hosts.
+pub const LEAST: usize = 4;
+/// Purpose under which hosts are ranked.
+const PURPOSE: &str = "entry";
+
+/// A host that callers may be sent to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    pub host: id::Host,
+    /// Requests a second that the host can carry.
+    pub capacity: f64,
+}
+
+/// Returns the indices of the hosts to use, best first.
+///
+/// Rendezvous order: a host that goes moves only the callers that it had.
+pub fn choose(candidates: &[Candidate], demand: f64) -> Vec<usize> {
+    let mut order: Vec<_> = (0..candidates.len()).collect();
+    order.sort_by_key(|at| std::cmp::Reverse(placement::rank(PURPOSE, &candidates[*at].host)));
+    let mut capacity = 0.0;
+    let mut chosen = Vec::new();
+    for at in order {
+        if chosen.len() >= LEAST && capacity >= demand {
+            break;
+        }
+        capacity += candidates[at].capacity;
+        chosen.push(at);
+    }
+    chosen
+}
+
+/// Returns the hosts of a fleet in the order in which they take on a duty.
+pub fn succession<'a>(
+    purpose: &str,
+    hosts: impl Iterator<Item = &'a id::Host>,
+) -> Vec<&'a id::Host> {
+    let mut order: Vec<_> = hosts.collect();
+    order.sort_by_key(|host| std::cmp::Reverse(placement::rank(purpose, host)));
+    order
+}
--- a/chicoryloom_policy/src/id.rs
+++ b/chicoryloom_policy/src/id.rs
@@ -104,6 +104,11 @@
     Class
 );
 
+name!(
+    /// One life of a target's process as the platform names it.
+    Instance
+);
+
 /// A target, named by its IP address and port.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct Target(pub SocketAddr);
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -5,8 +5,13 @@
 //! tests can drive every module.
 
 pub mod account;
+pub mod allowance;
+pub mod catalog;
+pub mod dispatch;
 pub mod document;
+pub mod entry;
 pub mod freshness;
+pub mod gray;
 pub mod health;
 pub mod holdback;
 pub mod id;
@@ -17,9 +22,11 @@
 pub mod placement;
 pub mod queue;
 pub mod replay;
+pub mod replica;
 pub mod retry;
 pub mod roster;
 pub mod run;
+pub mod split;
 pub mod unit;
 
 pub use moment::Moment;
--- /dev/null
+++ b/chicoryloom_policy/src/replica.rs
@@ -0,0 +1,284 @@
+//! A host's copy of the platform's objects, fed by the platform itself or by other hosts.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use smol_str::SmolStr;
+
+use crate::Moment;
+
+/// Time after a gap in the platform's service for which entries that lapsed in it are kept.
+///
+/// The platform promises that live targets are listed again about two seconds after its return.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+/// Changes that other hosts can be told of one by one; one that lags further gets a whole copy.
+const MAX_LOG: usize = 8192;
+/// Deletions that are remembered, so that an older copy can't bring an object back.
+const MAX_TOMBSTONES: usize = 4096;
+
+/// Kind of a replicated object.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+pub enum Kind {
+    /// The configuration; there is one object of this kind.
+    Catalog,
+    /// Targets.
+    Target,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 2] = [Self::Catalog, Self::Target];
+}
+
+/// One object as the platform holds it, or the news that it was deleted.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Record {
+    pub kind: Kind,
+    pub name: SmolStr,
+    /// Revision of the last change, the deletion included.
+    pub revision: u64,
+    /// What the platform's adapter reads; `None` for a deleted object.
+    pub value: Option<Bytes>,
+}
+
+/// Objects of one kind, either all of them or those that changed.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Update {
+    pub kind: Kind,
+    pub records: Vec<Record>,
+    /// Whether objects that are missing from the records don't exist.
+    pub whole: bool,
+    /// Revision of the platform that the records reach.
+    pub revision: u64,
+}
+
+/// What an update changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Changes {
+    pub catalog: bool,
+    pub targets: Vec<SmolStr>,
+}
+
+impl Changes {
+    /// Tells whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        !self.catalog && self.targets.is_empty()
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Shelf {
+    records: HashMap<SmolStr, Record>,
+    /// Revisions of deletions.
+    deleted: HashMap<SmolStr, u64>,
+    /// Revision of the platform that the shelf reaches.
+    revision: u64,
+}
+
+/// Copies of all objects; each object's revision only grows.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    catalog: Shelf,
+    targets: Shelf,
+    /// Targets that a listing no longer holds, kept until a moment since the platform was away.
+    lapsed: HashMap<SmolStr, Moment>,
+    /// Until when missing entries are kept.
+    grace: Option<Moment>,
+    /// Objects in the order of their changes, each with the number of the change.
+    log: VecDeque<(u64, Kind, SmolStr)>,
+    /// Number of the latest change.
+    latest: u64,
+}
+
+impl Replica {
+    fn shelf(&self, kind: Kind) -> &Shelf {
+        match kind {
+            Kind::Catalog => &self.catalog,
+            Kind::Target => &self.targets,
+        }
+    }
+
+    fn shelf_mut(&mut self, kind: Kind) -> &mut Shelf {
+        match kind {
+            Kind::Catalog => &mut self.catalog,
+            Kind::Target => &mut self.targets,
+        }
+    }
+
+    /// Returns the platform's revision that the objects of a kind reach.
+    pub fn revision(&self, kind: Kind) -> u64 {
+        self.shelf(kind).revision
+    }
+
+    /// Returns the objects of a kind.
+    pub fn records(&self, kind: Kind) -> impl Iterator<Item = &Record> {
+        self.shelf(kind).records.values()
+    }
+
+    /// Returns one object.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<&Record> {
+        self.shelf(kind).records.get(name)
+    }
+
+    /// Notes that the platform answers again after it was away.
+    pub fn platform_returned(&mut self, now: Moment) {
+        self.grace = Some(now.after(LAPSE_GRACE));
+    }
+
+    /// Returns an update that brings any other copy up to this one.
+    pub fn whole(&self, kind: Kind) -> Update {
+        let shelf = self.shelf(kind);
+        let records = shelf.records.values().cloned().collect();
+        Update { kind, records, whole: true, revision: shelf.revision }
+    }
+
+    /// Returns the number of the latest change of this copy.
+    pub fn latest(&self) -> u64 {
+        self.latest
+    }
+
+    /// Returns what changed after a numbered change of this copy, or whole copies if that is no
+    /// longer known.
+    pub fn after(&self, number: u64) -> Vec<Update> {
+        let first = self.log.front().map_or(self.latest + 1, |(first, ..)| *first);
+        if number == 0 || number + 1 < first || number > self.latest {
+            return Kind::ALL.into_iter().map(|kind| self.whole(kind)).collect();
+        }
+        Kind::ALL.into_iter().map(|kind| self.changed(kind, number)).collect()
+    }
+
+    fn changed(&self, kind: Kind, number: u64) -> Update {
+        let shelf = self.shelf(kind);
+        let names: HashSet<_> = self
+            .log
+            .iter()
+            .filter(|(at, of, _)| *at > number && *of == kind)
+            .map(|(_, _, name)| name)
+            .collect();
+        let record = |name: &SmolStr| {
+            let gone = || {
+                let revision = shelf.deleted.get(name).copied()?;
+                Some(Record { kind, name: name.clone(), revision, value: None })
+            };
+            shelf.records.get(name).cloned().or_else(gone)
+        };
+        let records = names.into_iter().filter_map(record).collect();
+        Update { kind, records, whole: false, revision: shelf.revision }
+    }
+
+    fn note(&mut self, kind: Kind, names: &[SmolStr]) {
+        for name in names {
+            self.latest += 1;
+            self.log.push_back((self.latest, kind, name.clone()));
+        }
+        while self.log.len() > MAX_LOG {
+            self.log.pop_front();
+        }
+    }
+
+    /// Applies an update; one that is older than what is known changes nothing.
+    pub fn apply(&mut self, update: Update, now: Moment) -> Changes {
+        let mut changes = Changes::default();
+        let Update { kind, records, whole, revision } = update;
+        if whole && revision < self.shelf(kind).revision {
+            return changes;
+        }
+        let mut names: Vec<SmolStr> = Vec::new();
+        if whole {
+            names = self.missing(kind, &records, revision, now);
+        }
+        let shelf = self.shelf_mut(kind);
+        for record in records {
+            let known = shelf.records.get(&record.name).map_or(0, |known| known.revision);
+            let buried = shelf.deleted.get(&record.name).copied().unwrap_or_default();
+            // A deletion wins over the change that it follows without a revision of its own.
+            let is_newer = match record.value {
+                Some(_) => record.revision > known.max(buried),
+                None => record.revision >= known.max(1) && record.revision > buried,
+            };
+            if !is_newer {
+                continue;
+            }
+            names.push(record.name.clone());
+            if record.value.is_some() {
+                shelf.deleted.remove(&record.name);
+                shelf.records.insert(record.name.clone(), record);
+            } else {
+                shelf.bury(&record.name, record.revision);
+            }
+        }
+        shelf.revision = shelf.revision.max(revision);
+        for name in &names {
+            self.lapsed.remove(name);
+        }
+        self.note(kind, &names);
+        match kind {
+            Kind::Catalog => changes.catalog = !names.is_empty(),
+            Kind::Target => changes.targets = names,
+        }
+        changes
+    }
+
+    /// Deletes what a whole listing no longer holds, and returns the names.
+    fn missing(
+        &mut self,
+        kind: Kind,
+        records: &[Record],
+        revision: u64,
+        now: Moment,
+    ) -> Vec<SmolStr> {
+        let listed: HashSet<_> = records.iter().map(|record| &record.name).collect();
+        if kind == Kind::Target {
+            self.lapsed.retain(|name, _| !listed.contains(name));
+        }
+        let grace = self.grace.filter(|until| kind == Kind::Target && now < *until);
+        let shelf = self.shelf_mut(kind);
+        let gone: Vec<_> =
+            shelf.records.keys().filter(|name| !listed.contains(name)).cloned().collect();
+        if let Some(until) = grace {
+            for name in gone {
+                self.lapsed.entry(name).or_insert(until);
+            }
+            return Vec::new();
+        }
+        for name in &gone {
+            shelf.bury(name, revision);
+        }
+        gone
+    }
+
+    /// Deletes targets whose entries lapsed and did not come back in time.
+    pub fn expire(&mut self, now: Moment) -> Changes {
+        let due: Vec<_> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(n, _)| n.clone())
+            .collect();
+        let revision = self.targets.revision;
+        for name in &due {
+            self.lapsed.remove(name);
+            self.targets.bury(name, revision);
+        }
+        self.note(Kind::Target, &due);
+        Changes { catalog: false, targets: due }
+    }
+}
+
+impl Shelf {
+    fn bury(&mut self, name: &SmolStr, revision: u64) {
+        self.records.remove(name);
+        if self.deleted.len() >= MAX_TOMBSTONES
+            && let Some(oldest) = self.deleted.iter().min_by_key(|(_, at)| **at)
+        {
+            let oldest = oldest.0.clone();
+            self.deleted.remove(&oldest);
+        }
+        self.deleted.insert(name.clone(), revision);
+    }
+}
--- a/chicoryloom_policy/src/retry.rs
+++ b/chicoryloom_policy/src/retry.rs
@@ -7,24 +7,40 @@
 
 /// The retry budget of one service on one host.
 ///
-/// Over any span, retries and hedges are at most a tenth of the first attempts, and a fixed
-/// burst. So the hosts together add at most a tenth to the load of targets, however many fail.
+/// Over any span, retries and hedges are at most a fixed share of the first attempts, a tenth by
+/// default, and a fixed burst. So the hosts together add at most that share to the load of
+/// targets, however many fail.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    /// Retries that are left; 0 to [`BURST`].
+    /// Retries that each first attempt allows.
+    share: f64,
+    /// Retries that may be saved up.
+    burst: f64,
+    /// Retries that are left; 0 to `burst`.
     left: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { left: BURST }
+        Self::new(SHARE, BURST)
     }
 }
 
 impl Budget {
+    /// Returns a budget with a share of the first attempts and a burst.
+    pub fn new(share: f64, burst: f64) -> Self {
+        Self { share, burst, left: burst }
+    }
+
+    /// Changes the burst, as when the number of hosts that share it changes.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = burst;
+        self.left = self.left.min(burst);
+    }
+
     /// Counts the first attempt of a request.
     pub fn deposit(&mut self) {
-        self.left = (self.left + SHARE).min(BURST);
+        self.left = (self.left + self.share).min(self.burst);
     }
 
     /// Takes one retry or hedge; returns whether there was one left.
