Count grants by token buckets, and tell an own gap from the platform's

Change: buckets that start empty, learn their level from hosts that have run longer than a window, and go into debt for late news. Entries that lapsed are kept only if the platform was away: some host was heard, and none had a fresh copy all along.

--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -11,6 +11,7 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::allowance::Allowance;
+use chicoryloom_policy::allowance::Report;
 use chicoryloom_policy::gray::News;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
@@ -57,6 +58,8 @@
 const REGISTERED_GAP: Duration = Duration::from_secs(15);
 /// Pause after a failed registration.
 const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+/// Silence of all hosts after which this one was cut off; four beats.
+const LONELY: Duration = Duration::from_secs(1);
 /// Members in one datagram.
 const MEMBERS: usize = 8;
 /// Entries of loads or totals in one datagram; about 20 bytes each.
@@ -156,6 +159,21 @@
         found.iter().map(|member| member.caller).collect()
     }
 
+    /// Tells whether a gap in the platform's answers is this host's own, not the platform's.
+    ///
+    /// A host that heard nobody was cut off, and where another one had a fresh copy all along,
+    /// the platform was there.
+    pub(super) fn is_own_gap(&self, gap: Duration) -> bool {
+        let now = self.clock.now();
+        let members = self.members();
+        if members.all().next().is_none() {
+            return false;
+        }
+        let heard = members.last_heard().is_some_and(|heard| now.since(heard) < LONELY);
+        let covers = |member: &Member| Duration::from_millis(member.fresh_ms.into()) >= gap;
+        !heard || members.everyone(now).any(covers)
+    }
+
     /// Has the other hosts know at once that this one stops.
     pub(super) async fn leave(&self) {
         self.me.lock().expect("no holder of the lock panics").leaving = true;
@@ -226,8 +244,10 @@
             }
             Body::Totals(totals) => {
                 let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
-                for Total { workspace, admitted } in totals {
-                    allowance.hear(&sender, incarnation, &workspace, admitted, now);
+                for Total { workspace, admitted, level } in totals {
+                    let report =
+                        Report { incarnation, total: admitted, level: level.map(f64::from) };
+                    allowance.hear(&sender, &workspace, report, now);
                 }
             }
             Body::Target { target, recovered } => {
@@ -345,6 +365,7 @@
         let members = self.members();
         let mut me = self.me.lock().expect("no holder of the lock panics");
         me.ready = catalog.is_some();
+        me.fresh_ms = u32::try_from(mirror.fresh_for().as_millis()).unwrap_or(u32::MAX);
         let mut centres: Vec<_> =
             members.everyone(now).map(|member| member.data_centre.clone()).collect();
         centres.push(me.data_centre.clone());
@@ -421,15 +442,23 @@
         peers: &[SocketAddr],
         before: &HashMap<id::Workspace, u64>,
     ) -> HashMap<id::Workspace, u64> {
-        let totals: HashMap<_, _> = {
+        let now = self.clock.now();
+        let (totals, changed) = {
             let allowance = self.allowance.lock().expect("no holder of the lock panics");
-            allowance.totals().map(|(name, total)| (name.clone(), total)).collect()
+            let is_settled = allowance.is_settled(now);
+            let totals: HashMap<_, _> =
+                allowance.reports().map(|(name, total, _)| (name.clone(), total)).collect();
+            let changed =
+                allowance.reports().filter(|(name, total, _)| before.get(*name) != Some(total));
+            let changed: Vec<_> = changed
+                .map(|(name, total, level)| Total {
+                    workspace: name.clone(),
+                    admitted: total,
+                    level: is_settled.then_some(level as f32),
+                })
+                .collect();
+            (totals, changed)
         };
-        let changed: Vec<_> = totals
-            .iter()
-            .filter(|(name, total)| before.get(*name) != Some(total))
-            .map(|(name, total)| Total { workspace: name.clone(), admitted: *total })
-            .collect();
         for totals in changed.chunks(ENTRIES) {
             self.send(peers, Body::Totals(totals.to_vec())).await;
         }
@@ -439,7 +468,7 @@
     /// Tells whether a workspace nears its grant.
     fn is_tight(&self, mirror: &Mirror, now: Moment) -> bool {
         let Some(catalog) = mirror.catalog() else { return false };
-        let allowance = self.allowance.lock().expect("no holder of the lock panics");
+        let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
         catalog.workspaces.iter().any(|workspace| allowance.use_of(workspace, now) > TIGHT)
     }
 }
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -111,7 +111,8 @@
         let readiness = edge::bind(settings.listen.readiness);
         let readiness = readiness.await.map_err(bind("readiness", settings.listen.readiness))?;
 
-        let allowance = Arc::new(Mutex::new(Allowance::new(settings.bounds.rate_window)));
+        let allowance =
+            Arc::new(Mutex::new(Allowance::new(settings.bounds.rate_window, clock.now())));
         let dispatcher = Dispatcher::new(
             settings.name.clone(),
             settings.data_centre.clone(),
@@ -257,6 +258,7 @@
         ready: false,
         leaving: false,
         entry: false,
+        fresh_ms: 0,
     }
 }
 
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -103,6 +103,11 @@
         self.known.values().map(|known| &known.member)
     }
 
+    /// Returns when any host was last heard itself.
+    pub(super) fn last_heard(&self) -> Option<Moment> {
+        self.known.values().filter_map(|known| known.heard).max()
+    }
+
     /// Returns the live hosts of a data centre.
     pub(super) fn alive(
         &self,
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -31,6 +31,8 @@
     pub(super) leaving: bool,
     /// Whether callers are sent to it.
     pub(super) entry: bool,
+    /// Time for which its copy of the platform's objects has been fresh all along.
+    pub(super) fresh_ms: u32,
 }
 
 /// Requests in flight at one target.
@@ -41,10 +43,12 @@
 }
 
 /// Requests of one workspace that a host admitted since its start.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub(super) struct Total {
     pub(super) workspace: id::Workspace,
     pub(super) admitted: u64,
+    /// Tokens left in the sender's bucket, if it has run for longer than a window.
+    pub(super) level: Option<f32>,
 }
 
 /// What a datagram says.
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -1,6 +1,7 @@
 //! This host's copy of the platform's objects, and what it makes of them.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -27,12 +28,31 @@
 /// two seconds in which a change binds.
 pub(super) const FRESH: Duration = Duration::from_millis(1400);
 
+/// Where an update comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Source {
+    Platform,
+    /// Another host, which keeps lapsed entries by itself.
+    Host(SocketAddr),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform => f.write_str("platform"),
+            Self::Host(address) => write!(f, "host {address}"),
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Copy {
     replica: Replica,
     targets: std::collections::HashMap<SmolStr, Target>,
     /// When the copy of each kind was last surely the platform's state.
     confirmed: [Option<Moment>; Kind::ALL.len()],
+    /// Since when the copy has been fresh all along.
+    fresh_since: Option<Moment>,
 }
 
 /// The copy, and the configuration and targets read from it.
@@ -87,6 +107,18 @@
         oldest.map_or(Duration::MAX, |oldest| self.clock.now().since(oldest))
     }
 
+    /// Returns the time for which the copy has been fresh all along; to be called often.
+    pub(super) fn fresh_for(&self) -> Duration {
+        let age = self.age();
+        let now = self.clock.now();
+        let mut copy = self.lock();
+        if age >= FRESH {
+            copy.fresh_since = None;
+            return Duration::ZERO;
+        }
+        now.since(*copy.fresh_since.get_or_insert(now))
+    }
+
     /// Returns the platform's revision that the objects of a kind reach.
     pub(super) fn revision(&self, kind: Kind) -> u64 {
         self.lock().replica.revision(kind)
@@ -112,7 +144,7 @@
     }
 
     /// Applies an update that was surely the platform's state `age` ago.
-    pub(super) fn apply(&self, update: Update, age: Duration, source: &str) {
+    pub(super) fn apply(&self, update: Update, age: Duration, source: Source) {
         let now = self.clock.now();
         let mut copy = self.lock();
         let index = usize::from(update.kind == Kind::Target);
@@ -120,8 +152,11 @@
             let confirmed = now.before(age);
             copy.confirmed[index] = copy.confirmed[index].max(Some(confirmed));
         }
-        let changes = copy.replica.apply(update, now);
-        self.take(&mut copy, &changes, source);
+        let changes = match source {
+            Source::Platform => copy.replica.apply(update, now),
+            Source::Host(_) => copy.replica.follow(update, now),
+        };
+        self.take(&mut copy, &changes, &source.to_string());
     }
 
     /// Drops targets whose entries lapsed and did not come back in time.
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -255,7 +255,7 @@
     }
 
     fn check(&self, workspace: &Workspace) -> Result<(), Refusal> {
-        let allowance = self.allowance.lock().expect("no holder of the lock panics");
+        let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
         allowance.check(workspace, self.clock.now()).map_err(|excess| past_rate(workspace, &excess))
     }
 
@@ -303,10 +303,7 @@
 }
 
 fn past_rate(workspace: &Workspace, excess: &chicoryloom_policy::allowance::Excess) -> Refusal {
-    let detail = format!(
-        "workspace {} used {:.1} of {:.1} requests in the window",
-        workspace.name, excess.used, excess.limit
-    );
+    let detail = format!("workspace {} has {:.1} tokens left", workspace.name, excess.left);
     Refusal::new(Reason::Rate, detail).retry_after(excess.wait)
 }
 
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -20,6 +20,7 @@
 
 use super::events::Events;
 use super::fleet::Fleet;
+use super::mirror;
 use super::mirror::FRESH;
 use super::mirror::Mirror;
 use super::port;
@@ -138,9 +139,8 @@
         // The relay's age is as of its answer, which left after the call did.
         let lag = self.clock.now().since(asked).saturating_sub(FOLLOW_WAIT);
         let age = Duration::from_millis(told.age_ms).saturating_add(lag);
-        let source = relay.to_string();
         for update in told.updates {
-            self.mirror.apply(update, age, &source);
+            self.mirror.apply(update, age, mirror::Source::Host(relay));
         }
         age < FRESH
     }
@@ -168,11 +168,18 @@
             let now = self.clock.now();
             match called {
                 Ok(update) => {
-                    let was_away = reached.is_some_and(|at| now.since(at) > AWAY + WATCH_WAIT);
-                    if was_away || is_lost {
+                    let gap = reached.map_or(Duration::ZERO, |at| now.since(at));
+                    if gap > AWAY + WATCH_WAIT || is_lost {
                         is_lost = false;
-                        self.events.emit("store_regained", json!({ "kind": format!("{kind:?}") }));
-                        self.mirror.platform_returned();
+                        let is_own = self.fleet.is_own_gap(gap);
+                        let fields = json!({
+                            "kind": format!("{kind:?}"), "gap_ms": gap.as_millis() as u64,
+                            "own_gap": is_own,
+                        });
+                        self.events.emit("store_regained", fields);
+                        if !is_own {
+                            self.mirror.platform_returned();
+                        }
                         // What lapsed meanwhile shows in a listing only.
                         is_listed = update.whole;
                     } else {
@@ -180,7 +187,7 @@
                     }
                     reached = Some(now);
                     pause = PAUSE.0;
-                    self.mirror.apply(update, Duration::ZERO, "platform");
+                    self.mirror.apply(update, Duration::ZERO, mirror::Source::Platform);
                 }
                 Err(port::Error::Compacted) => is_listed = false,
                 Err(error) => {
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -1,11 +1,15 @@
 //! The rate and burst of each workspace, counted over all hosts together.
 //!
-//! Each host tells the others how many requests it has admitted since its start. Whoever admits
-//! adds up what all hosts admitted in the last window, and projects the counts of the others to
-//! the present by their latest rate. A lost message only makes the projection longer.
+//! Each host keeps a bucket of tokens for each workspace, from which it takes what it admits
+//! itself and what the others tell that they admitted. Between two messages of another host, its
+//! latest rate is taken off in advance. So all buckets hold about the same, and what was admitted
+//! too much for want of news is a debt that is paid before more is admitted.
+//!
+//! A host that starts has an empty bucket, since it can't know what was admitted before. It takes
+//! over the level of hosts that have run for longer than a window; if the whole fleet starts
+//! anew, burst and rate together still hold over the restart.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::Moment;
@@ -13,172 +17,168 @@
 use crate::id;
 use crate::unit::Rate;
 
-/// Longest time for which another host's count is projected past its latest message.
-const MAX_PROJECTION: Duration = Duration::from_secs(1);
-/// Shortest time between two samples that are kept.
-const SAMPLE_GAP: Duration = Duration::from_millis(20);
-
-/// A count that only grows, with its recent history.
-#[derive(Clone, Debug, Default)]
-struct Counter {
+/// Longest time for which another host's rate is taken off past its latest message.
+const MAX_PROJECTION: Duration = Duration::from_millis(600);
+/// Weight of the newest sample in another host's smoothed rate.
+const RATE_WEIGHT: f64 = 0.4;
+/// Largest debt, in parts of the burst; older debt than that is out of any window.
+const MAX_DEBT: f64 = 2.0;
+
+/// A total of another host.
+#[derive(Clone, Copy, Debug)]
+struct Other {
+    incarnation: id::Incarnation,
     total: u64,
-    /// Totals and when they were reached, oldest first; the first one is older than the window.
-    samples: VecDeque<(Moment, u64)>,
-}
-
-impl Counter {
-    fn set(&mut self, total: u64, now: Moment, window: Duration) {
-        if self.samples.is_empty() {
-            self.samples.push_back((now, self.total));
-        }
-        self.total = total;
-        // The first sample is the base of the window and stays as it is.
-        let has_more = self.samples.len() > 1;
-        match self.samples.back_mut() {
-            Some((at, last)) if has_more && now.since(*at) < SAMPLE_GAP => *last = total,
-            _ => self.samples.push_back((now, total)),
-        }
-        while self.samples.len() > 1 && now.since(self.samples[1].0) > window {
-            self.samples.pop_front();
-        }
-    }
-
-    fn within(&self, now: Moment, window: Duration) -> u64 {
-        let old = self.samples.iter().rev().find(|(at, _)| now.since(*at) >= window);
-        let base = old.or(self.samples.front()).map_or(self.total, |(_, total)| *total);
-        self.total - base.min(self.total)
-    }
-
-    /// Returns the expected growth since the latest sample.
-    fn projected(&self, now: Moment) -> f64 {
-        let mut latest = self.samples.iter().rev();
-        let (Some((last, total)), Some((before, earlier))) = (latest.next(), latest.next()) else {
-            return 0.0;
-        };
-        let span = last.since(*before).as_secs_f64();
-        if span <= 0.0 {
-            return 0.0;
-        }
-        let age = now.since(*last).min(MAX_PROJECTION).as_secs_f64();
-        (total - earlier) as f64 / span.max(SAMPLE_GAP.as_secs_f64()) * age.min(span)
-    }
+    heard: Moment,
+    /// Smoothed requests a second.
+    rate: f64,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Meter {
-    own: Counter,
-    others: HashMap<id::Host, (id::Incarnation, Counter)>,
+    /// Requests that this host admitted since its start.
+    total: u64,
+    /// Tokens left; below zero while more was admitted than granted.
+    level: f64,
+    refilled: Moment,
+    others: HashMap<id::Host, Other>,
 }
 
 /// A request past its workspace's rate and burst.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Excess {
-    /// Requests admitted in the window, as this host knows them.
-    pub used: f64,
-    /// Requests that the window allows.
-    pub limit: f64,
+    /// Tokens left, as this host knows them.
+    pub left: f64,
     /// Time after which the next request can be admitted.
     pub wait: Duration,
 }
 
+/// What another host tells of one workspace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    pub incarnation: id::Incarnation,
+    /// Requests that the host admitted since its start.
+    pub total: u64,
+    /// Tokens left in its bucket, if the host has run for longer than a window.
+    pub level: Option<f64>,
+}
+
 /// What each workspace has used of its grant.
 #[derive(Clone, Debug)]
 pub struct Allowance {
     window: Duration,
+    started: Moment,
     meters: HashMap<id::Workspace, Meter>,
 }
 
 impl Allowance {
-    /// Counts over a window.
-    pub fn new(window: Duration) -> Self {
-        Self { window, meters: HashMap::new() }
+    /// Starts with empty buckets; hosts that have run for `window` have full knowledge.
+    pub fn new(window: Duration, started: Moment) -> Self {
+        Self { window, started, meters: HashMap::new() }
     }
 
-    /// Admits a request, or tells by how much its workspace is past its grant.
-    pub fn admit(&mut self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
-        self.check(workspace, now)?;
-        let window = self.window;
-        let meter = self.meters.entry(workspace.name.clone()).or_default();
-        let total = meter.own.total + 1;
-        meter.own.set(total, now, window);
-        Ok(())
+    /// Tells whether this host has run for longer than a window.
+    pub fn is_settled(&self, now: Moment) -> bool {
+        now.since(self.started) > self.window
+    }
+
+    fn meter(&mut self, name: &id::Workspace) -> &mut Meter {
+        let started = self.started;
+        let fresh = || Meter { refilled: started, ..Meter::default() };
+        self.meters.entry(name.clone()).or_insert_with(fresh)
     }
 
     /// Tells whether a request would be admitted, without counting it.
-    pub fn check(&self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
-        let (Some(rate), Some(meter)) = (workspace.rate, self.meters.get(&workspace.name)) else {
+    pub fn check(&mut self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
+        let Some(rate) = workspace.rate else { return Ok(()) };
+        let meter = self.meter(&workspace.name);
+        meter.refill(rate, workspace.burst.0.into(), now);
+        let left = meter.level - meter.projected(now);
+        if left >= 1.0 {
             return Ok(());
-        };
-        let limit = self.limit(workspace, rate);
-        let used = meter.used(now, self.window);
-        if used + 1.0 > limit {
-            let wait = meter.wait(rate, used - limit, now, self.window);
-            return Err(Excess { used, limit, wait });
         }
-        Ok(())
+        let seconds = (1.0 - left) / rate.per_second();
+        let wait = Duration::try_from_secs_f64(seconds).unwrap_or(self.window);
+        Err(Excess { left, wait: wait.min(self.window) })
     }
 
-    fn limit(&self, workspace: &Workspace, rate: Rate) -> f64 {
-        rate.per_second() * self.window.as_secs_f64() + f64::from(workspace.burst.0)
+    /// Admits a request, or tells by how much its workspace is past its grant.
+    pub fn admit(&mut self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
+        self.check(workspace, now)?;
+        let meter = self.meter(&workspace.name);
+        meter.total += 1;
+        if workspace.rate.is_some() {
+            meter.level -= 1.0;
+        }
+        Ok(())
     }
 
-    /// Returns the part of its grant that a workspace has used in the window; 0 without a limit.
-    pub fn use_of(&self, workspace: &Workspace, now: Moment) -> f64 {
-        let (Some(rate), Some(meter)) = (workspace.rate, self.meters.get(&workspace.name)) else {
-            return 0.0;
-        };
-        meter.used(now, self.window) / self.limit(workspace, rate).max(1.0)
+    /// Returns the part of its burst that a workspace has used; 0 without a limit.
+    pub fn use_of(&mut self, workspace: &Workspace, now: Moment) -> f64 {
+        let Some(rate) = workspace.rate else { return 0.0 };
+        let burst = f64::from(workspace.burst.0);
+        let meter = self.meter(&workspace.name);
+        meter.refill(rate, burst, now);
+        1.0 - meter.level / burst.max(1.0)
     }
 
-    /// Returns the totals of this host, to be told to the others.
-    pub fn totals(&self) -> impl Iterator<Item = (&id::Workspace, u64)> {
-        self.meters.iter().map(|(name, meter)| (name, meter.own.total)).filter(|(_, n)| *n > 0)
+    /// Returns the totals and levels of this host, to be told to the others.
+    pub fn reports(&self) -> impl Iterator<Item = (&id::Workspace, u64, f64)> {
+        let used = self.meters.iter().filter(|(_, meter)| meter.total > 0);
+        used.map(|(name, meter)| (name, meter.total, meter.level))
     }
 
-    /// Takes in a total of another host.
+    /// Takes in a report of another host.
     pub fn hear(
         &mut self,
         host: &id::Host,
-        incarnation: id::Incarnation,
         workspace: &id::Workspace,
-        total: u64,
+        report: Report,
         now: Moment,
     ) {
-        let window = self.window;
-        let meter = self.meters.entry(workspace.clone()).or_default();
-        let fresh = || (incarnation, Counter::default());
-        let known = meter.others.entry(host.clone()).or_insert_with(fresh);
-        if known.0 != incarnation {
-            // What the former life admitted still counts for one window.
-            let used = known.1.within(now, window);
-            known.0 = incarnation;
-            known.1.total = 0;
-            known.1.samples = VecDeque::from([(now, 0)]);
-            known.1.set(total + used, now, window);
-            known.1.total = total;
-            return;
-        }
-        if total > known.1.total {
-            known.1.set(total, now, window);
+        let is_new = !self.is_settled(now);
+        let meter = self.meter(workspace);
+        let known = meter.others.get(host).copied();
+        let known = known.filter(|known| known.incarnation == report.incarnation);
+        let (before, span) = match known {
+            Some(known) => (known.total, now.since(known.heard)),
+            // What a host admitted long before it was heard is out of any window.
+            None if report.level.is_some() => (report.total, Duration::ZERO),
+            None => (0, Duration::ZERO),
+        };
+        let delta = report.total.saturating_sub(before) as f64;
+        let rate = match known {
+            Some(known) if !span.is_zero() => {
+                known.rate + RATE_WEIGHT * (delta / span.as_secs_f64() - known.rate)
+            }
+            Some(known) => known.rate,
+            None => 0.0,
+        };
+        meter.level -= delta;
+        if let Some(level) = report.level.filter(|_| is_new) {
+            meter.level = meter.level.max(level);
         }
+        let total = report.total.max(before);
+        let other = Other { incarnation: report.incarnation, total, heard: now, rate };
+        meter.others.insert(host.clone(), other);
     }
 }
 
 impl Meter {
-    fn used(&self, now: Moment, window: Duration) -> f64 {
-        let others = self
-            .others
-            .values()
-            .map(|(_, counter)| counter.within(now, window) as f64 + counter.projected(now));
-        self.own.within(now, window) as f64 + others.sum::<f64>()
+    fn refill(&mut self, rate: Rate, burst: f64, now: Moment) {
+        let span = now.since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        let least = -MAX_DEBT * burst.max(1.0);
+        self.level = (self.level + rate.per_second() * span).min(burst.max(1.0)).max(least);
     }
 
-    /// Returns the time until enough of the counted requests leave the window.
-    fn wait(&self, rate: Rate, excess: f64, now: Moment, window: Duration) -> Duration {
-        let counters = std::iter::once(&self.own).chain(self.others.values().map(|(_, c)| c));
-        let oldest = counters.filter_map(|counter| counter.samples.get(1)).map(|(at, _)| *at).min();
-        let leaves = oldest.map_or(Duration::ZERO, |at| window.saturating_sub(now.since(at)));
-        let refill = (excess + 1.0).max(0.0) / rate.per_second().max(0.1);
-        leaves.max(Duration::try_from_secs_f64(refill).unwrap_or(window)).min(window)
+    /// Returns what the others are expected to have admitted since their latest messages.
+    fn projected(&self, now: Moment) -> f64 {
+        let expected = |other: &Other| {
+            let age = now.since(other.heard);
+            // A host that is not heard any more admits nothing that others could know of.
+            if age > MAX_PROJECTION { 0.0 } else { other.rate * age.as_secs_f64() }
+        };
+        self.others.values().map(expected).sum()
     }
 }
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -181,7 +181,15 @@
         }
     }
 
-    /// Applies an update; one that is older than what is known changes nothing.
+    /// Applies an update of another host's copy, which holds what that host keeps of lapsed entries.
+    pub fn follow(&mut self, update: Update, now: Moment) -> Changes {
+        if update.kind == Kind::Target {
+            self.grace = None;
+        }
+        self.apply(update, now)
+    }
+
+    /// Applies an update of the platform; one that is older than what is known changes nothing.
     pub fn apply(&mut self, update: Update, now: Moment) -> Changes {
         let mut changes = Changes::default();
         let Update { kind, records, whole, revision } = update;
