--- a/chicoryloom/src/gateway/dispatcher.rs
+++ b/chicoryloom/src/gateway/dispatcher.rs
@@ -138,8 +138,6 @@
 /// One request's place at a target; given back when dropped.
 pub(super) struct Seat {
     pub(super) live: Arc<Live>,
-    /// Whether the request tries a target that was held back.
-    pub(super) is_trial: bool,
     dispatcher: Arc<Dispatcher>,
     /// Whether the place was given back under the lock already.
     is_released: bool,
@@ -335,7 +333,7 @@
         *state.own.entry(instance).or_default() += 1;
         self.changed.notify_one();
         let dispatcher = self.itself.upgrade()?;
-        Some(Seat { live, is_trial, dispatcher, is_released: false })
+        Some(Seat { live, dispatcher, is_released: false })
     }
 
     fn candidates(
@@ -433,7 +431,7 @@
         let instance = &live.target.instance;
         let mut state = self.lock();
         let news = state.board.observe(instance, outcome, sent, now);
-        let hold = state.board.hold();
+        let episode = state.board.episode();
         if let Some(news) = news {
             state.news.push((instance.clone(), news));
             drop(state);
@@ -443,7 +441,7 @@
                 json!({
                     "target": instance.as_str(), "service": live.target.service.as_str(),
                     "belief": if news == News::Failed { "held back" } else { "in use" },
-                    "by": "own request", "hold_ms": hold.as_millis() as u64,
+                    "by": "own request", "episode_ms": episode.as_millis() as u64,
                 }),
             );
         }
--- a/chicoryloom/src/gateway/edge.rs
+++ b/chicoryloom/src/gateway/edge.rs
@@ -22,6 +22,7 @@
 
 use super::FIRST_HEAD;
 use super::Gateway;
+use super::head::Observed;
 use super::refusal::full;
 use super::refusal::json_response;
 use crate::proxy::stream::Stream;
@@ -81,11 +82,16 @@
         let head = limits.map_or(FIRST_HEAD, |limits| limits.header_bytes);
         let header_timeout = limits.map_or(FIRST_IDLE, |limits| limits.header_timeout);
         let gateway = self.gateway.clone();
+        let (stream, seen) = Observed::new(Stream::new(stream, idle), head);
         let service = service_fn(move |request| {
-            let gateway = gateway.clone();
-            async move { Ok::<_, Infallible>(gateway.answer(request).await) }
+            let (gateway, seen) = (gateway.clone(), seen.clone());
+            async move {
+                let response = gateway.answer(request, seen.is_ambiguous()).await;
+                seen.answered();
+                Ok::<_, Infallible>(response)
+            }
         });
-        let stream = TokioIo::new(Stream::new(stream, idle));
+        let stream = TokioIo::new(stream);
         // The library's timer also runs while a connection is idle between requests.
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -33,6 +33,7 @@
 use super::message::MAX_DATAGRAM;
 use super::message::Member;
 use super::message::Total;
+use super::mirror::FRESH;
 use super::mirror::Mirror;
 use super::port::Registration;
 use super::port::Store;
@@ -42,8 +43,6 @@
 const NEAR_GAP: Duration = Duration::from_millis(8);
 /// Time between two messages on requests in flight and admitted ones to other data centres.
 const FAR_GAP: Duration = Duration::from_millis(500);
-/// Time between two messages to other data centres while a workspace nears its grant.
-const TIGHT_GAP: Duration = Duration::from_millis(150);
 /// Time between two messages on admitted requests within the data centre.
 const TOTALS_GAP: Duration = Duration::from_millis(100);
 /// Time between two rounds of upkeep.
@@ -64,8 +63,6 @@
 const MEMBERS: usize = 8;
 /// Entries of loads or totals in one datagram; about 20 bytes each.
 const ENTRIES: usize = 50;
-/// Share of a grant from which its use is told at the shorter gap.
-const TIGHT: f64 = 0.6;
 
 /// This host among the others.
 #[derive(Debug)]
@@ -159,19 +156,17 @@
         found.iter().map(|member| member.caller).collect()
     }
 
-    /// Tells whether a gap in the platform's answers is this host's own, not the platform's.
+    /// Tells whether the platform was away from the whole fleet, after this host's copy was old,
+    /// and which host has a fresh copy.
     ///
-    /// A host that heard nobody was cut off, and where another one had a fresh copy all along,
-    /// the platform was there.
-    pub(super) fn is_own_gap(&self, gap: Duration) -> bool {
+    /// A host that heard nobody was cut off itself, as far as there are other hosts.
+    pub(super) fn gap(&self) -> (bool, Option<SocketAddr>) {
         let now = self.clock.now();
         let members = self.members();
-        if members.all().next().is_none() {
-            return false;
-        }
+        let fresh = members.everyone(now).find(|member| member.fresh).map(|member| member.peer);
+        let is_alone = members.all().next().is_none();
         let heard = members.last_heard().is_some_and(|heard| now.since(heard) < LONELY);
-        let covers = |member: &Member| Duration::from_millis(member.fresh_ms.into()) >= gap;
-        !heard || members.everyone(now).any(covers)
+        (fresh.is_none() && (is_alone || heard), fresh)
     }
 
     /// Has the other hosts know at once that this one stops.
@@ -365,7 +360,7 @@
         let members = self.members();
         let mut me = self.me.lock().expect("no holder of the lock panics");
         me.ready = catalog.is_some();
-        me.fresh_ms = u32::try_from(mirror.fresh_for().as_millis()).unwrap_or(u32::MAX);
+        me.fresh = mirror.age() < FRESH;
         let mut centres: Vec<_> =
             members.everyone(now).map(|member| member.data_centre.clone()).collect();
         centres.push(me.data_centre.clone());
@@ -390,7 +385,7 @@
     }
 
     /// Tells the others of requests in flight, admitted ones and targets that fail.
-    pub(super) async fn share(self: Arc<Self>, mirror: Arc<Mirror>) {
+    pub(super) async fn share(self: Arc<Self>) {
         let mut sent = Sent::default();
         loop {
             // Upkeep of what is told at longer gaps needs a wake-up now and then.
@@ -411,18 +406,25 @@
                 self.send_loads(&near, &loads).await;
                 sent.near = loads.clone();
             }
-            let far_gap = if self.is_tight(&mirror, now) { TIGHT_GAP } else { FAR_GAP };
-            if now.since(sent.far_at) >= far_gap {
+            if now.since(sent.far_at) >= FAR_GAP {
                 sent.far_at = now;
                 if loads != sent.far {
                     self.send_loads(&far, &loads).await;
                     sent.far = loads;
                 }
-                sent.far_totals = self.send_totals(&far, &sent.far_totals).await;
             }
-            if now.since(sent.totals_at) >= TOTALS_GAP {
-                sent.totals_at = now;
-                sent.near_totals = self.send_totals(&near, &sent.near_totals).await;
+            let hosts = all.len() + 1;
+            let (totals, urgent) = self.reports(&sent.far_totals, hosts);
+            if urgent || now.since(sent.far_totals_at) >= FAR_GAP {
+                sent.far_totals_at = now;
+                self.send_totals(&far, &totals, &sent.far_totals).await;
+                sent.far_totals = totals.clone();
+            }
+            let (_, urgent) = self.reports(&sent.near_totals, hosts);
+            if urgent || now.since(sent.near_totals_at) >= TOTALS_GAP {
+                sent.near_totals_at = now;
+                self.send_totals(&near, &totals, &sent.near_totals).await;
+                sent.near_totals = totals;
             }
             tokio::time::sleep(NEAR_GAP).await;
         }
@@ -436,50 +438,57 @@
         self.send(peers, Body::Loads(loads)).await;
     }
 
-    /// Sends the totals that differ from the last ones sent, and returns those sent by now.
-    async fn send_totals(
-        &self,
-        peers: &[SocketAddr],
-        before: &HashMap<id::Workspace, u64>,
-    ) -> HashMap<id::Workspace, u64> {
-        let now = self.clock.now();
-        let (totals, changed) = {
+    /// Returns what this host admitted, and whether the others should hear of it at once.
+    fn reports(&self, told: &Totals, hosts: usize) -> (Totals, bool) {
+        let allowance = self.allowance.lock().expect("no holder of the lock panics");
+        let mut urgent = false;
+        let totals = allowance.reports().map(|(name, total, level)| {
+            let before = told.get(name).map_or(0, |(before, _)| *before);
+            urgent |= Allowance::is_urgent(total.saturating_sub(before), level, hosts);
+            (name.clone(), (total, level))
+        });
+        let totals = totals.collect();
+        (totals, urgent)
+    }
+
+    /// Sends the totals that differ from the last ones told.
+    async fn send_totals(&self, peers: &[SocketAddr], totals: &Totals, told: &Totals) {
+        if peers.is_empty() {
+            return;
+        }
+        let is_settled = {
             let allowance = self.allowance.lock().expect("no holder of the lock panics");
-            let is_settled = allowance.is_settled(now);
-            let totals: HashMap<_, _> =
-                allowance.reports().map(|(name, total, _)| (name.clone(), total)).collect();
-            let changed =
-                allowance.reports().filter(|(name, total, _)| before.get(*name) != Some(total));
-            let changed: Vec<_> = changed
-                .map(|(name, total, level)| Total {
-                    workspace: name.clone(),
-                    admitted: total,
-                    level: is_settled.then_some(level as f32),
-                })
-                .collect();
-            (totals, changed)
+            allowance.is_settled(self.clock.now())
+        };
+        let differs = |(name, (total, _)): &(&id::Workspace, &(u64, f64))| {
+            told.get(*name).is_none_or(|(before, _)| before != total)
         };
+        let changed: Vec<_> = totals
+            .iter()
+            .filter(differs)
+            .map(|(name, (total, level))| Total {
+                workspace: name.clone(),
+                admitted: *total,
+                level: is_settled.then_some(*level as f32),
+            })
+            .collect();
         for totals in changed.chunks(ENTRIES) {
             self.send(peers, Body::Totals(totals.to_vec())).await;
         }
-        totals
-    }
-
-    /// Tells whether a workspace nears its grant.
-    fn is_tight(&self, mirror: &Mirror, now: Moment) -> bool {
-        let Some(catalog) = mirror.catalog() else { return false };
-        let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
-        catalog.workspaces.iter().any(|workspace| allowance.use_of(workspace, now) > TIGHT)
     }
 }
 
+/// Requests that a host admitted by workspace, and the tokens left.
+type Totals = HashMap<id::Workspace, (u64, f64)>;
+
 /// What was told last.
 #[derive(Debug, Default)]
 struct Sent {
     near: Vec<Load>,
     far: Vec<Load>,
     far_at: Moment,
-    totals_at: Moment,
-    near_totals: HashMap<id::Workspace, u64>,
-    far_totals: HashMap<id::Workspace, u64>,
+    near_totals: Totals,
+    near_totals_at: Moment,
+    far_totals: Totals,
+    far_totals_at: Moment,
 }
--- /dev/null
+++ b/chicoryloom/src/gateway/head.rs
@@ -0,0 +1,164 @@
+//! Heads of requests as they arrive, for what the HTTP library resolves by itself.
+//!
+//! The library drops a length that stands beside a transfer encoding. Such a request is refused,
+//! since others on its way may have read it differently.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+
+/// End of a head.
+const END: &[u8] = b"\r\n\r\n";
+
+/// What the bytes of a connection showed of its requests.
+#[derive(Debug, Default)]
+pub(super) struct Seen {
+    /// Whether a head gave both a length and a transfer encoding.
+    ambiguous: AtomicBool,
+    /// Whether the request before has been answered, so that a head comes next.
+    answered: AtomicBool,
+}
+
+impl Seen {
+    /// Tells whether the present request's body has two lengths.
+    pub(super) fn is_ambiguous(&self) -> bool {
+        self.ambiguous.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the present request has been answered.
+    pub(super) fn answered(&self) {
+        self.answered.store(true, Ordering::Relaxed);
+    }
+}
+
+/// What the next bytes belong to.
+#[derive(Debug)]
+enum Part {
+    /// A head, of which these bytes have come.
+    Head(Vec<u8>),
+    /// A body with this many bytes to come.
+    Body(u64),
+    /// A body in chunks; a head comes once the request has been answered.
+    Chunks,
+}
+
+/// A stream that looks at the heads that it reads.
+#[derive(Debug)]
+pub(super) struct Observed<S> {
+    stream: S,
+    part: Part,
+    most: usize,
+    seen: Arc<Seen>,
+}
+
+impl<S> Observed<S> {
+    /// Looks at heads of `most` bytes; the library refuses longer ones.
+    pub(super) fn new(stream: S, most: usize) -> (Self, Arc<Seen>) {
+        let seen = Arc::new(Seen::default());
+        (Self { stream, part: Part::Head(Vec::new()), most, seen: seen.clone() }, seen)
+    }
+
+    fn look(&mut self, mut bytes: &[u8]) {
+        if self.seen.answered.swap(false, Ordering::Relaxed) && matches!(self.part, Part::Chunks) {
+            self.part = Part::Head(Vec::new());
+        }
+        while !bytes.is_empty() {
+            match &mut self.part {
+                Part::Chunks => return,
+                Part::Body(left) => {
+                    let taken = bytes.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+                    *left -= taken as u64;
+                    bytes = &bytes[taken..];
+                    if *left == 0 {
+                        self.part = Part::Head(Vec::new());
+                    }
+                }
+                Part::Head(head) => {
+                    let before = head.len();
+                    head.extend_from_slice(bytes);
+                    let from = before.saturating_sub(END.len() - 1);
+                    let end = head[from..].windows(END.len()).position(|window| window == END);
+                    let Some(end) = end.map(|at| from + at + END.len()) else {
+                        if head.len() > self.most {
+                            self.part = Part::Chunks;
+                        }
+                        return;
+                    };
+                    bytes = &bytes[end - before..];
+                    let part = self.judge(end);
+                    self.part = part;
+                }
+            }
+        }
+    }
+
+    /// Judges a whole head and returns what follows it.
+    fn judge(&self, end: usize) -> Part {
+        let Part::Head(head) = &self.part else { return Part::Chunks };
+        let text = String::from_utf8_lossy(&head[..end]).to_ascii_lowercase();
+        let value = |name: &str| {
+            let mut lines = text.split("\r\n").filter_map(|line| line.split_once(':'));
+            lines.find(|(found, _)| found.trim() == name).map(|(_, value)| value.trim().to_owned())
+        };
+        let (length, encoding) = (value("content-length"), value("transfer-encoding"));
+        self.seen.ambiguous.store(length.is_some() && encoding.is_some(), Ordering::Relaxed);
+        match (encoding, length.map(|length| length.parse())) {
+            (None, None | Some(Ok(0))) => Part::Head(Vec::new()),
+            (None, Some(Ok(length))) => Part::Body(length),
+            _ => Part::Chunks,
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Observed<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if matches!(read, Poll::Ready(Ok(()))) {
+            self.look(&buffer.filled()[before..]);
+        }
+        read
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Observed<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -163,7 +163,7 @@
             tokio::spawn(fleet.clone().greet()),
             tokio::spawn(fleet.clone().register(store)),
             tokio::spawn(fleet.clone().upkeep(mirror.clone())),
-            tokio::spawn(fleet.clone().share(mirror.clone())),
+            tokio::spawn(fleet.clone().share()),
             tokio::spawn(relay::serve(relay, incarnation, mirror.clone())),
             tokio::spawn(sync.run()),
             tokio::spawn(edge.clone().accept(callers)),
@@ -258,7 +258,7 @@
         ready: false,
         leaving: false,
         entry: false,
-        fresh_ms: 0,
+        fresh: false,
     }
 }
 
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -31,8 +31,8 @@
     pub(super) leaving: bool,
     /// Whether callers are sent to it.
     pub(super) entry: bool,
-    /// Time for which its copy of the platform's objects has been fresh all along.
-    pub(super) fresh_ms: u32,
+    /// Whether its copy of the platform's objects is fresh.
+    pub(super) fresh: bool,
 }
 
 /// Requests in flight at one target.
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -51,8 +51,8 @@
     targets: std::collections::HashMap<SmolStr, Target>,
     /// When the copy of each kind was last surely the platform's state.
     confirmed: [Option<Moment>; Kind::ALL.len()],
-    /// Since when the copy has been fresh all along.
-    fresh_since: Option<Moment>,
+    /// Where the latest update came from.
+    source: Option<Source>,
 }
 
 /// The copy, and the configuration and targets read from it.
@@ -107,16 +107,9 @@
         oldest.map_or(Duration::MAX, |oldest| self.clock.now().since(oldest))
     }
 
-    /// Returns the time for which the copy has been fresh all along; to be called often.
-    pub(super) fn fresh_for(&self) -> Duration {
-        let age = self.age();
-        let now = self.clock.now();
-        let mut copy = self.lock();
-        if age >= FRESH {
-            copy.fresh_since = None;
-            return Duration::ZERO;
-        }
-        now.since(*copy.fresh_since.get_or_insert(now))
+    /// Tells whether the latest update came from a given source.
+    pub(super) fn is_from(&self, source: Source) -> bool {
+        self.lock().source == Some(source)
     }
 
     /// Returns the platform's revision that the objects of a kind reach.
@@ -143,10 +136,13 @@
         self.lock().replica.platform_returned(now);
     }
 
-    /// Applies an update that was surely the platform's state `age` ago.
-    pub(super) fn apply(&self, update: Update, age: Duration, source: Source) {
+    /// Applies an update that was surely the platform's state `age` ago; tells whether it was at
+    /// least as new as the copy.
+    pub(super) fn apply(&self, update: Update, age: Duration, source: Source) -> bool {
         let now = self.clock.now();
         let mut copy = self.lock();
+        let accepted = copy.replica.accepts(&update);
+        copy.source = Some(source);
         let index = usize::from(update.kind == Kind::Target);
         if update.revision >= copy.replica.revision(update.kind) {
             let confirmed = now.before(age);
@@ -157,6 +153,7 @@
             Source::Host(_) => copy.replica.follow(update, now),
         };
         self.take(&mut copy, &changes, &source.to_string());
+        accepted
     }
 
     /// Drops targets whose entries lapsed and did not come back in time.
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod edge;
 pub mod events;
 mod fleet;
+mod head;
 mod host;
 mod job;
 mod members;
@@ -113,15 +114,20 @@
 }
 
 impl Gateway {
-    /// Answers one request of a caller.
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    /// Answers one request of a caller; an ambiguous one had two lengths.
+    async fn answer(&self, request: Request<Incoming>, is_ambiguous: bool) -> Response<Body> {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         let _counted = Counted(&self.in_flight);
         let started = Instant::now();
         let name = &self.dialect.headers().request_id;
         let id = request.headers().get(name).cloned();
         let mut story = Story::default();
-        let served = self.serve(request, &mut story).await;
+        let served = if is_ambiguous {
+            let detail = "the body has a length and a transfer encoding";
+            Err(Refusal::new(Reason::Malformed, detail))
+        } else {
+            self.serve(request, &mut story).await
+        };
         let (mut response, refusal) = match served {
             Ok(response) => (response, None),
             Err(refusal) => (refusal.response(), Some(refusal)),
@@ -131,7 +137,7 @@
         {
             response.headers_mut().insert(name, id.clone());
         }
-        if self.leaving.load(Ordering::Relaxed) {
+        if is_ambiguous || self.leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         let took = started.elapsed();
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -89,9 +89,13 @@
         let answer = read(&mut self.stream, MAX_STREAM).await?;
         let told: Told = message::decode(&answer).map_err(malformed)?;
         self.incarnation = told.incarnation;
-        self.after = told.latest;
         Ok(told)
     }
+
+    /// Notes that the copy holds all changes up to a numbered one; 0 asks for all anew.
+    pub(super) fn has(&mut self, number: u64) {
+        self.after = number;
+    }
 }
 
 async fn write(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -20,9 +20,9 @@
 
 use super::events::Events;
 use super::fleet::Fleet;
-use super::mirror;
 use super::mirror::FRESH;
 use super::mirror::Mirror;
+use super::mirror::Source;
 use super::port;
 use super::port::Store;
 use super::relay::Follower;
@@ -86,7 +86,7 @@
                 tokio::time::sleep(CHECK).await;
                 continue;
             };
-            if self.follow(&mut follower, *address).await {
+            if self.follow(&mut follower, *address, FOLLOW_WAIT).await {
                 self.set_direct(&direct, false);
             } else {
                 follower = None;
@@ -123,7 +123,12 @@
     }
 
     /// Asks a relay once; tells whether its copy is fresh.
-    async fn follow(&self, follower: &mut Option<Follower>, relay: SocketAddr) -> bool {
+    async fn follow(
+        &self,
+        follower: &mut Option<Follower>,
+        relay: SocketAddr,
+        wait: Duration,
+    ) -> bool {
         if follower.as_ref().is_none_or(|follower| follower.relay != relay) {
             let connected = tokio::time::timeout(FOLLOW_SLACK, Follower::connect(relay)).await;
             *follower = connected.ok().and_then(Result::ok);
@@ -131,25 +136,45 @@
         let Some(connected) = follower else {
             return false;
         };
+        // Changes of a relay add up only to what came from it alone.
+        if !self.mirror.is_from(Source::Host(relay)) {
+            connected.has(0);
+        }
         let asked = self.clock.now();
-        let polled = tokio::time::timeout(FOLLOW_WAIT + FOLLOW_SLACK, connected.poll(FOLLOW_WAIT));
+        let polled = tokio::time::timeout(wait + FOLLOW_SLACK, connected.poll(wait));
         let Ok(Ok(told)) = polled.await else {
             return false;
         };
         // The relay's age is as of its answer, which left after the call did.
-        let lag = self.clock.now().since(asked).saturating_sub(FOLLOW_WAIT);
+        let lag = self.clock.now().since(asked).saturating_sub(wait);
         let age = Duration::from_millis(told.age_ms).saturating_add(lag);
+        let mut accepted = true;
         for update in told.updates {
-            self.mirror.apply(update, age, mirror::Source::Host(relay));
+            accepted &= self.mirror.apply(update, age, Source::Host(relay));
         }
+        connected.has(if accepted { told.latest } else { 0 });
         age < FRESH
     }
 
+    /// Makes up for a gap of this host's copy: from another host that had none, or else by
+    /// keeping what lapsed with the platform. Tells whether another host's copy was taken.
+    async fn catch_up(&self) -> bool {
+        let (away, fresh) = self.fleet.gap();
+        self.events.emit("gap", json!({ "platform_away": away, "fresh_host": fresh }));
+        if let Some(peer) = fresh {
+            let mut follower = None;
+            return self.follow(&mut follower, peer, Duration::ZERO).await;
+        }
+        if away {
+            self.mirror.platform_returned();
+        }
+        false
+    }
+
     /// Watches one kind of objects while this is the host's duty.
     async fn watch(self, kind: Kind, mut duty: watch::Receiver<bool>) {
         let mut pause = PAUSE.0;
         let mut is_listed = false;
-        let mut reached: Option<Moment> = None;
         let mut is_lost = false;
         loop {
             if !*duty.borrow_and_update() {
@@ -165,29 +190,19 @@
             } else {
                 self.store.list(kind).await
             };
-            let now = self.clock.now();
             match called {
                 Ok(update) => {
-                    let gap = reached.map_or(Duration::ZERO, |at| now.since(at));
-                    if gap > AWAY + WATCH_WAIT || is_lost {
+                    if is_lost {
                         is_lost = false;
-                        let is_own = self.fleet.is_own_gap(gap);
-                        let fields = json!({
-                            "kind": format!("{kind:?}"), "gap_ms": gap.as_millis() as u64,
-                            "own_gap": is_own,
-                        });
-                        self.events.emit("store_regained", fields);
-                        if !is_own {
-                            self.mirror.platform_returned();
-                        }
-                        // What lapsed meanwhile shows in a listing only.
+                        self.events.emit("store_regained", json!({ "kind": format!("{kind:?}") }));
+                    }
+                    is_listed = true;
+                    if self.mirror.age() > AWAY && !self.catch_up().await {
+                        // What lapsed meanwhile is missing in a listing, too.
                         is_listed = update.whole;
-                    } else {
-                        is_listed = true;
                     }
-                    reached = Some(now);
                     pause = PAUSE.0;
-                    self.mirror.apply(update, Duration::ZERO, mirror::Source::Platform);
+                    self.mirror.apply(update, Duration::ZERO, Source::Platform);
                 }
                 Err(port::Error::Compacted) => is_listed = false,
                 Err(error) => {
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -21,6 +21,8 @@
 const MAX_PROJECTION: Duration = Duration::from_millis(600);
 /// Weight of the newest sample in another host's smoothed rate.
 const RATE_WEIGHT: f64 = 0.4;
+/// Fewest requests that a host admits before it tells the others ahead of time.
+const LEAST_NEWS: f64 = 1.0;
 /// Largest debt, in parts of the burst; older debt than that is out of any window.
 const MAX_DEBT: f64 = 2.0;
 
@@ -128,6 +130,12 @@
         used.map(|(name, meter)| (name, meter.total, meter.level))
     }
 
+    /// Tells whether the others should hear of admitted requests ahead of time, since `hosts` that
+    /// each admit as many untold would use up the level.
+    pub fn is_urgent(untold: u64, level: f64, hosts: usize) -> bool {
+        untold as f64 >= (level / hosts.max(1) as f64).max(LEAST_NEWS)
+    }
+
     /// Takes in a report of another host.
     pub fn hear(
         &mut self,
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// Tells whether an update is at least as new as this copy. Later changes of its sender add up
+    /// to the sender's copy only then.
+    pub fn accepts(&self, update: &Update) -> bool {
+        !update.whole || update.revision >= self.shelf(update.kind).revision
+    }
+
     /// Applies an update of another host's copy, which holds what that host keeps of lapsed entries.
     pub fn follow(&mut self, update: Update, now: Moment) -> Changes {
         if update.kind == Kind::Target {
@@ -192,16 +198,17 @@
     /// Applies an update of the platform; one that is older than what is known changes nothing.
     pub fn apply(&mut self, update: Update, now: Moment) -> Changes {
         let mut changes = Changes::default();
-        let Update { kind, records, whole, revision } = update;
-        if whole && revision < self.shelf(kind).revision {
+        if !self.accepts(&update) {
             return changes;
         }
+        let Update { kind, records, whole, revision } = update;
         let mut names: Vec<SmolStr> = Vec::new();
         if whole {
             names = self.missing(kind, &records, revision, now);
         }
-        let shelf = self.shelf_mut(kind);
+        let grace = self.grace.filter(|until| kind == Kind::Target && now < *until);
         for record in records {
+            let shelf = self.shelf_mut(kind);
             let known = shelf.records.get(&record.name).map_or(0, |known| known.revision);
             let buried = shelf.deleted.get(&record.name).copied().unwrap_or_default();
             // A deletion wins over the change that it follows without a revision of its own.
@@ -212,14 +219,18 @@
             if !is_newer {
                 continue;
             }
-            names.push(record.name.clone());
             if record.value.is_some() {
                 shelf.deleted.remove(&record.name);
+                names.push(record.name.clone());
                 shelf.records.insert(record.name.clone(), record);
+            } else if let Some(until) = grace.filter(|_| known > 0) {
+                self.lapsed.entry(record.name).or_insert(until);
             } else {
                 shelf.bury(&record.name, record.revision);
+                names.push(record.name);
             }
         }
+        let shelf = self.shelf_mut(kind);
         shelf.revision = shelf.revision.max(revision);
         for name in &names {
             self.lapsed.remove(name);
--- /dev/null
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -0,0 +1,197 @@
+//! Rate and burst over all hosts together, with late messages and restarts.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::allowance::Allowance;
+use chicoryloom_policy::allowance::Report;
+use chicoryloom_policy::catalog::Workspace;
+use chicoryloom_policy::id;
+use chicoryloom_policy::unit::Burst;
+use chicoryloom_policy::unit::Rate;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const WINDOW: Duration = Duration::from_secs(5);
+const RATE: f64 = 40.0;
+const BURST: u32 = 40;
+/// What the users allow beyond the grant: a tenth and 20 requests in a window.
+const OVERAGE: f64 = 0.1;
+const SLACK: f64 = 20.0;
+/// Steps between two looks for urgent news.
+const URGENT_STEPS: usize = 2;
+/// One step of the simulation.
+const STEP: Duration = Duration::from_millis(10);
+
+fn workspace() -> Workspace {
+    Workspace {
+        name: "prairie".parse().unwrap(),
+        priority: None,
+        rate: Rate::new(RATE),
+        burst: Burst(BURST),
+    }
+}
+
+struct Fleet {
+    hosts: Vec<Allowance>,
+    lives: Vec<u64>,
+    now: Moment,
+    /// Messages on their way: arrival, sender, report.
+    sent: VecDeque<(Moment, usize, Report)>,
+    /// What each host told last.
+    told: Vec<u64>,
+    admitted: Vec<Moment>,
+    refused: usize,
+}
+
+impl Fleet {
+    fn new(hosts: usize) -> Self {
+        let now = Moment::from_millis(1000);
+        Self {
+            hosts: (0..hosts).map(|_| Allowance::new(WINDOW, now)).collect(),
+            lives: vec![1; hosts],
+            now,
+            sent: VecDeque::new(),
+            told: vec![0; hosts],
+            admitted: Vec::new(),
+            refused: 0,
+        }
+    }
+
+    fn name(host: usize) -> id::Host {
+        format!("host-{host}").parse().unwrap()
+    }
+
+    fn restart(&mut self, host: usize) {
+        self.hosts[host] = Allowance::new(WINDOW, self.now);
+        self.lives[host] += 1;
+        self.told[host] = 0;
+    }
+
+    /// Has hosts tell what they admitted: all of them, or those where it is urgent.
+    fn tell(&mut self, all: bool, delay: Duration) {
+        let count = self.hosts.len();
+        for host in 0..count {
+            let settled = self.hosts[host].is_settled(self.now);
+            let found = self.hosts[host].reports().next().map(|(_, total, level)| (total, level));
+            let Some((total, level)) = found else { continue };
+            let untold = total - self.told[host];
+            if untold == 0 || !(all || Allowance::is_urgent(untold, level, count)) {
+                continue;
+            }
+            self.told[host] = total;
+            let incarnation = id::Incarnation(self.lives[host]);
+            let report = Report { incarnation, total, level: settled.then_some(level) };
+            self.sent.push_back((self.now.after(delay), host, report));
+        }
+    }
+
+    /// Runs for some steps in which callers ask for `per_second` requests at random hosts.
+    fn run(&mut self, steps: usize, per_second: f64, gap: usize, delay: Duration, seed: u64) {
+        let mut random = seed | 1;
+        let mut due = 0.0;
+        for step in 0..steps {
+            self.now = self.now.after(STEP);
+            while self.sent.front().is_some_and(|(at, ..)| *at <= self.now) {
+                let (_, sender, report) = self.sent.pop_front().unwrap();
+                for host in (0..self.hosts.len()).filter(|host| *host != sender) {
+                    let name = Self::name(sender);
+                    self.hosts[host].hear(&name, &workspace().name, report, self.now);
+                }
+            }
+            if step % URGENT_STEPS == 0 {
+                self.tell(step % gap == 0, delay);
+            }
+            due += per_second * STEP.as_secs_f64();
+            while due >= 1.0 {
+                due -= 1.0;
+                random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                let host = (random >> 33) as usize % self.hosts.len();
+                match self.hosts[host].admit(&workspace(), self.now) {
+                    Ok(()) => self.admitted.push(self.now),
+                    Err(_) => self.refused += 1,
+                }
+            }
+        }
+    }
+
+    /// Returns the most requests admitted in any window.
+    fn worst(&self) -> usize {
+        let within = |at: usize| {
+            let end = self.admitted[at].after(WINDOW);
+            self.admitted[at..].iter().filter(|moment| **moment < end).count()
+        };
+        (0..self.admitted.len()).map(within).max().unwrap_or_default()
+    }
+}
+
+fn allowed() -> f64 {
+    (RATE * WINDOW.as_secs_f64() + f64::from(BURST)) * (1.0 + OVERAGE) + SLACK
+}
+
+/// Demand that stays below the rate is served from the start of a settled fleet on.
+#[test]
+fn demand_within_the_rate_is_not_refused() {
+    let mut fleet = Fleet::new(16);
+    fleet.run(800, 0.0, 10, Duration::from_millis(1), 1);
+    fleet.run(2000, RATE / 1.6, 10, Duration::from_millis(1), 7);
+    assert_eq!(fleet.refused, 0);
+}
+
+/// All hosts lose their counts at once while a workspace asks for eight times its rate.
+#[rstest]
+#[case(1)]
+#[case(7)]
+#[case(30)]
+fn grant_holds_over_a_restart_of_the_whole_fleet(#[case] host_count: usize) {
+    let mut fleet = Fleet::new(host_count);
+    fleet.run(800, 0.0, 10, Duration::from_millis(1), 1);
+    fleet.run(300, RATE * 8.0, 10, Duration::from_millis(1), 3);
+    for host in 0..host_count {
+        fleet.restart(host);
+    }
+    fleet.run(1000, RATE * 8.0, 10, Duration::from_millis(1), 5);
+    assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
+}
+
+/// A host that starts beside settled ones takes over what they know and refuses nobody.
+#[test]
+fn single_restart_costs_no_request_within_the_rate() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(800, RATE / 1.6, 10, Duration::from_millis(1), 1);
+    let refused = fleet.refused;
+    fleet.restart(3);
+    // The first message of the others comes before callers do.
+    fleet.told.fill(0);
+    fleet.tell(true, Duration::from_millis(1));
+    fleet.run(600, RATE / 1.6, 10, Duration::from_millis(1), 9);
+    assert_eq!(fleet.refused, refused);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// However many hosts, however late the news within its usual bounds, no window takes more
+    /// than the users allow, and the rate itself is served.
+    #[test]
+    fn grant_holds_over_all_hosts_together(
+        hosts in 1usize..20,
+        gap in 10usize..50,
+        delay in 0u64..10,
+        factor in 1.2f64..9.0,
+        seed in any::<u64>(),
+        restart in prop::option::of(0usize..20),
+    ) {
+        let delay = Duration::from_millis(delay);
+        let mut fleet = Fleet::new(hosts);
+        fleet.run(800, 0.0, gap, delay, seed);
+        fleet.run(500, RATE * factor, gap, delay, seed);
+        if let Some(host) = restart {
+            fleet.restart(host % hosts);
+        }
+        fleet.run(700, RATE * factor, gap, delay, seed);
+        prop_assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
+        prop_assert!(fleet.admitted.len() as f64 >= RATE * 12.0 * 0.8, "{}", fleet.admitted.len());
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -0,0 +1,143 @@
+//! Which request goes first, which one waits, and which one is refused at once.
+
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::catalog::Part;
+use chicoryloom_policy::catalog::Repeat;
+use chicoryloom_policy::dispatch;
+use chicoryloom_policy::dispatch::Ask;
+use chicoryloom_policy::dispatch::Candidate;
+use chicoryloom_policy::dispatch::Line;
+use chicoryloom_policy::dispatch::Rank;
+use chicoryloom_policy::entry;
+use chicoryloom_policy::gray::Standing;
+use chicoryloom_policy::split::Split;
+use chicoryloom_policy::unit::Weight;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+fn candidate(in_flight: u32, near: bool, standing: Standing) -> Candidate {
+    Candidate { in_flight, slots: 2, near, cold: false, standing, mine: true }
+}
+
+fn ask(repeat: Repeat) -> Ask {
+    Ask { repeat, can_retry: repeat == Repeat::Safe, waited: Duration::ZERO }
+}
+
+fn choose(candidates: &[Candidate], ask: Ask) -> Option<usize> {
+    dispatch::choose(candidates, ask, &mut Pcg64::seed_from_u64(3))
+}
+
+#[rstest]
+#[case::near_goes_first([candidate(1, true, Standing::In), candidate(0, false, Standing::In)], Some(0))]
+#[case::far_goes_before_a_wait([candidate(2, true, Standing::In), candidate(1, false, Standing::In)], Some(1))]
+#[case::full_ones_get_nothing([candidate(2, true, Standing::In), candidate(3, false, Standing::In)], None)]
+#[case::held_back_gets_nothing([candidate(0, true, Standing::Out), candidate(2, true, Standing::In)], None)]
+#[case::least_loaded([candidate(1, true, Standing::In), candidate(0, true, Standing::In)], Some(1))]
+fn target_is_chosen(#[case] candidates: [Candidate; 2], #[case] chosen: Option<usize>) {
+    assert_eq!(choose(&candidates, ask(Repeat::Once)), chosen);
+}
+
+/// A trial takes a request that can be repeated; one that runs once goes to a sound target.
+#[test]
+fn trials_take_repeatable_requests() {
+    let due = Standing::Trial(Duration::from_millis(10));
+    let candidates = [candidate(1, true, Standing::In), candidate(0, true, due)];
+    assert_eq!(choose(&candidates, ask(Repeat::Safe)), Some(1));
+    assert_eq!(choose(&candidates, ask(Repeat::Once)), Some(0));
+    let busy = [candidate(2, true, Standing::In), candidate(0, true, due)];
+    assert_eq!(choose(&busy, ask(Repeat::Once)), Some(1));
+}
+
+/// While targets clear one request every 100 ms, a request that would come up after its time is
+/// refused on arrival, and told the time that the line needs.
+#[test]
+fn request_that_would_be_late_is_refused_at_once() {
+    let mut line = Line::default();
+    let rank = Rank { priority: 1, route: 1 };
+    let mut now = Moment::from_millis(1000);
+    let far = now.after(Duration::from_secs(60));
+    for _ in 0..100 {
+        line.enter(rank, far, now).unwrap();
+    }
+    for _ in 0..80 {
+        now = now.after(Duration::from_millis(100));
+        let first = line.tickets()[0];
+        line.depart(first, now);
+    }
+    assert_eq!(line.len(), 20);
+    let late = line.enter(rank, now.after(Duration::from_millis(500)), now).unwrap_err();
+    assert_eq!(late.ahead, 20);
+    let seconds = late.wait.as_secs_f64();
+    assert!((1.5..3.0).contains(&seconds), "{seconds}");
+    line.enter(rank, now.after(Duration::from_secs(5)), now).unwrap();
+    let urgent = Rank { priority: 0, route: 1 };
+    line.enter(urgent, now.after(Duration::from_millis(500)), now).unwrap();
+    assert!(line.tickets()[0].is_behind(Rank { priority: 0, route: 0 }));
+}
+
+proptest! {
+    /// The more urgent goes first, and equals go in the order of their arrival.
+    #[test]
+    fn line_is_ordered(ranks in prop::collection::vec((0u8..3, 0u8..3), 1..50)) {
+        let mut line = Line::default();
+        let now = Moment::from_millis(1000);
+        let later = now.after(Duration::from_secs(9));
+        let mut expected = Vec::new();
+        for (priority, route) in ranks {
+            let rank = Rank { priority, route };
+            expected.push((rank, expected.len(), line.enter(rank, later, now).unwrap()));
+        }
+        expected.sort_by_key(|(rank, at, _)| (*rank, *at));
+        let tickets: Vec<_> = expected.into_iter().map(|(.., ticket)| ticket).collect();
+        prop_assert_eq!(line.tickets(), tickets);
+    }
+
+    /// After any number of requests each part has its share, within one request a part.
+    #[test]
+    fn split_keeps_the_proportions(weights in prop::collection::vec(1u32..100, 1..5), n in 1u32..500) {
+        let parts: Vec<_> = weights
+            .iter()
+            .enumerate()
+            .map(|(at, weight)| Part {
+                service: format!("s{at}").parse().unwrap(),
+                weight: Weight(*weight),
+            })
+            .collect();
+        let total: u32 = weights.iter().sum();
+        let mut split = Split::default();
+        let mut counts = vec![0u32; parts.len()];
+        for _ in 0..n {
+            let service = split.next(&parts).unwrap().clone();
+            let at = parts.iter().position(|part| part.service == service).unwrap();
+            counts[at] += 1;
+        }
+        for (count, weight) in counts.iter().zip(&weights) {
+            let due = f64::from(n) * f64::from(*weight) / f64::from(total);
+            prop_assert!((f64::from(*count) - due).abs() <= parts.len() as f64);
+        }
+    }
+
+    /// A host that goes moves only the callers that it had, and there are always enough hosts.
+    #[test]
+    fn loss_of_an_entry_host_leaves_the_others(count in 2usize..60, gone in 0usize..60, demand in 0.0f64..900.0) {
+        let host = |at: usize| entry::Candidate {
+            host: format!("host-{at}").parse().unwrap(),
+            capacity: 20.0 + (at % 5) as f64 * 10.0,
+        };
+        let all: Vec<_> = (0..count).map(host).collect();
+        let names = |candidates: &[entry::Candidate]| -> Vec<_> {
+            let chosen = entry::choose(candidates, demand);
+            chosen.into_iter().map(|at| candidates[at].host.clone()).collect()
+        };
+        let before = names(&all);
+        let gone = all[gone % count].host.clone();
+        let rest: Vec<_> = all.iter().filter(|one| one.host != gone).cloned().collect();
+        let after = names(&rest);
+        prop_assert!(before.len() >= entry::LEAST.min(count));
+        prop_assert!(before.iter().filter(|host| **host != gone).all(|host| after.contains(host)));
+    }
+}
--- /dev/null
+++ b/chicoryloom_policy/tests/replica.rs
@@ -0,0 +1,235 @@
+//! A host's copy of the platform's objects, over generated histories.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::replica::Kind;
+use chicoryloom_policy::replica::LAPSE_GRACE;
+use chicoryloom_policy::replica::Record;
+use chicoryloom_policy::replica::Replica;
+use chicoryloom_policy::replica::Update;
+use proptest::prelude::*;
+use smol_str::SmolStr;
+
+/// A platform with one kind of objects and the whole history of its changes.
+#[derive(Clone, Debug, Default)]
+struct Platform {
+    revision: u64,
+    objects: BTreeMap<SmolStr, (u64, Bytes)>,
+    history: Vec<Record>,
+}
+
+impl Platform {
+    fn put(&mut self, name: &str) {
+        self.revision += 1;
+        let value = Bytes::from(self.revision.to_string());
+        self.objects.insert(name.into(), (self.revision, value.clone()));
+        self.log(name, Some(value));
+    }
+
+    fn delete(&mut self, name: &str) {
+        if self.objects.remove(name).is_some() {
+            self.revision += 1;
+            self.log(name, None);
+        }
+    }
+
+    fn log(&mut self, name: &str, value: Option<Bytes>) {
+        let name = name.into();
+        self.history.push(Record { kind: Kind::Target, name, revision: self.revision, value });
+    }
+
+    fn list(&self) -> Update {
+        let record = |(name, (revision, value)): (&SmolStr, &(u64, Bytes))| Record {
+            kind: Kind::Target,
+            name: name.clone(),
+            revision: *revision,
+            value: Some(value.clone()),
+        };
+        let records = self.objects.iter().map(record).collect();
+        Update { kind: Kind::Target, records, whole: true, revision: self.revision }
+    }
+
+    fn watch(&self, after: u64) -> Update {
+        let records = self.history.iter().filter(|record| record.revision > after);
+        Update {
+            kind: Kind::Target,
+            records: records.cloned().collect(),
+            whole: false,
+            revision: self.revision,
+        }
+    }
+}
+
+fn held(replica: &Replica) -> BTreeMap<SmolStr, u64> {
+    let records = replica.records(Kind::Target);
+    records.map(|record| (record.name.clone(), record.revision)).collect()
+}
+
+fn listed(platform: &Platform) -> BTreeMap<SmolStr, u64> {
+    platform.objects.iter().map(|(name, (revision, _))| (name.clone(), *revision)).collect()
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(u8),
+    Delete(u8),
+    /// A host lists or watches the platform, as of some steps ago.
+    Learn {
+        host: usize,
+        whole: bool,
+        ago: usize,
+    },
+    /// A host asks another one for what has changed.
+    Follow {
+        host: usize,
+        relay: usize,
+    },
+}
+
+const HOSTS: usize = 3;
+
+fn step() -> impl Strategy<Value = Step> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        3 => (0..6u8).prop_map(Step::Put),
+        2 => (0..6u8).prop_map(Step::Delete),
+        3 => (host.clone(), any::<bool>(), 0..4usize)
+            .prop_map(|(host, whole, ago)| Step::Learn { host, whole, ago }),
+        4 => (host.clone(), host).prop_map(|(host, relay)| Step::Follow { host, relay }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(10_000))]
+
+    /// Whatever stale or repeated updates a host gets, no object of it goes back, none that was
+    /// deleted returns, and all hosts agree once they have heard of the last change.
+    #[test]
+    fn copies_never_go_back_and_converge(steps in prop::collection::vec(step(), 1..40)) {
+        let now = Moment::from_millis(1);
+        let mut platform = Platform::default();
+        let mut past = vec![platform.clone()];
+        let mut hosts = vec![Replica::default(); HOSTS];
+        // The number of the relay's latest change that each host has.
+        let mut cursors = [[0u64; HOSTS]; HOSTS];
+        for step in steps {
+            let before: Vec<_> = hosts.iter().map(held).collect();
+            match step {
+                Step::Put(name) => platform.put(&name.to_string()),
+                Step::Delete(name) => platform.delete(&name.to_string()),
+                Step::Learn { host, whole, ago } => {
+                    let seen = &past[past.len().saturating_sub(1 + ago)];
+                    let after = hosts[host].revision(Kind::Target);
+                    let update = if whole { seen.list() } else { seen.watch(after) };
+                    hosts[host].apply(update, now);
+                    // Changes of a relay add up only to what came from it alone.
+                    cursors[host] = [0; HOSTS];
+                }
+                Step::Follow { host, relay } if host != relay => {
+                    let after = cursors[host][relay];
+                    cursors[host] = [0; HOSTS];
+                    let updates = hosts[relay].after(after);
+                    if updates.iter().all(|update| hosts[host].accepts(update)) {
+                        cursors[host][relay] = hosts[relay].latest();
+                    }
+                    for update in updates {
+                        hosts[host].follow(update, now);
+                    }
+                }
+                Step::Follow { .. } => {}
+            }
+            past.push(platform.clone());
+            for (host, before) in hosts.iter().zip(&before) {
+                let after = held(host);
+                for (name, revision) in &after {
+                    prop_assert!(before.get(name).is_none_or(|known| known <= revision));
+                    let gone = platform.history.iter().any(|record| {
+                        record.name == *name
+                            && record.value.is_none()
+                            && record.revision > *revision
+                            && record.revision <= host.revision(Kind::Target)
+                    });
+                    prop_assert!(!gone, "{name} at {revision} was deleted");
+                }
+            }
+        }
+        hosts[0].apply(platform.list(), now);
+        for host in 1..HOSTS {
+            for update in hosts[0].after(cursors[host][0]) {
+                hosts[host].follow(update, now);
+            }
+        }
+        for host in &hosts {
+            prop_assert_eq!(held(host), listed(&platform));
+        }
+    }
+}
+
+/// A watch that tells of lapsed entries is no different from a listing that lacks them.
+#[test]
+fn lapsed_entries_are_kept_if_a_watch_tells_of_them() {
+    let start = Moment::from_millis(1000);
+    let mut platform = Platform::default();
+    platform.put("a");
+    platform.put("b");
+    let mut replica = Replica::default();
+    replica.apply(platform.list(), start);
+    let known = replica.revision(Kind::Target);
+    platform.delete("a");
+    platform.delete("b");
+    platform.put("b");
+    replica.platform_returned(start);
+    replica.apply(platform.watch(known), start);
+    assert_eq!(held(&replica).len(), 2);
+    let over = start.after(LAPSE_GRACE + Duration::from_millis(1));
+    assert_eq!(replica.expire(over).targets, ["a"]);
+    assert_eq!(held(&replica), listed(&platform));
+}
+
+/// Entries that lapse while the platform is away are kept for as long as they may come back, and
+/// a host that follows learns their end too.
+#[test]
+fn lapsed_entries_are_kept_for_the_grace_and_then_dropped() {
+    let start = Moment::from_millis(1000);
+    let mut platform = Platform::default();
+    platform.put("a");
+    platform.put("b");
+    let mut relay = Replica::default();
+    relay.apply(platform.list(), start);
+    let mut follower = Replica::default();
+    for update in relay.after(0) {
+        follower.follow(update, start);
+    }
+    let cursor = relay.latest();
+
+    relay.platform_returned(start);
+    platform.delete("a");
+    platform.delete("b");
+    assert!(relay.apply(platform.list(), start).is_empty());
+    platform.put("b");
+    relay.apply(platform.watch(relay.revision(Kind::Target)), start);
+    assert_eq!(held(&relay).len(), 2);
+
+    let over = start.after(LAPSE_GRACE + Duration::from_millis(1));
+    assert_eq!(relay.expire(over).targets, ["a"]);
+    for update in relay.after(cursor) {
+        follower.follow(update, over);
+    }
+    assert_eq!(held(&follower), listed(&platform));
+}
+
+/// A host that was cut off by itself keeps nothing that the platform no longer lists.
+#[test]
+fn without_a_gap_of_the_platform_missing_entries_are_gone_at_once() {
+    let now = Moment::from_millis(1000);
+    let mut platform = Platform::default();
+    platform.put("a");
+    let mut replica = Replica::default();
+    replica.apply(platform.list(), now);
+    platform.delete("a");
+    assert_eq!(replica.apply(platform.list(), now).targets, ["a"]);
+    assert!(held(&replica).is_empty());
+}
