Count grants in a window and by a bucket, and tell recent admissions

Change: a window of what was admitted, beside a bucket that is a little larger than the burst; a report tells how many of its requests are recent.

--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -12,6 +12,7 @@
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::allowance::Allowance;
 use chicoryloom_policy::allowance::Report;
+use chicoryloom_policy::allowance::Standing;
 use chicoryloom_policy::gray::News;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
@@ -239,9 +240,13 @@
             }
             Body::Totals(totals) => {
                 let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
-                for Total { workspace, admitted, level } in totals {
-                    let report =
-                        Report { incarnation, total: admitted, level: level.map(f64::from) };
+                for Total { workspace, admitted, recent, level } in totals {
+                    let report = Report {
+                        incarnation,
+                        total: admitted,
+                        recent: recent.into(),
+                        level: level.map(f64::from),
+                    };
                     allowance.hear(&sender, &workspace, report, now);
                 }
             }
@@ -442,10 +447,11 @@
     fn reports(&self, told: &Totals, hosts: usize) -> (Totals, bool) {
         let allowance = self.allowance.lock().expect("no holder of the lock panics");
         let mut urgent = false;
-        let totals = allowance.reports().map(|(name, total, level)| {
-            let before = told.get(name).map_or(0, |(before, _)| *before);
-            urgent |= Allowance::is_urgent(total.saturating_sub(before), level, hosts);
-            (name.clone(), (total, level))
+        let totals = allowance.standings(self.clock.now()).map(|(name, standing)| {
+            let before = told.get(name).map_or(0, |told| told.total);
+            let untold = standing.total.saturating_sub(before);
+            urgent |= Allowance::is_urgent(untold, standing.left, hosts);
+            (name.clone(), standing)
         });
         let totals = totals.collect();
         (totals, urgent)
@@ -460,16 +466,17 @@
             let allowance = self.allowance.lock().expect("no holder of the lock panics");
             allowance.is_settled(self.clock.now())
         };
-        let differs = |(name, (total, _)): &(&id::Workspace, &(u64, f64))| {
-            told.get(*name).is_none_or(|(before, _)| before != total)
+        let differs = |(name, standing): &(&id::Workspace, &Standing)| {
+            told.get(*name).is_none_or(|told| told.total != standing.total)
         };
         let changed: Vec<_> = totals
             .iter()
             .filter(differs)
-            .map(|(name, (total, level))| Total {
+            .map(|(name, standing)| Total {
                 workspace: name.clone(),
-                admitted: *total,
-                level: is_settled.then_some(*level as f32),
+                admitted: standing.total,
+                recent: u32::try_from(standing.recent).unwrap_or(u32::MAX),
+                level: is_settled.then_some(standing.level as f32),
             })
             .collect();
         for totals in changed.chunks(ENTRIES) {
@@ -478,8 +485,8 @@
     }
 }
 
-/// Requests that a host admitted by workspace, and the tokens left.
-type Totals = HashMap<id::Workspace, (u64, f64)>;
+/// What a host tells of each workspace.
+type Totals = HashMap<id::Workspace, Standing>;
 
 /// What was told last.
 #[derive(Debug, Default)]
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -47,7 +47,9 @@
 pub(super) struct Total {
     pub(super) workspace: id::Workspace,
     pub(super) admitted: u64,
-    /// Tokens left in the sender's bucket, if it has run for longer than a window.
+    /// Those of them that it admitted in the last window.
+    pub(super) recent: u32,
+    /// Tokens in the sender's bucket, if it has run for longer than a window.
     pub(super) level: Option<f32>,
 }
 
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -309,7 +309,7 @@
 }
 
 fn past_rate(workspace: &Workspace, excess: &chicoryloom_policy::allowance::Excess) -> Refusal {
-    let detail = format!("workspace {} has {:.1} tokens left", workspace.name, excess.left);
+    let detail = format!("workspace {} has {:.1} requests left", workspace.name, excess.left);
     Refusal::new(Reason::Rate, detail).retry_after(excess.wait)
 }
 
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -1,30 +1,37 @@
 //! The rate and burst of each workspace, counted over all hosts together.
 //!
-//! Each host keeps a bucket of tokens for each workspace, from which it takes what it admits
-//! itself and what the others tell that they admitted. Between two messages of another host, its
-//! latest rate is taken off in advance. So all buckets hold about the same, and what was admitted
-//! too much for want of news is a debt that is paid before more is admitted.
+//! In any window, a workspace may have as many requests admitted as its rate brings in that time,
+//! and its burst on top. Each host keeps the admissions of the last window, its own and what the
+//! others tell of theirs; between two messages of another host, its latest rate is counted in
+//! advance.
 //!
-//! A host that starts has an empty bucket, since it can't know what was admitted before. It takes
-//! over the level of hosts that have run for longer than a window; if the whole fleet starts
-//! anew, burst and rate together still hold over the restart.
+//! The window alone would let all its requests come at its beginning, and again after a restart
+//! of the whole fleet, when no host knows what was admitted before. So there is a bucket of tokens
+//! beside it, a little larger than the burst. A host starts with an empty bucket and takes over
+//! the level of hosts that have run for longer than a window.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::Moment;
 use crate::catalog::Workspace;
 use crate::id;
-use crate::unit::Rate;
 
-/// Longest time for which another host's rate is taken off past its latest message.
+/// Longest time for which another host's rate is counted past its latest message.
 const MAX_PROJECTION: Duration = Duration::from_millis(600);
 /// Weight of the newest sample in another host's smoothed rate.
 const RATE_WEIGHT: f64 = 0.4;
 /// Fewest requests that a host admits before it tells the others ahead of time.
 const LEAST_NEWS: f64 = 1.0;
-/// Largest debt, in parts of the burst; older debt than that is out of any window.
+/// Size of the bucket beyond the burst: what the rate brings in this time, which the users
+/// tolerate beyond a window's requests, or this many requests for small grants.
+const SPARE_TIME: Duration = Duration::from_millis(500);
+const SPARE_REQUESTS: f64 = 5.0;
+/// Largest debt, in parts of the bucket; older debt than that is out of any window.
 const MAX_DEBT: f64 = 2.0;
+/// Admissions within this time are kept as one entry.
+const GRAIN: Duration = Duration::from_millis(20);
 
 /// A total of another host.
 #[derive(Clone, Copy, Debug)]
@@ -36,20 +43,54 @@
     rate: f64,
 }
 
+/// A grant as it was last seen.
+#[derive(Clone, Copy, Debug, Default)]
+struct Grant {
+    /// Requests a second.
+    rate: f64,
+    burst: f64,
+}
+
+impl Grant {
+    fn of(workspace: &Workspace) -> Option<Self> {
+        let rate = workspace.rate?.per_second();
+        Some(Self { rate, burst: workspace.burst.0.into() })
+    }
+
+    /// Returns the requests that the grant allows in a span.
+    fn over(self, span: Duration) -> f64 {
+        self.rate * span.as_secs_f64() + self.burst
+    }
+
+    /// Returns the size of the bucket.
+    fn bucket(self) -> f64 {
+        self.burst + (self.rate * SPARE_TIME.as_secs_f64()).max(SPARE_REQUESTS)
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Meter {
     /// Requests that this host admitted since its start.
     total: u64,
-    /// Tokens left; below zero while more was admitted than granted.
+    /// Admissions of the last window over all hosts, as far as known, oldest first.
+    admitted: VecDeque<(Moment, f64)>,
+    /// Totals of this host in the last window and when they were reached, oldest first.
+    totals: VecDeque<(Moment, u64)>,
+    /// Tokens in the bucket; below zero while more was admitted than it held.
     level: f64,
     refilled: Moment,
     others: HashMap<id::Host, Other>,
+    grant: Grant,
+    /// When the grant was last lowered, and what it was before.
+    lowered: Option<(Moment, Grant)>,
+    /// Requests that may still be admitted, as of the latest look.
+    left: f64,
 }
 
 /// A request past its workspace's rate and burst.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Excess {
-    /// Tokens left, as this host knows them.
+    /// Requests left, as this host knows.
     pub left: f64,
     /// Time after which the next request can be admitted.
     pub wait: Duration,
@@ -61,10 +102,25 @@
     pub incarnation: id::Incarnation,
     /// Requests that the host admitted since its start.
     pub total: u64,
-    /// Tokens left in its bucket, if the host has run for longer than a window.
+    /// Those of them that it admitted in the last window.
+    pub recent: u64,
+    /// Tokens in its bucket, if the host has run for longer than a window.
     pub level: Option<f64>,
 }
 
+/// What a host tells the others of one workspace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// Requests that this host admitted since its start.
+    pub total: u64,
+    /// Those of them that it admitted in the last window.
+    pub recent: u64,
+    /// Tokens in this host's bucket.
+    pub level: f64,
+    /// Requests that all hosts may still admit.
+    pub left: f64,
+}
+
 /// What each workspace has used of its grant.
 #[derive(Clone, Debug)]
 pub struct Allowance {
@@ -74,7 +130,7 @@
 }
 
 impl Allowance {
-    /// Starts with empty buckets; hosts that have run for `window` have full knowledge.
+    /// Starts to count; hosts that have run for `window` have full knowledge.
     pub fn new(window: Duration, started: Moment) -> Self {
         Self { window, started, meters: HashMap::new() }
     }
@@ -85,55 +141,51 @@
     }
 
     fn meter(&mut self, name: &id::Workspace) -> &mut Meter {
-        let started = self.started;
-        let fresh = || Meter { refilled: started, ..Meter::default() };
+        let fresh = || Meter { refilled: self.started, ..Meter::default() };
         self.meters.entry(name.clone()).or_insert_with(fresh)
     }
 
     /// Tells whether a request would be admitted, without counting it.
     pub fn check(&mut self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
-        let Some(rate) = workspace.rate else { return Ok(()) };
+        let Some(grant) = Grant::of(workspace) else { return Ok(()) };
+        let window = self.window;
         let meter = self.meter(&workspace.name);
-        meter.refill(rate, workspace.burst.0.into(), now);
-        let left = meter.level - meter.projected(now);
-        if left >= 1.0 {
+        meter.take(grant, now);
+        meter.left = meter.left(now, window);
+        if meter.left >= 1.0 {
             return Ok(());
         }
-        let seconds = (1.0 - left) / rate.per_second();
-        let wait = Duration::try_from_secs_f64(seconds).unwrap_or(self.window);
-        Err(Excess { left, wait: wait.min(self.window) })
+        let left = meter.left;
+        Err(Excess { left, wait: meter.wait(now, window) })
     }
 
     /// Admits a request, or tells by how much its workspace is past its grant.
     pub fn admit(&mut self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
         self.check(workspace, now)?;
+        let window = self.window;
         let meter = self.meter(&workspace.name);
+        meter.totals.push_back((now, meter.total));
         meter.total += 1;
-        if workspace.rate.is_some() {
-            meter.level -= 1.0;
-        }
+        meter.note(1.0, now, window);
         Ok(())
     }
 
-    /// Returns the part of its burst that a workspace has used; 0 without a limit.
-    pub fn use_of(&mut self, workspace: &Workspace, now: Moment) -> f64 {
-        let Some(rate) = workspace.rate else { return 0.0 };
-        let burst = f64::from(workspace.burst.0);
-        let meter = self.meter(&workspace.name);
-        meter.refill(rate, burst, now);
-        1.0 - meter.level / burst.max(1.0)
-    }
-
-    /// Returns the totals and levels of this host, to be told to the others.
-    pub fn reports(&self) -> impl Iterator<Item = (&id::Workspace, u64, f64)> {
+    /// Returns what to tell the others, by workspace.
+    pub fn standings(&self, now: Moment) -> impl Iterator<Item = (&id::Workspace, Standing)> {
         let used = self.meters.iter().filter(|(_, meter)| meter.total > 0);
-        used.map(|(name, meter)| (name, meter.total, meter.level))
+        used.map(move |(name, meter)| {
+            let within = |(at, _): &&(Moment, u64)| now.since(*at) < self.window;
+            let first = meter.totals.iter().find(within).map_or(meter.total, |(_, total)| *total);
+            let recent = meter.total - first;
+            let Meter { total, level, left, .. } = *meter;
+            (name, Standing { total, recent, level, left })
+        })
     }
 
     /// Tells whether the others should hear of admitted requests ahead of time, since `hosts` that
-    /// each admit as many untold would use up the level.
-    pub fn is_urgent(untold: u64, level: f64, hosts: usize) -> bool {
-        untold as f64 >= (level / hosts.max(1) as f64).max(LEAST_NEWS)
+    /// each admit as many untold would use up what is left.
+    pub fn is_urgent(untold: u64, left: f64, hosts: usize) -> bool {
+        untold as f64 >= (left / hosts.max(1) as f64).max(LEAST_NEWS)
     }
 
     /// Takes in a report of another host.
@@ -144,15 +196,15 @@
         report: Report,
         now: Moment,
     ) {
-        let is_new = !self.is_settled(now);
+        let is_settled = self.is_settled(now);
+        let window = self.window;
         let meter = self.meter(workspace);
         let known = meter.others.get(host).copied();
         let known = known.filter(|known| known.incarnation == report.incarnation);
         let (before, span) = match known {
             Some(known) => (known.total, now.since(known.heard)),
             // What a host admitted long before it was heard is out of any window.
-            None if report.level.is_some() => (report.total, Duration::ZERO),
-            None => (0, Duration::ZERO),
+            None => (report.total - report.recent.min(report.total), Duration::ZERO),
         };
         let delta = report.total.saturating_sub(before) as f64;
         let rate = match known {
@@ -162,8 +214,10 @@
             Some(known) => known.rate,
             None => 0.0,
         };
-        meter.level -= delta;
-        if let Some(level) = report.level.filter(|_| is_new) {
+        if delta > 0.0 {
+            meter.note(delta, now, window);
+        }
+        if let Some(level) = report.level.filter(|_| !is_settled) {
             meter.level = meter.level.max(level);
         }
         let total = report.total.max(before);
@@ -173,11 +227,53 @@
 }
 
 impl Meter {
-    fn refill(&mut self, rate: Rate, burst: f64, now: Moment) {
+    /// Takes in the grant as the configuration has it now.
+    fn take(&mut self, grant: Grant, now: Moment) {
+        let is_known = self.grant.rate > 0.0;
+        if is_known && (grant.rate < self.grant.rate || grant.burst < self.grant.burst) {
+            self.lowered = Some((now, self.grant));
+        }
+        self.grant = grant;
         let span = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
-        let least = -MAX_DEBT * burst.max(1.0);
-        self.level = (self.level + rate.per_second() * span).min(burst.max(1.0)).max(least);
+        let size = grant.bucket();
+        self.level = (self.level + grant.rate * span).clamp(-MAX_DEBT * size, size);
+    }
+
+    fn note(&mut self, count: f64, now: Moment, window: Duration) {
+        self.level -= count;
+        match self.admitted.back_mut() {
+            Some((at, noted)) if now.since(*at) < GRAIN => *noted += count,
+            _ => self.admitted.push_back((now, count)),
+        }
+        while self.totals.front().is_some_and(|(at, _)| now.since(*at) > window) {
+            self.totals.pop_front();
+        }
+        while self.admitted.front().is_some_and(|(at, _)| now.since(*at) > window) {
+            self.admitted.pop_front();
+        }
+    }
+
+    /// Returns the requests admitted in a span before now, as far as known.
+    fn used(&self, now: Moment, span: Duration) -> f64 {
+        let within = self.admitted.iter().rev().take_while(|(at, _)| now.since(*at) < span);
+        within.map(|(_, count)| count).sum()
+    }
+
+    fn left(&self, now: Moment, window: Duration) -> f64 {
+        let coming = self.projected(now);
+        let used = self.used(now, window);
+        let by_window = match self.lowered.filter(|(at, _)| now.since(*at) < window) {
+            None => self.grant.over(window) - used,
+            // A lower grant can't take back what was admitted before; it counts from its
+            // beginning.
+            Some((at, old)) => {
+                let since = now.since(at);
+                let left = self.grant.over(since) - self.used(now, since);
+                left.min(old.over(window) - used)
+            }
+        };
+        by_window.min(self.level) - coming
     }
 
     /// Returns what the others are expected to have admitted since their latest messages.
@@ -189,4 +285,18 @@
         };
         self.others.values().map(expected).sum()
     }
+
+    /// Returns the time until enough of the counted requests leave the window, or the rate
+    /// brings enough.
+    fn wait(&self, now: Moment, window: Duration) -> Duration {
+        let lacking = 1.0 - self.left;
+        let mut leaving = 0.0;
+        let leaves = self.admitted.iter().find(|(_, count)| {
+            leaving += count;
+            leaving >= lacking
+        });
+        let leaves = leaves.map_or(window, |(at, _)| window.saturating_sub(now.since(*at)));
+        let by_rate = Duration::try_from_secs_f64(lacking / self.grant.rate.max(0.1));
+        leaves.max(by_rate.unwrap_or(window).min(window / 4)).min(window)
+    }
 }
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -6,6 +6,7 @@
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::allowance::Allowance;
 use chicoryloom_policy::allowance::Report;
+use chicoryloom_policy::allowance::Standing;
 use chicoryloom_policy::catalog::Workspace;
 use chicoryloom_policy::id;
 use chicoryloom_policy::unit::Burst;
@@ -74,15 +75,15 @@
         let count = self.hosts.len();
         for host in 0..count {
             let settled = self.hosts[host].is_settled(self.now);
-            let found = self.hosts[host].reports().next().map(|(_, total, level)| (total, level));
-            let Some((total, level)) = found else { continue };
+            let found = self.hosts[host].standings(self.now).next().map(|(_, standing)| standing);
+            let Some(Standing { total, recent, level, left }) = found else { continue };
             let untold = total - self.told[host];
-            if untold == 0 || !(all || Allowance::is_urgent(untold, level, count)) {
+            if untold == 0 || !(all || Allowance::is_urgent(untold, left, count)) {
                 continue;
             }
             self.told[host] = total;
             let incarnation = id::Incarnation(self.lives[host]);
-            let report = Report { incarnation, total, level: settled.then_some(level) };
+            let report = Report { incarnation, total, recent, level: settled.then_some(level) };
             self.sent.push_back((self.now.after(delay), host, report));
         }
     }
@@ -155,6 +156,38 @@
     assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
 }
 
+/// What arrives at once within the window's allowance is served.
+#[test]
+fn burst_within_the_window_is_not_refused() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(800, 0.0, 10, Duration::from_millis(1), 1);
+    // The whole burst and the rate within half a second.
+    fleet.run(50, RATE + f64::from(BURST) * 1.9, 10, Duration::from_millis(1), 7);
+    assert_eq!(fleet.refused, 0);
+}
+
+/// A grant that is lowered far below the demand is served at its new rate from then on.
+#[test]
+fn lowered_grant_is_served_at_its_rate_at_once() {
+    let mut now = Moment::from_millis(1000);
+    let mut allowance = Allowance::new(WINDOW, now);
+    let mut admitted = Vec::new();
+    let low = Workspace { rate: Rate::new(10.0), burst: Burst(10), ..workspace() };
+    for step in 0..1600 {
+        now = now.after(STEP);
+        let grant = if step < 1000 { workspace() } else { low.clone() };
+        // 25 requests a second.
+        if step % 4 == 0 && allowance.admit(&grant, now).is_ok() && step >= 1000 {
+            admitted.push(now);
+        }
+    }
+    let first = admitted.iter().filter(|at| now.since(**at) > Duration::from_secs(5)).count();
+    assert!((10..=25).contains(&first), "{first} in the first second");
+    // In the window after that, the rate and no second burst.
+    let rest = admitted.len() - first;
+    assert!((45..=60).contains(&rest), "{rest} in the next five seconds");
+}
+
 /// A host that starts beside settled ones takes over what they know and refuses nobody.
 #[test]
 fn single_restart_costs_no_request_within_the_rate() {
