Send fewer messages between hosts

Change: hosts that take no callers beat once a second; the gap between two messages on requests in flight grows with the number of receivers, and other data centres hear of their own targets only; ranks are kept.

--- a/chicoryloom/src/gateway/dispatcher.rs
+++ b/chicoryloom/src/gateway/dispatcher.rs
@@ -360,7 +360,7 @@
                 near: live.target.data_centre == self.data_centre,
                 cold: now < live.warm_at,
                 standing,
-                mine: standing == Standing::In || self.is_mine(state, &live.target),
+                mine: matches!(standing, Standing::Trial(_)) && self.is_mine(state, &live.target),
             }
         };
         let candidates: Vec<_> = usable.iter().zip(standings).map(candidate).collect();
@@ -489,15 +489,21 @@
         self.pump_all();
     }
 
-    /// Returns the requests of this host that are in flight.
-    pub(super) fn loads(&self) -> Vec<Load> {
+    /// Returns the requests of this host that are in flight, by the data centre of their targets.
+    pub(super) fn loads(&self) -> BTreeMap<id::DataCentre, Vec<Load>> {
         let state = self.lock();
-        let own = state.own.iter().filter(|(_, count)| **count > 0);
-        own.map(|(target, count)| Load {
-            target: target.clone(),
-            in_flight: u16::try_from(*count).unwrap_or(u16::MAX),
-        })
-        .collect()
+        let targets = state.services.values().flat_map(|service| &service.targets);
+        let mut loads: BTreeMap<id::DataCentre, Vec<Load>> = BTreeMap::new();
+        for live in targets {
+            let target = &live.target.instance;
+            let count = state.own.get(target).copied().unwrap_or_default();
+            if count > 0 {
+                let in_flight = u16::try_from(count).unwrap_or(u16::MAX);
+                let centre = live.target.data_centre.clone();
+                loads.entry(centre).or_default().push(Load { target: target.clone(), in_flight });
+            }
+        }
+        loads
     }
 
     /// Takes what the other hosts should know of targets.
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -1,5 +1,6 @@
 //! Messages with the other hosts: who is there, what is in flight, what targets do.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,10 +23,10 @@
 
 use super::dispatcher::Dispatcher;
 use super::events::Events;
+use super::members::BEAT;
 use super::members::Change;
-use super::members::FAR_BEAT;
+use super::members::ENTRY_BEAT;
 use super::members::Members;
-use super::members::NEAR_BEAT;
 use super::members::WIDE_BEAT;
 use super::message;
 use super::message::Body;
@@ -40,12 +41,19 @@
 use super::port::Store;
 use crate::clock::Clock;
 
-/// Shortest time between two messages on requests in flight within the data centre.
-const NEAR_GAP: Duration = Duration::from_millis(8);
+/// Shortest time between two messages on requests in flight within the data centre, for each
+/// host that gets them; a host then sends at most 400 a second.
+const NEAR_GAP: Duration = Duration::from_micros(2500);
+/// Time after which unchanged requests in flight are told again, as messages get lost.
+const REPEAT: Duration = Duration::from_secs(1);
+/// Shortest time between two rounds of messages.
+const LEAST_GAP: Duration = Duration::from_millis(5);
 /// Time between two messages on requests in flight and admitted ones to other data centres.
 const FAR_GAP: Duration = Duration::from_millis(500);
 /// Time between two messages on admitted requests within the data centre.
 const TOTALS_GAP: Duration = Duration::from_millis(100);
+/// Time between two looks at which hosts take callers.
+const SETTLE_GAP: Duration = Duration::from_millis(150);
 /// Time between two rounds of upkeep.
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two calls of a starting host to its seeds.
@@ -100,7 +108,7 @@
         Self {
             name: me.host.clone(),
             incarnation: me.incarnation,
-            members: Mutex::new(Members::new(me.data_centre.clone())),
+            members: Mutex::new(Members::new(&me)),
             me: Mutex::new(me),
             socket,
             sequence: AtomicU64::new(0),
@@ -331,18 +339,20 @@
         let mut interval = tokio::time::interval(TICK);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (mut near, mut far, mut wide) = (Moment::ZERO, Moment::ZERO, Moment::ZERO);
-        let mut swept = Moment::ZERO;
+        let (mut settled, mut swept) = (Moment::ZERO, Moment::ZERO);
         loop {
             interval.tick().await;
             let now = self.clock.now();
-            self.settle(&mirror, now);
-            if now.since(near) >= NEAR_BEAT {
+            if now.since(settled) >= SETTLE_GAP {
+                settled = now;
+                self.settle(&mirror, now);
+            }
+            let is_entry = self.me().entry;
+            let gap = if is_entry { ENTRY_BEAT } else { BEAT };
+            if now.since(near) >= gap {
                 near = now;
-                let is_entry = self.me().entry;
-                let (is_far, is_wide) = (
-                    is_entry && now.since(far) >= FAR_BEAT,
-                    is_entry && now.since(wide) >= WIDE_BEAT,
-                );
+                let is_far = is_entry && now.since(far) >= BEAT;
+                let is_wide = is_entry && now.since(wide) >= WIDE_BEAT;
                 far = if is_far { now } else { far };
                 wide = if is_wide { now } else { wide };
                 self.beat(is_far, is_wide).await;
@@ -392,11 +402,14 @@
     /// Tells the others of requests in flight, admitted ones and targets that fail.
     pub(super) async fn share(self: Arc<Self>) {
         let mut sent = Sent::default();
+        let own = self.me().data_centre;
         loop {
             // Upkeep of what is told at longer gaps needs a wake-up now and then.
             let _ = tokio::time::timeout(TICK, self.dispatcher.changed.notified()).await;
             let now = self.clock.now();
-            let (near, far) = self.members().sharers(now);
+            let mut sharers = self.members().sharers(now);
+            let near = sharers.remove(&own).unwrap_or_default();
+            let far: Vec<_> = sharers.values().flatten().copied().collect();
             let all: Vec<_> = near.iter().chain(&far).copied().collect();
             for (target, news) in self.dispatcher.take_news() {
                 let recovered = news == News::Recovered;
@@ -407,16 +420,24 @@
                 self.send(&all, crash).await;
             }
             let loads = self.dispatcher.loads();
-            if loads != sent.near {
-                self.send_loads(&near, &loads).await;
+            let near_gap = NEAR_GAP * u32::try_from(near.len()).unwrap_or(u32::MAX);
+            let is_old = !loads.is_empty() && now.since(sent.near_at) >= REPEAT;
+            if (loads != sent.near || is_old) && now.since(sent.near_at) >= near_gap {
+                sent.near_at = now;
+                let all: Vec<_> = loads.values().flatten().cloned().collect();
+                self.send_loads(&near, &all).await;
                 sent.near = loads.clone();
             }
             if now.since(sent.far_at) >= FAR_GAP {
                 sent.far_at = now;
-                if loads != sent.far {
-                    self.send_loads(&far, &loads).await;
-                    sent.far = loads;
+                // Other data centres mostly use their own targets, so that these matter there.
+                for (centre, peers) in &sharers {
+                    if loads.get(centre) != sent.far.get(centre) {
+                        let loads = loads.get(centre).map_or(&[][..], Vec::as_slice);
+                        self.send_loads(peers, loads).await;
+                    }
                 }
+                sent.far = loads;
             }
             let hosts = all.len() + 1;
             let (totals, urgent) = self.reports(&sent.far_totals, hosts);
@@ -431,7 +452,7 @@
                 self.send_totals(&near, &totals, &sent.near_totals).await;
                 sent.near_totals = totals;
             }
-            tokio::time::sleep(NEAR_GAP).await;
+            tokio::time::sleep(LEAST_GAP).await;
         }
     }
 
@@ -491,8 +512,9 @@
 /// What was told last.
 #[derive(Debug, Default)]
 struct Sent {
-    near: Vec<Load>,
-    far: Vec<Load>,
+    near: BTreeMap<id::DataCentre, Vec<Load>>,
+    near_at: Moment,
+    far: BTreeMap<id::DataCentre, Vec<Load>>,
     far_at: Moment,
     near_totals: Totals,
     near_totals_at: Moment,
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -1,5 +1,6 @@
 //! The other hosts of the fleet, by what they say of themselves.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,22 +11,26 @@
 
 use super::message::Member;
 
-/// Time between two beats to the hosts of one's own data centre.
-pub(super) const NEAR_BEAT: Duration = Duration::from_millis(250);
-/// Time between two beats to the hosts that take callers in other data centres.
-pub(super) const FAR_BEAT: Duration = Duration::from_secs(1);
+/// Time between two beats of a host that takes callers to those of its data centre, who must
+/// soon send callers elsewhere if it is lost.
+pub(super) const ENTRY_BEAT: Duration = Duration::from_millis(250);
+/// Time between two beats of any host to those of its data centre, and of one that takes callers
+/// to others that do.
+pub(super) const BEAT: Duration = Duration::from_secs(1);
 /// Time between two beats to all known hosts, so that parts of a fleet find each other again.
 pub(super) const WIDE_BEAT: Duration = Duration::from_secs(5);
-/// Silence after which a host of one's own data centre counts as lost; three beats.
-const NEAR_LIFE: Duration = Duration::from_millis(800);
-/// Silence after which a host of another data centre counts as lost; three beats.
-const FAR_LIFE: Duration = Duration::from_millis(3300);
+/// Silence after which a near host that takes callers counts as lost; three beats.
+const ENTRY_LIFE: Duration = Duration::from_millis(800);
+/// Silence after which any other host counts as lost; three beats.
+const LIFE: Duration = Duration::from_millis(3300);
 /// Silence after which a host is no longer sent anything.
 const FORGET: Duration = Duration::from_secs(120);
 
 #[derive(Clone, Debug)]
 struct Known {
     member: Member,
+    /// Place in the order in which hosts take callers.
+    rank: u64,
     /// When the host itself was last heard; `None` if others named it only.
     heard: Option<Moment>,
     /// When it was first or last heard of.
@@ -44,15 +49,18 @@
 /// The other hosts.
 #[derive(Debug)]
 pub(super) struct Members {
+    /// Data centre and rank of this host itself.
     data_centre: id::DataCentre,
+    rank: u64,
     known: HashMap<id::Host, Known>,
     /// Hosts that were alive at the last look.
     alive: HashMap<id::Host, bool>,
 }
 
 impl Members {
-    pub(super) fn new(data_centre: id::DataCentre) -> Self {
-        Self { data_centre, known: HashMap::new(), alive: HashMap::new() }
+    pub(super) fn new(me: &Member) -> Self {
+        let (data_centre, rank) = (me.data_centre.clone(), entry::rank(&me.host));
+        Self { data_centre, rank, known: HashMap::new(), alive: HashMap::new() }
     }
 
     /// Takes in what a host says of itself.
@@ -67,19 +75,21 @@
             Some(known) if member.leaving && !known.member.leaving => Some(Change::Leaving),
             Some(_) => None,
         };
-        self.known.insert(host, Known { member, heard: Some(now), named: now });
+        let rank = before.map_or_else(|| entry::rank(&host), |known| known.rank);
+        self.known.insert(host, Known { member, rank, heard: Some(now), named: now });
         change
     }
 
     /// Takes in what others say of a host; its own word goes first.
     pub(super) fn name(&mut self, member: Member, now: Moment) {
         let known = self.known.entry(member.host.clone());
-        known.or_insert(Known { member, heard: None, named: now });
+        let rank = entry::rank(&member.host);
+        known.or_insert(Known { member, rank, heard: None, named: now });
     }
 
     fn is_alive(&self, known: &Known, now: Moment) -> bool {
         let is_near = known.member.data_centre == self.data_centre;
-        let life = if is_near { NEAR_LIFE } else { FAR_LIFE };
+        let life = if is_near && known.member.entry { ENTRY_LIFE } else { LIFE };
         known.heard.is_some_and(|heard| now.since(heard) < life)
     }
 
@@ -135,20 +145,19 @@
         demand: f64,
         now: Moment,
     ) -> Vec<&'a Member> {
-        let mine = std::iter::once(me).filter(|me| me.data_centre == *data_centre);
-        let takes: Vec<_> = self
-            .alive(data_centre, now)
+        let alive = self.known.values().filter(|known| self.is_alive(known, now));
+        let others = alive.map(|known| (&known.member, known.rank));
+        let mine = std::iter::once((me, self.rank));
+        let takes =
+            |member: &Member| member.data_centre == *data_centre && member.ready && !member.leaving;
+        let (members, candidates): (Vec<_>, Vec<_>) = others
             .chain(mine)
-            .filter(|member| member.ready && !member.leaving)
-            .collect();
-        let candidates: Vec<_> = takes
-            .iter()
-            .map(|member| entry::Candidate {
-                host: member.host.clone(),
-                capacity: member.capacity.into(),
+            .filter(|(member, _)| takes(member))
+            .map(|(member, rank)| {
+                (member, entry::Candidate { rank, capacity: member.capacity.into() })
             })
-            .collect();
-        entry::choose(&candidates, demand).into_iter().map(|at| takes[at]).collect()
+            .unzip();
+        entry::choose(&candidates, demand).into_iter().map(|at| members[at]).collect()
     }
 
     /// Returns where to send a beat, by the time since the last ones.
@@ -160,14 +169,12 @@
         self.known.values().filter(takes).map(|known| known.member.peer).collect()
     }
 
-    /// Returns the live hosts that take callers and know of requests in flight, near and far.
-    pub(super) fn sharers(&self, now: Moment) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let alive = self.everyone(now).filter(|member| member.entry || !member.leaving);
-        let (near, far): (Vec<_>, Vec<_>) =
-            alive.partition(|member| member.data_centre == self.data_centre);
-        let entries = |members: Vec<&Member>| {
-            members.iter().filter(|member| member.entry).map(|member| member.peer).collect()
-        };
-        (entries(near), entries(far))
+    /// Returns the live hosts that take callers, by data centre.
+    pub(super) fn sharers(&self, now: Moment) -> BTreeMap<id::DataCentre, Vec<SocketAddr>> {
+        let mut sharers: BTreeMap<id::DataCentre, Vec<SocketAddr>> = BTreeMap::new();
+        for member in self.everyone(now).filter(|member| member.entry) {
+            sharers.entry(member.data_centre.clone()).or_default().push(member.peer);
+        }
+        sharers
     }
 }
--- a/chicoryloom_policy/src/entry.rs
+++ b/chicoryloom_policy/src/entry.rs
@@ -12,19 +12,25 @@
 const PURPOSE: &str = "entry";
 
 /// A host that callers may be sent to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
-    pub host: id::Host,
+    /// Place of the host in the order, as of [`rank`].
+    pub rank: u64,
     /// Requests a second that the host can carry.
     pub capacity: f64,
 }
 
+/// Returns a host's place in the order in which hosts take callers, the highest first.
+pub fn rank(host: &id::Host) -> u64 {
+    placement::rank(PURPOSE, host)
+}
+
 /// Returns the indices of the hosts to use, best first.
 ///
 /// Rendezvous order: a host that goes moves only the callers that it had.
 pub fn choose(candidates: &[Candidate], demand: f64) -> Vec<usize> {
     let mut order: Vec<_> = (0..candidates.len()).collect();
-    order.sort_by_key(|at| std::cmp::Reverse(placement::rank(PURPOSE, &candidates[*at].host)));
+    order.sort_by_key(|at| std::cmp::Reverse(candidates[*at].rank));
     let mut capacity = 0.0;
     let mut chosen = Vec::new();
     for at in order {
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -125,19 +125,19 @@
     #[test]
     fn loss_of_an_entry_host_leaves_the_others(count in 2usize..60, gone in 0usize..60, demand in 0.0f64..900.0) {
         let host = |at: usize| entry::Candidate {
-            host: format!("host-{at}").parse().unwrap(),
+            rank: entry::rank(&format!("host-{at}").parse().unwrap()),
             capacity: 20.0 + (at % 5) as f64 * 10.0,
         };
         let all: Vec<_> = (0..count).map(host).collect();
-        let names = |candidates: &[entry::Candidate]| -> Vec<_> {
+        let ranks = |candidates: &[entry::Candidate]| -> Vec<_> {
             let chosen = entry::choose(candidates, demand);
-            chosen.into_iter().map(|at| candidates[at].host.clone()).collect()
+            chosen.into_iter().map(|at| candidates[at].rank).collect()
         };
-        let before = names(&all);
-        let gone = all[gone % count].host.clone();
-        let rest: Vec<_> = all.iter().filter(|one| one.host != gone).cloned().collect();
-        let after = names(&rest);
+        let before = ranks(&all);
+        let gone = all[gone % count].rank;
+        let rest: Vec<_> = all.iter().filter(|one| one.rank != gone).copied().collect();
+        let after = ranks(&rest);
         prop_assert!(before.len() >= entry::LEAST.min(count));
-        prop_assert!(before.iter().filter(|host| **host != gone).all(|host| after.contains(host)));
+        prop_assert!(before.iter().filter(|rank| **rank != gone).all(|rank| after.contains(rank)));
     }
 }
