Tell admissions ahead of time only while a workspace passes its rate

Cause: on the grown sites a bucket has few tokens for each of 50 hosts, so that each admission was urgent news: about 50,000 messages a second over the fleet.

Change: news is urgent only while the level is below seven tenths; until then the usual gaps keep what is untold within the users' tolerance. The property test now deals hosts to four data centres, with near and far gaps and up to 60 hosts.

--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -42,8 +42,8 @@
 use crate::clock::Clock;
 
 /// Shortest time between two messages on requests in flight within the data centre, for each
-/// host that gets them; a host then sends at most 400 a second.
-const NEAR_GAP: Duration = Duration::from_micros(2500);
+/// host that gets them; a host then sends at most 200 a second.
+const NEAR_GAP: Duration = Duration::from_millis(5);
 /// Time after which unchanged requests in flight are told again, as messages get lost.
 const REPEAT: Duration = Duration::from_secs(1);
 /// Shortest time between two rounds of messages.
@@ -471,7 +471,7 @@
         let totals = allowance.standings(self.clock.now()).map(|(name, standing)| {
             let before = told.get(name).map_or(0, |told| told.total);
             let untold = standing.total.saturating_sub(before);
-            urgent |= Allowance::is_urgent(untold, standing.left, hosts);
+            urgent |= Allowance::is_urgent(untold, &standing, hosts);
             (name.clone(), standing)
         });
         let totals = totals.collect();
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -24,6 +24,9 @@
 const RATE_WEIGHT: f64 = 0.4;
 /// Fewest requests that a host admits before it tells the others ahead of time.
 const LEAST_NEWS: f64 = 1.0;
+/// Part of the bucket below which a workspace asks for more than its rate for a while; until
+/// then, what hosts have not told each other yet is well within the users' tolerance.
+const TIGHT: f64 = 0.7;
 /// Size of the bucket beyond the burst: what the rate brings in this time, which the users
 /// tolerate beyond a window's requests, or this many requests for small grants.
 const SPARE_TIME: Duration = Duration::from_millis(500);
@@ -119,6 +122,8 @@
     pub level: f64,
     /// Requests that all hosts may still admit.
     pub left: f64,
+    /// Whether the workspace asks for more than its rate.
+    pub is_tight: bool,
 }
 
 /// What each workspace has used of its grant.
@@ -178,14 +183,16 @@
             let first = meter.totals.iter().find(within).map_or(meter.total, |(_, total)| *total);
             let recent = meter.total - first;
             let Meter { total, level, left, .. } = *meter;
-            (name, Standing { total, recent, level, left })
+            let is_tight = left < TIGHT * meter.grant.bucket();
+            (name, Standing { total, recent, level, left, is_tight })
         })
     }
 
     /// Tells whether the others should hear of admitted requests ahead of time, since `hosts` that
     /// each admit as many untold would use up what is left.
-    pub fn is_urgent(untold: u64, left: f64, hosts: usize) -> bool {
-        untold as f64 >= (left / hosts.max(1) as f64).max(LEAST_NEWS)
+    pub fn is_urgent(untold: u64, standing: &Standing, hosts: usize) -> bool {
+        let share = standing.left / hosts.max(1) as f64;
+        standing.is_tight && untold as f64 >= share.max(LEAST_NEWS)
     }
 
     /// Takes in a report of another host.
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -1,6 +1,5 @@
 //! Rate and burst over all hosts together, with late messages and restarts.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
@@ -20,6 +19,10 @@
 /// What the users allow beyond the grant: a tenth and 20 requests in a window.
 const OVERAGE: f64 = 0.1;
 const SLACK: f64 = 20.0;
+/// Data centres, among which hosts are dealt in turn.
+const CENTRES: usize = 4;
+/// Steps between two messages within a data centre.
+const NEAR_STEPS: usize = 10;
 /// Steps between two looks for urgent news.
 const URGENT_STEPS: usize = 2;
 /// One step of the simulation.
@@ -38,10 +41,10 @@
     hosts: Vec<Allowance>,
     lives: Vec<u64>,
     now: Moment,
-    /// Messages on their way: arrival, sender, report.
-    sent: VecDeque<(Moment, usize, Report)>,
-    /// What each host told last.
-    told: Vec<u64>,
+    /// Messages on their way: arrival, sender, whether to other data centres, report.
+    sent: Vec<(Moment, usize, bool, Report)>,
+    /// What each host told last, to its data centre and to the others.
+    told: [Vec<u64>; 2],
     admitted: Vec<Moment>,
     refused: usize,
 }
@@ -53,8 +56,8 @@
             hosts: (0..hosts).map(|_| Allowance::new(WINDOW, now)).collect(),
             lives: vec![1; hosts],
             now,
-            sent: VecDeque::new(),
-            told: vec![0; hosts],
+            sent: Vec::new(),
+            told: [vec![0; hosts], vec![0; hosts]],
             admitted: Vec::new(),
             refused: 0,
         }
@@ -67,24 +70,28 @@
     fn restart(&mut self, host: usize) {
         self.hosts[host] = Allowance::new(WINDOW, self.now);
         self.lives[host] += 1;
-        self.told[host] = 0;
+        self.told[0][host] = 0;
+        self.told[1][host] = 0;
     }
 
-    /// Has hosts tell what they admitted: all of them, or those where it is urgent.
-    fn tell(&mut self, all: bool, delay: Duration) {
+    /// Has hosts tell what they admitted to those of their data centre, or to the others, where
+    /// it is due or urgent.
+    fn tell(&mut self, far: bool, is_due: bool, delay: Duration) {
         let count = self.hosts.len();
         for host in 0..count {
             let settled = self.hosts[host].is_settled(self.now);
             let found = self.hosts[host].standings(self.now).next().map(|(_, standing)| standing);
-            let Some(Standing { total, recent, level, left }) = found else { continue };
-            let untold = total - self.told[host];
-            if untold == 0 || !(all || Allowance::is_urgent(untold, left, count)) {
+            let Some(standing) = found else { continue };
+            let Standing { total, recent, level, .. } = standing;
+            let told = &mut self.told[usize::from(far)][host];
+            let untold = total - *told;
+            if untold == 0 || !(is_due || Allowance::is_urgent(untold, &standing, count)) {
                 continue;
             }
-            self.told[host] = total;
+            *told = total;
             let incarnation = id::Incarnation(self.lives[host]);
             let report = Report { incarnation, total, recent, level: settled.then_some(level) };
-            self.sent.push_back((self.now.after(delay), host, report));
+            self.sent.push((self.now.after(delay), host, far, report));
         }
     }
 
@@ -94,15 +101,20 @@
         let mut due = 0.0;
         for step in 0..steps {
             self.now = self.now.after(STEP);
-            while self.sent.front().is_some_and(|(at, ..)| *at <= self.now) {
-                let (_, sender, report) = self.sent.pop_front().unwrap();
-                for host in (0..self.hosts.len()).filter(|host| *host != sender) {
+            let (due_now, later): (Vec<_>, Vec<_>) =
+                self.sent.drain(..).partition(|(at, ..)| *at <= self.now);
+            self.sent = later;
+            for (_, sender, far, report) in due_now {
+                let is_far = |host: &usize| host % CENTRES != sender % CENTRES;
+                let receivers = (0..self.hosts.len()).filter(|host| *host != sender);
+                for host in receivers.filter(|host| is_far(host) == far) {
                     let name = Self::name(sender);
                     self.hosts[host].hear(&name, &workspace().name, report, self.now);
                 }
             }
             if step % URGENT_STEPS == 0 {
-                self.tell(step % gap == 0, delay);
+                self.tell(false, step % NEAR_STEPS == 0, delay);
+                self.tell(true, step % gap == 0, delay);
             }
             due += per_second * STEP.as_secs_f64();
             while due >= 1.0 {
@@ -196,8 +208,9 @@
     let refused = fleet.refused;
     fleet.restart(3);
     // The first message of the others comes before callers do.
-    fleet.told.fill(0);
-    fleet.tell(true, Duration::from_millis(1));
+    fleet.told.iter_mut().for_each(|told| told.fill(0));
+    fleet.tell(false, true, Duration::from_millis(1));
+    fleet.tell(true, true, Duration::from_millis(1));
     fleet.run(600, RATE / 1.6, 10, Duration::from_millis(1), 9);
     assert_eq!(fleet.refused, refused);
 }
@@ -209,7 +222,7 @@
     /// than the users allow, and the rate itself is served.
     #[test]
     fn grant_holds_over_all_hosts_together(
-        hosts in 1usize..20,
+        hosts in 1usize..60,
         gap in 10usize..50,
         delay in 0u64..10,
         factor in 1.2f64..9.0,
