Pass on what a follower lacks only, and have strong hosts watch

Hosts with links of 10 Mbit/s watched for 30 others; each follower that came anew got all 240 targets, some 100 KB, which filled the link until the watch itself timed out, so that followers went elsewhere and asked anew. Followers of followers were older than the bound, and a host went through all relays before it, one time-out each.

Change: a follower says what its copies reach and gets names and later records; the strongest hosts come first; hosts tell whether they watch, and a relay answers at each confirmation. A starting host is told of members only by one that knows more.

--- a/chicoryloom/src/gateway/dispatcher.rs
+++ b/chicoryloom/src/gateway/dispatcher.rs
@@ -377,7 +377,8 @@
         if hosts.is_empty() {
             hosts = state.entries.iter().map(|(host, _)| host).collect();
         }
-        let order = entry::succession(target.instance.as_str(), hosts.into_iter());
+        let hosts = hosts.into_iter().map(|host| (host, 0.0));
+        let order = entry::succession(target.instance.as_str(), hosts);
         order.first().is_none_or(|first| **first == self.me)
     }
 
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -39,6 +39,7 @@
 use super::mirror::Mirror;
 use super::port::Registration;
 use super::port::Store;
+use super::sync::Relay;
 use crate::clock::Clock;
 
 /// Shortest time between two messages on requests in flight within the data centre, for each
@@ -134,11 +135,27 @@
     }
 
     /// Returns the live hosts of this host's data centre that are not leaving.
-    pub(super) fn near(&self, now: Moment) -> Vec<(id::Host, SocketAddr)> {
+    pub(super) fn relays(&self, now: Moment) -> Vec<Relay> {
         let me = self.me();
         let members = self.members();
         let near = members.alive(&me.data_centre, now).filter(|member| !member.leaving);
-        near.map(|member| (member.host.clone(), member.peer)).collect()
+        near.map(|member| Relay {
+            host: member.host.clone(),
+            peer: member.peer,
+            capacity: member.capacity,
+            watches: member.watches && member.fresh,
+        })
+        .collect()
+    }
+
+    /// Returns the requests a second that this host can carry.
+    pub(super) fn capacity(&self) -> f32 {
+        self.me().capacity
+    }
+
+    /// Tells the others with the next beat whether this host watches the platform.
+    pub(super) fn set_watches(&self, watches: bool) {
+        self.me.lock().expect("no holder of the lock panics").watches = watches;
     }
 
     /// Returns the addresses that callers of a data centre should use.
@@ -186,7 +203,7 @@
 
     /// Makes itself known to hosts.
     pub(super) async fn meet(&self, hosts: &[SocketAddr]) {
-        self.send(hosts, Body::Hello(self.me())).await;
+        self.send(hosts, self.hello()).await;
     }
 
     async fn send(&self, peers: &[SocketAddr], body: Body) {
@@ -232,9 +249,11 @@
         let Envelope { sender, incarnation, sequence, body } = envelope;
         let now = self.clock.now();
         match body {
-            Body::Hello(member) => {
+            Body::Hello { member, known } => {
                 self.hear(member, now);
-                self.introduce(source).await;
+                if self.known() > known {
+                    self.introduce(source).await;
+                }
             }
             Body::Beat(member) => self.hear(member, now),
             Body::Members(members) => {
@@ -284,6 +303,15 @@
         self.events.emit("peer", json!({ "peer": host.as_str(), "change": change }));
     }
 
+    /// Returns how many other hosts this one knows.
+    fn known(&self) -> u32 {
+        u32::try_from(self.members().all().count()).unwrap_or(u32::MAX)
+    }
+
+    fn hello(&self) -> Body {
+        Body::Hello { member: self.me(), known: self.known() }
+    }
+
     /// Tells a starting host of all members.
     async fn introduce(&self, host: SocketAddr) {
         let mut all: Vec<_> = self.members().all().cloned().collect();
@@ -300,7 +328,7 @@
         let seeds: Vec<_> = self.seeds.iter().filter(|seed| **seed != own).copied().collect();
         let mut heard = 0;
         while self.clock.now() < end && heard < 3 {
-            self.send(&seeds, Body::Hello(self.me())).await;
+            self.send(&seeds, self.hello()).await;
             tokio::time::sleep(HELLO_GAP).await;
             // Two further rounds reach seeds that started later than this host.
             heard += usize::from(self.members().all().next().is_some());
@@ -326,7 +354,7 @@
                         self.members().all().map(|one| (one.host.clone(), one.peer)).collect();
                     let new = hosts.filter(|host| known.get(&host.host) != Some(&host.peer));
                     let new: Vec<_> = new.map(|host| host.peer).collect();
-                    self.send(&new, Body::Hello(self.me())).await;
+                    self.send(&new, self.hello()).await;
                 }
                 Err(error) => log::debug!("fleet: registered hosts: {error}"),
             }
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -259,6 +259,7 @@
         leaving: false,
         entry: false,
         fresh: false,
+        watches: false,
     }
 }
 
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chicoryloom_policy::id;
+use chicoryloom_policy::replica::Reached;
 use chicoryloom_policy::replica::Update;
 use serde::Deserialize;
 use serde::Serialize;
@@ -33,6 +34,8 @@
     pub(super) entry: bool,
     /// Whether its copy of the platform's objects is fresh.
     pub(super) fresh: bool,
+    /// Whether it watches the platform itself.
+    pub(super) watches: bool,
 }
 
 /// Requests in flight at one target.
@@ -56,8 +59,11 @@
 /// What a datagram says.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub(super) enum Body {
-    /// A host that starts; the receiver answers with the members that it knows.
-    Hello(Member),
+    /// A host that starts; a receiver that knows more members answers with them.
+    Hello {
+        member: Member,
+        known: u32,
+    },
     /// Members that the sender has heard of lately.
     Members(Vec<Member>),
     Beat(Member),
@@ -94,6 +100,8 @@
     pub(super) incarnation: id::Incarnation,
     /// Number of the relay's latest change that the follower has.
     pub(super) after: u64,
+    /// What the follower's copies reach.
+    pub(super) reached: Reached,
     /// Time for which the relay may wait for a change.
     pub(super) wait_ms: u32,
 }
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -13,6 +13,7 @@
 use chicoryloom_policy::catalog::Target;
 use chicoryloom_policy::replica::Changes;
 use chicoryloom_policy::replica::Kind;
+use chicoryloom_policy::replica::Reached;
 use chicoryloom_policy::replica::Replica;
 use chicoryloom_policy::replica::Update;
 use serde_json::json;
@@ -63,13 +64,13 @@
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
     events: Events,
-    /// Number of the copy's latest change.
-    latest: watch::Sender<u64>,
+    /// Number of the copy's latest change, and of its latest confirmation.
+    latest: watch::Sender<(u64, u64)>,
 }
 
 impl fmt::Debug for Mirror {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Mirror {{ latest {} }}", *self.latest.borrow())
+        write!(f, "Mirror {{ latest {} }}", self.latest.borrow().0)
     }
 }
 
@@ -87,7 +88,7 @@
             dialect,
             clock,
             events,
-            latest: watch::Sender::new(0),
+            latest: watch::Sender::new((0, 0)),
         }
     }
 
@@ -118,16 +119,24 @@
     }
 
     /// Returns the number of the latest change and what changed after another one.
-    pub(super) fn after(&self, number: u64) -> (u64, Vec<Update>) {
+    pub(super) fn after(&self, number: u64, reached: Reached) -> (u64, Vec<Update>) {
         let copy = self.lock();
-        (copy.replica.latest(), copy.replica.after(number))
+        (copy.replica.latest(), copy.replica.after(number, reached))
     }
 
-    /// Waits until there is a change after a numbered one, `wait` at most.
-    pub(super) async fn changed_after(&self, number: u64, wait: Duration) {
+    /// Returns what the copies reach.
+    pub(super) fn reached(&self) -> Reached {
+        self.lock().replica.reached()
+    }
+
+    /// Waits until there is a change after a numbered one or the copy is confirmed, `wait` at
+    /// most.
+    pub(super) async fn news(&self, number: u64, wait: Duration) {
         let mut latest = self.latest.subscribe();
+        let (_, confirmed) = *latest.borrow();
+        let has_news = |(change, now): &(u64, u64)| *change > number || *now > confirmed;
         // The sender lives as long as the mirror, and running out of time is no error.
-        let _ = tokio::time::timeout(wait, latest.wait_for(|latest| *latest > number)).await;
+        let _ = tokio::time::timeout(wait, latest.wait_for(has_news)).await;
     }
 
     /// Notes that the platform answers again after it was away.
@@ -147,6 +156,7 @@
         if update.revision >= copy.replica.revision(update.kind) {
             let confirmed = now.before(age);
             copy.confirmed[index] = copy.confirmed[index].max(Some(confirmed));
+            self.latest.send_modify(|(_, confirmed)| *confirmed += 1);
         }
         let changes = match source {
             Source::Platform => copy.replica.apply(update, now),
@@ -177,7 +187,7 @@
         let targets = copy.targets.values().cloned().collect();
         self.dispatcher.set_targets(targets, self.catalog().as_deref());
         let number = copy.replica.latest();
-        self.latest.send_replace(number);
+        self.latest.send_modify(|(latest, _)| *latest = number);
     }
 
     fn read_catalog(&self, copy: &Copy, source: &str) {
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use chicoryloom_policy::id;
+use chicoryloom_policy::replica::Reached;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -56,9 +57,9 @@
         let after = if ask.incarnation == me { ask.after } else { 0 };
         let wait = Duration::from_millis(ask.wait_ms.into()).min(MAX_WAIT);
         if after > 0 {
-            mirror.changed_after(after, wait).await;
+            mirror.news(after, wait).await;
         }
-        let (latest, updates) = mirror.after(after);
+        let (latest, updates) = mirror.after(after, ask.reached);
         let age_ms = u64::try_from(mirror.age().as_millis()).unwrap_or(u64::MAX);
         let told = Told { incarnation: me, latest, age_ms, updates };
         write(&mut stream, &message::encode(&told)).await?;
@@ -82,9 +83,9 @@
     }
 
     /// Asks for what has changed since the last call.
-    pub(super) async fn poll(&mut self, wait: Duration) -> io::Result<Told> {
+    pub(super) async fn poll(&mut self, reached: Reached, wait: Duration) -> io::Result<Told> {
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-        let ask = Ask { incarnation: self.incarnation, after: self.after, wait_ms };
+        let ask = Ask { incarnation: self.incarnation, after: self.after, reached, wait_ms };
         write(&mut self.stream, &message::encode(&ask)).await?;
         let answer = read(&mut self.stream, MAX_STREAM).await?;
         let told: Told = message::decode(&answer).map_err(malformed)?;
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -1,9 +1,11 @@
 //! Keeps the mirror up to date: from the platform, or from a host that watches the platform.
 //!
 //! In each data centre one host watches and the others follow it. The order in which hosts take
-//! over is the same everywhere. A host follows the first one before it in that order whose copy
-//! is fresh, and watches the platform itself if there is none. So one silent watcher costs the
-//! time until its copy counts as old, and the platform gets a few calls a second.
+//! over is the same everywhere. A host follows the first watcher before it in that order whose
+//! copy is fresh, and watches the platform itself if there is none. A relay answers at each
+//! confirmation of its copy, so that copies are about equally old along a chain of followers. One
+//! silent watcher costs the time until its copy counts as old, and the platform gets a few calls
+//! a second.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -32,25 +34,38 @@
 const PURPOSE: &str = "watch";
 /// Wait of one watch at the platform. Its end confirms the copy, so that it is below [`FRESH`].
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Wait of a follower at its relay.
-const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+/// Wait of a follower at its relay, which answers sooner when its copy is confirmed.
+const FOLLOW_WAIT: Duration = Duration::from_millis(1100);
 /// Time beyond its wait after which a relay counts as lost.
-const FOLLOW_SLACK: Duration = Duration::from_millis(300);
+const FOLLOW_SLACK: Duration = Duration::from_millis(200);
 /// Time for which a relay that failed is passed over.
-const AVOID: Duration = Duration::from_secs(1);
+const AVOID: Duration = Duration::from_millis(400);
 /// Hosts of a data centre that watch at once while the platform does not answer them.
 const WATCHERS: usize = 2;
-/// Additional age of the copy at which each further host starts to watch.
-const TURN: Duration = Duration::from_millis(250);
+/// Additional age of the copy at which each further host starts to watch, and for how many of
+/// them it grows.
+const TURN: Duration = Duration::from_millis(100);
+const TURNS: usize = 6;
 /// Shortest and longest pause after a failed call.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time after the start in which other hosts are looked for before the platform is asked.
-const LOOK_AROUND: Duration = Duration::from_millis(250);
+const LOOK_AROUND: Duration = Duration::from_millis(600);
 /// How often the choice of a source is looked at.
 const CHECK: Duration = Duration::from_millis(50);
 /// Time without the platform after which it counts as having been away.
 const AWAY: Duration = Duration::from_millis(1500);
 
+/// A host that this one could follow.
+#[derive(Clone, Debug)]
+pub(super) struct Relay {
+    pub(super) host: id::Host,
+    pub(super) peer: SocketAddr,
+    /// Requests a second that it can carry.
+    pub(super) capacity: f32,
+    /// Whether it watches the platform and its copy is fresh.
+    pub(super) watches: bool,
+}
+
 /// Keeps a mirror up to date.
 #[derive(Clone, Debug)]
 pub(super) struct Sync {
@@ -76,21 +91,23 @@
             let now = self.clock.now();
             avoided.retain(|_, until| now < *until);
             let (before, rank) = self.order(now);
-            let relay = before.iter().find(|(host, _)| !avoided.contains_key(host));
-            let Some((host, address)) = relay else {
-                let age = self.mirror.age();
-                let alone = before.is_empty() && now.since(started) < LOOK_AROUND;
-                let patience = TURN * u32::try_from(rank.saturating_sub(WATCHERS)).unwrap_or(0);
-                let is_due = !alone && (rank < WATCHERS || age >= FRESH + patience);
-                self.set_direct(&direct, is_due);
+            let is_usable = |relay: &&Relay| !avoided.contains_key(&relay.host);
+            let watchers = before.iter().filter(|relay| relay.watches).find(is_usable);
+            let first = before.iter().take(WATCHERS).find(is_usable);
+            let Some(relay) = watchers.or(first) else {
+                let is_alone = before.is_empty() && now.since(started) < LOOK_AROUND;
+                let turns = rank.saturating_sub(WATCHERS).min(TURNS);
+                let patience = FRESH + TURN * u32::try_from(turns).unwrap_or_default();
+                let age = self.mirror.age().min(now.since(started));
+                self.set_direct(&direct, !is_alone && (rank < WATCHERS || age >= patience));
                 tokio::time::sleep(CHECK).await;
                 continue;
             };
-            if self.follow(&mut follower, *address, FOLLOW_WAIT).await {
+            if self.follow(&mut follower, relay.peer, FOLLOW_WAIT).await {
                 self.set_direct(&direct, false);
             } else {
                 follower = None;
-                avoided.insert(host.clone(), now.after(AVOID));
+                avoided.insert(relay.host.clone(), self.clock.now().after(AVOID));
             }
         }
     }
@@ -101,6 +118,7 @@
             *present = wanted;
             differs
         });
+        self.fleet.set_watches(wanted);
         if changed {
             let source = if wanted { "platform" } else { "peer" };
             let age = self.mirror.age().as_millis().min(u128::from(u32::MAX)) as u64;
@@ -109,17 +127,17 @@
     }
 
     /// Returns the hosts that come before this one, and this one's rank.
-    fn order(&self, now: Moment) -> (Vec<(id::Host, SocketAddr)>, usize) {
-        let near = self.fleet.near(now);
+    fn order(&self, now: Moment) -> (Vec<Relay>, usize) {
+        let mut near = self.fleet.relays(now);
         let me = self.fleet.name();
-        let names = near.iter().map(|(host, _)| host).chain([me]);
-        let order = entry::succession(PURPOSE, names);
-        let rank = order.iter().position(|host| *host == me).unwrap_or_default();
-        let address =
-            |host: &id::Host| near.iter().find(|(name, _)| name == host).map(|(_, at)| *at);
-        let before =
-            order[..rank].iter().filter_map(|host| Some(((*host).clone(), address(host)?)));
-        (before.collect(), rank)
+        let own = (me, self.fleet.capacity());
+        let hosts = near.iter().map(|relay| (&relay.host, relay.capacity)).chain([own]);
+        let order: Vec<_> = entry::succession(PURPOSE, hosts).into_iter().cloned().collect();
+        let place = |host: &id::Host| order.iter().position(|name| name == host);
+        let rank = place(me).unwrap_or_default();
+        near.retain(|relay| place(&relay.host) < Some(rank));
+        near.sort_by_key(|relay| place(&relay.host));
+        (near, rank)
     }
 
     /// Asks a relay once; tells whether its copy is fresh.
@@ -141,7 +159,8 @@
             connected.has(0);
         }
         let asked = self.clock.now();
-        let polled = tokio::time::timeout(wait + FOLLOW_SLACK, connected.poll(wait));
+        let polled = connected.poll(self.mirror.reached(), wait);
+        let polled = tokio::time::timeout(wait + FOLLOW_SLACK, polled);
         let Ok(Ok(told)) = polled.await else {
             return false;
         };
--- a/chicoryloom_harness/tests/extra.rs
+++ b/chicoryloom_harness/tests/extra.rs
@@ -40,6 +40,7 @@
 
 #[rstest]
 #[case("chicoryloom", 0)]
+#[case("chicoryloom-gateway", 0)]
 #[case("chicoryctl", 11)]
 #[case("chicoryloom-load", 5)]
 #[case("chicoryloom-standin", 3)]
--- a/chicoryloom_policy/src/entry.rs
+++ b/chicoryloom_policy/src/entry.rs
@@ -43,12 +43,17 @@
     chosen
 }
 
-/// Returns the hosts of a fleet in the order in which they take on a duty.
+/// Returns the hosts of a fleet in the order in which they take on a duty: those that can carry
+/// most first, and equals in rendezvous order.
 pub fn succession<'a>(
     purpose: &str,
-    hosts: impl Iterator<Item = &'a id::Host>,
+    hosts: impl Iterator<Item = (&'a id::Host, f32)>,
 ) -> Vec<&'a id::Host> {
-    let mut order: Vec<_> = hosts.collect();
-    order.sort_by_key(|host| std::cmp::Reverse(placement::rank(purpose, host)));
-    order
+    let rank = |(host, capacity): (&'a id::Host, f32)| {
+        // Capacities are positive, so that their bits are in their order.
+        (std::cmp::Reverse((capacity.max(0.0).to_bits(), placement::rank(purpose, host))), host)
+    };
+    let mut order: Vec<_> = hosts.map(rank).collect();
+    order.sort();
+    order.into_iter().map(|(_, host)| host).collect()
 }
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -51,12 +51,30 @@
 pub struct Update {
     pub kind: Kind,
     pub records: Vec<Record>,
-    /// Whether objects that are missing from the records don't exist.
+    /// Names of objects that the receiver has already as they are.
+    pub kept: Vec<SmolStr>,
+    /// Whether objects that are neither in the records nor kept don't exist.
     pub whole: bool,
     /// Revision of the platform that the records reach.
     pub revision: u64,
 }
 
+/// Revisions that the copies of a host reach.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Reached {
+    pub catalog: u64,
+    pub targets: u64,
+}
+
+impl Reached {
+    fn of(self, kind: Kind) -> u64 {
+        match kind {
+            Kind::Catalog => self.catalog,
+            Kind::Target => self.targets,
+        }
+    }
+}
+
 /// What an update changed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
@@ -115,6 +133,11 @@
         self.shelf(kind).revision
     }
 
+    /// Returns what all copies reach.
+    pub fn reached(&self) -> Reached {
+        Reached { catalog: self.catalog.revision, targets: self.targets.revision }
+    }
+
     /// Returns the objects of a kind.
     pub fn records(&self, kind: Kind) -> impl Iterator<Item = &Record> {
         self.shelf(kind).records.values()
@@ -130,11 +153,16 @@
         self.grace = Some(now.after(LAPSE_GRACE));
     }
 
-    /// Returns an update that brings any other copy up to this one.
-    pub fn whole(&self, kind: Kind) -> Update {
+    /// Returns an update that brings a copy that reaches a revision up to this one; 0 if the
+    /// copy is empty.
+    pub fn whole(&self, kind: Kind, revision: u64) -> Update {
         let shelf = self.shelf(kind);
-        let records = shelf.records.values().cloned().collect();
-        Update { kind, records, whole: true, revision: shelf.revision }
+        // A copy that is newer than this one takes none of it.
+        let (kept, records): (Vec<_>, Vec<_>) =
+            shelf.records.values().partition(|record| record.revision <= revision);
+        let kept = kept.into_iter().map(|record| record.name.clone()).collect();
+        let records = records.into_iter().cloned().collect();
+        Update { kind, records, kept, whole: true, revision: shelf.revision }
     }
 
     /// Returns the number of the latest change of this copy.
@@ -143,11 +171,11 @@
     }
 
     /// Returns what changed after a numbered change of this copy, or whole copies if that is no
-    /// longer known.
-    pub fn after(&self, number: u64) -> Vec<Update> {
+    /// longer known; `reached` tells what the receiver's copies reach.
+    pub fn after(&self, number: u64, reached: Reached) -> Vec<Update> {
         let first = self.log.front().map_or(self.latest + 1, |(first, ..)| *first);
         if number == 0 || number + 1 < first || number > self.latest {
-            return Kind::ALL.into_iter().map(|kind| self.whole(kind)).collect();
+            return Kind::ALL.into_iter().map(|kind| self.whole(kind, reached.of(kind))).collect();
         }
         Kind::ALL.into_iter().map(|kind| self.changed(kind, number)).collect()
     }
@@ -168,7 +196,7 @@
             shelf.records.get(name).cloned().or_else(gone)
         };
         let records = names.into_iter().filter_map(record).collect();
-        Update { kind, records, whole: false, revision: shelf.revision }
+        Update { kind, records, kept: Vec::new(), whole: false, revision: shelf.revision }
     }
 
     fn note(&mut self, kind: Kind, names: &[SmolStr]) {
@@ -201,10 +229,10 @@
         if !self.accepts(&update) {
             return changes;
         }
-        let Update { kind, records, whole, revision } = update;
+        let Update { kind, records, kept, whole, revision } = update;
         let mut names: Vec<SmolStr> = Vec::new();
         if whole {
-            names = self.missing(kind, &records, revision, now);
+            names = self.missing(kind, &records, &kept, revision, now);
         }
         let grace = self.grace.filter(|until| kind == Kind::Target && now < *until);
         for record in records {
@@ -248,10 +276,11 @@
         &mut self,
         kind: Kind,
         records: &[Record],
+        kept: &[SmolStr],
         revision: u64,
         now: Moment,
     ) -> Vec<SmolStr> {
-        let listed: HashSet<_> = records.iter().map(|record| &record.name).collect();
+        let listed: HashSet<_> = records.iter().map(|record| &record.name).chain(kept).collect();
         if kind == Kind::Target {
             self.lapsed.retain(|name, _| !listed.contains(name));
         }
--- a/chicoryloom_policy/tests/replica.rs
+++ b/chicoryloom_policy/tests/replica.rs
@@ -49,7 +49,13 @@
             value: Some(value.clone()),
         };
         let records = self.objects.iter().map(record).collect();
-        Update { kind: Kind::Target, records, whole: true, revision: self.revision }
+        Update {
+            kind: Kind::Target,
+            records,
+            kept: Vec::new(),
+            whole: true,
+            revision: self.revision,
+        }
     }
 
     fn watch(&self, after: u64) -> Update {
@@ -57,6 +63,7 @@
         Update {
             kind: Kind::Target,
             records: records.cloned().collect(),
+            kept: Vec::new(),
             whole: false,
             revision: self.revision,
         }
@@ -131,7 +138,7 @@
                 Step::Follow { host, relay } if host != relay => {
                     let after = cursors[host][relay];
                     cursors[host] = [0; HOSTS];
-                    let updates = hosts[relay].after(after);
+                    let updates = hosts[relay].after(after, hosts[host].reached());
                     if updates.iter().all(|update| hosts[host].accepts(update)) {
                         cursors[host][relay] = hosts[relay].latest();
                     }
@@ -158,7 +165,8 @@
         }
         hosts[0].apply(platform.list(), now);
         for host in 1..HOSTS {
-            for update in hosts[0].after(cursors[host][0]) {
+            let reached = hosts[host].reached();
+            for update in hosts[0].after(cursors[host][0], reached) {
                 hosts[host].follow(update, now);
             }
         }
@@ -200,7 +208,7 @@
     let mut relay = Replica::default();
     relay.apply(platform.list(), start);
     let mut follower = Replica::default();
-    for update in relay.after(0) {
+    for update in relay.after(0, follower.reached()) {
         follower.follow(update, start);
     }
     let cursor = relay.latest();
@@ -215,7 +223,7 @@
 
     let over = start.after(LAPSE_GRACE + Duration::from_millis(1));
     assert_eq!(relay.expire(over).targets, ["a"]);
-    for update in relay.after(cursor) {
+    for update in relay.after(cursor, follower.reached()) {
         follower.follow(update, over);
     }
     assert_eq!(held(&follower), listed(&platform));
