Hold equal requests back after three targets, and ask others about it

Change: the gateway holds back after three targets; a host that holds tells so each second, and one that gets an answer clears it everywhere.

--- a/chicoryloom/src/gateway/dispatcher.rs
+++ b/chicoryloom/src/gateway/dispatcher.rs
@@ -49,6 +49,9 @@
 const LOAD_LIFE: Duration = Duration::from_secs(3);
 /// Weight of the newest sample in a service's smoothed time of work.
 const WORK_WEIGHT: f64 = 0.05;
+/// Targets that a request takes down before it is held back. Equal requests of one workspace are
+/// common, and two targets may well die of something else while they run one.
+const DEATHS: usize = 3;
 /// Requests at the head of a line that may wait for different targets.
 const HEADS: usize = 8;
 /// Fewest connections to one target that a host may hold.
@@ -101,7 +104,6 @@
     loads: HashMap<id::Instance, u32>,
 }
 
-#[derive(Default)]
 struct State {
     services: HashMap<id::Service, Service>,
     own: HashMap<id::Instance, u32>,
@@ -196,7 +198,17 @@
             bounds,
             clock,
             events,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                services: HashMap::new(),
+                own: HashMap::new(),
+                others: HashMap::new(),
+                board: Board::default(),
+                holdback: Holdback::new(DEATHS),
+                entries: Vec::new(),
+                news: Vec::new(),
+                crashes: Vec::new(),
+                hosts: 1,
+            }),
             changed: Notify::new(),
             itself: itself.clone(),
         })
@@ -588,6 +600,11 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.board.sweep(now);
+        // Another host that gets an answer to such a request clears it; it may have missed the
+        // first news.
+        let held: Vec<_> = state.holdback.all_held(now).collect();
+        let held = held.into_iter().map(|(request, target)| (request, target.0, false));
+        state.crashes.extend(held);
         state.own.retain(|_, count| *count > 0);
         state.others.retain(|_, other| now.since(other.heard) < LOAD_LIFE);
         for live in state.services.values().flat_map(|service| &service.targets) {
--- a/chicoryloom_policy/src/holdback.rs
+++ b/chicoryloom_policy/src/holdback.rs
@@ -6,7 +6,7 @@
 use crate::Moment;
 use crate::id;
 
-/// Targets that a request may take down before it is held back.
+/// Targets that a request may take down before it is held back, unless asked otherwise.
 const DEATHS: usize = 2;
 /// Time for which the loss of a target counts against a request.
 const MEMORY: Duration = Duration::from_secs(120);
@@ -47,12 +47,34 @@
 }
 
 /// Requests that took targets down; its memory is bounded.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Holdback {
     suspects: HashMap<Fingerprint, Suspect>,
+    /// Targets that a request may take down before it is held back; 1 or more.
+    deaths: usize,
+}
+
+impl Default for Holdback {
+    fn default() -> Self {
+        Self::new(DEATHS)
+    }
 }
 
 impl Holdback {
+    /// Holds requests back that took a number of targets down.
+    pub fn new(deaths: usize) -> Self {
+        Self { suspects: HashMap::new(), deaths }
+    }
+
+    /// Returns the requests that are held back, each with the target that it took down last.
+    pub fn all_held(&self, now: Moment) -> impl Iterator<Item = (Fingerprint, id::Target)> {
+        let held = self
+            .suspects
+            .iter()
+            .filter(move |(_, suspect)| suspect.held_until.is_some_and(|until| now < until));
+        held.filter_map(|(request, suspect)| Some((*request, suspect.lost.last()?.0)))
+    }
+
     /// Returns the time for which a request is still held back.
     pub fn held(&self, request: Fingerprint, now: Moment) -> Option<Duration> {
         let until = self.suspects.get(&request)?.held_until?;
@@ -73,7 +95,7 @@
         suspect.last = now;
         suspect.lost.retain(|(lost, at)| *lost != target && now.since(*at) < MEMORY);
         suspect.lost.push((target, now));
-        if suspect.lost.len() < DEATHS || suspect.held_until.is_some_and(|until| now < until) {
+        if suspect.lost.len() < self.deaths || suspect.held_until.is_some_and(|until| now < until) {
             return None;
         }
         let hold = HOLD.saturating_mul(1 << suspect.holds.min(8)).min(MAX_HOLD);
