Notice a silent relay before the copy is old, and count a standstill as a start

A host that stood still knows nothing of what others admitted meanwhile.

Change: a follower waits no longer than until its copy is old. A host that shows no sign of life for a second starts its buckets anew.

The policy test of paused hosts also passes without the change: it keeps the promise in view and is no proof of the cause.

--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -371,6 +371,7 @@
         loop {
             interval.tick().await;
             let now = self.clock.now();
+            self.allowance.lock().expect("no holder of the lock panics").tick(now);
             if now.since(settled) >= SETTLE_GAP {
                 settled = now;
                 self.settle(&mirror, now);
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -36,6 +36,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Wait of a follower at its relay, which answers sooner when its copy is confirmed.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1100);
+/// Shortest wait of a follower at its relay.
+const LEAST_WAIT: Duration = Duration::from_millis(50);
 /// Time beyond its wait after which a relay counts as lost.
 const FOLLOW_SLACK: Duration = Duration::from_millis(200);
 /// Time for which a relay that failed is passed over.
@@ -103,7 +105,9 @@
                 tokio::time::sleep(CHECK).await;
                 continue;
             };
-            if self.follow(&mut follower, relay.peer, FOLLOW_WAIT).await {
+            // The relay's silence must show before the copy is old.
+            let wait = FRESH.saturating_sub(self.mirror.age()).clamp(LEAST_WAIT, FOLLOW_WAIT);
+            if self.follow(&mut follower, relay.peer, wait).await {
                 self.set_direct(&direct, false);
             } else {
                 follower = None;
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -31,6 +31,9 @@
 /// tolerate beyond a window's requests, or this many requests for small grants.
 const SPARE_TIME: Duration = Duration::from_millis(500);
 const SPARE_REQUESTS: f64 = 5.0;
+/// Time without a sign of life after which this host stood still and knows as little as one that
+/// starts; twenty times the usual time between two signs.
+const STALL: Duration = Duration::from_secs(1);
 /// Largest debt, in parts of the bucket; older debt than that is out of any window.
 const MAX_DEBT: f64 = 2.0;
 /// Admissions within this time are kept as one entry.
@@ -131,13 +134,28 @@
 pub struct Allowance {
     window: Duration,
     started: Moment,
+    /// Latest sign of life.
+    alive: Moment,
     meters: HashMap<id::Workspace, Meter>,
 }
 
 impl Allowance {
     /// Starts to count; hosts that have run for `window` have full knowledge.
     pub fn new(window: Duration, started: Moment) -> Self {
-        Self { window, started, meters: HashMap::new() }
+        Self { window, started, alive: started, meters: HashMap::new() }
+    }
+
+    /// Notes a sign of life; to be called often. After a standstill, what others admitted
+    /// meanwhile is not known.
+    pub fn tick(&mut self, now: Moment) {
+        if now.since(self.alive) > STALL {
+            self.started = now;
+            for meter in self.meters.values_mut() {
+                meter.level = meter.level.min(0.0);
+                meter.refilled = now;
+            }
+        }
+        self.alive = now;
     }
 
     /// Tells whether this host has run for longer than a window.
@@ -152,6 +170,7 @@
 
     /// Tells whether a request would be admitted, without counting it.
     pub fn check(&mut self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
+        self.tick(now);
         let Some(grant) = Grant::of(workspace) else { return Ok(()) };
         let window = self.window;
         let meter = self.meter(&workspace.name);
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -45,6 +45,8 @@
     sent: Vec<(Moment, usize, bool, Report)>,
     /// What each host told last, to its data centre and to the others.
     told: [Vec<u64>; 2],
+    /// Hosts that stand still; what they are sent is lost.
+    paused: Vec<usize>,
     admitted: Vec<Moment>,
     refused: usize,
 }
@@ -58,6 +60,7 @@
             now,
             sent: Vec::new(),
             told: [vec![0; hosts], vec![0; hosts]],
+            paused: Vec::new(),
             admitted: Vec::new(),
             refused: 0,
         }
@@ -101,12 +104,16 @@
         let mut due = 0.0;
         for step in 0..steps {
             self.now = self.now.after(STEP);
+            for host in (0..self.hosts.len()).filter(|host| !self.paused.contains(host)) {
+                self.hosts[host].tick(self.now);
+            }
             let (due_now, later): (Vec<_>, Vec<_>) =
                 self.sent.drain(..).partition(|(at, ..)| *at <= self.now);
             self.sent = later;
             for (_, sender, far, report) in due_now {
                 let is_far = |host: &usize| host % CENTRES != sender % CENTRES;
                 let receivers = (0..self.hosts.len()).filter(|host| *host != sender);
+                let receivers = receivers.filter(|host| !self.paused.contains(host));
                 for host in receivers.filter(|host| is_far(host) == far) {
                     let name = Self::name(sender);
                     self.hosts[host].hear(&name, &workspace().name, report, self.now);
@@ -121,6 +128,9 @@
                 due -= 1.0;
                 random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
                 let host = (random >> 33) as usize % self.hosts.len();
+                if self.paused.contains(&host) {
+                    continue;
+                }
                 match self.hosts[host].admit(&workspace(), self.now) {
                     Ok(()) => self.admitted.push(self.now),
                     Err(_) => self.refused += 1,
@@ -200,6 +210,21 @@
     assert!((45..=60).contains(&rest), "{rest} in the next five seconds");
 }
 
+/// Hosts that stood still wake with callers waiting, and don't know what was admitted meanwhile.
+#[test]
+fn grant_holds_when_paused_hosts_wake() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(800, 0.0, 10, Duration::from_millis(1), 1);
+    fleet.run(200, RATE * 8.0, 10, Duration::from_millis(1), 3);
+    fleet.paused = vec![1, 2, 3];
+    fleet.run(200, RATE * 8.0, 10, Duration::from_millis(1), 5);
+    fleet.paused.clear();
+    // Callers who waited are all served at once.
+    fleet.run(4, RATE * 100.0, 10, Duration::from_millis(1), 9);
+    fleet.run(600, RATE * 8.0, 10, Duration::from_millis(1), 7);
+    assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
+}
+
 /// A host that starts beside settled ones takes over what they know and refuses nobody.
 #[test]
 fn single_restart_costs_no_request_within_the_rate() {
