Keep far hosts that are heard seldom, and log their return

Cause: hosts that take no callers hear those of other data centres every five seconds and counted them as lost after 3.3 s, so that 40 hosts logged 300 losses in three seconds of an incident, and divided target connections by a count that went up and down.

Change: the silence that counts as loss follows the beats that a host gets; a host that is heard again is logged as joined.

--- a/chicoryloom/src/gateway/dispatcher.rs
+++ b/chicoryloom/src/gateway/dispatcher.rs
@@ -117,6 +117,15 @@
     hosts: u32,
 }
 
+impl State {
+    /// Takes a request of this host off those in flight at a target.
+    fn release(&mut self, target: &id::Instance) {
+        if let Some(count) = self.own.get_mut(target) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
+
 /// Assigns requests to targets.
 pub(super) struct Dispatcher {
     me: id::Host,
@@ -156,11 +165,7 @@
         if self.is_released {
             return;
         }
-        let mut state = self.dispatcher.lock();
-        if let Some(count) = state.own.get_mut(&self.live.target.instance) {
-            *count = count.saturating_sub(1);
-        }
-        drop(state);
+        self.dispatcher.lock().release(&self.live.target.instance);
         self.dispatcher.changed.notify_one();
         self.dispatcher.pump(&self.live.target.service);
     }
@@ -427,9 +432,10 @@
                 let Some(service) = state.services.get_mut(name) else { return };
                 service.line.depart(ticket, now);
                 let waiter = service.waiters.remove(&ticket);
-                if let Some(Err(seat)) = waiter.map(|waiter| waiter.caller.send(seat)) {
-                    // The request is gone; its seat is free again without another pump.
-                    release(state, seat);
+                if let Some(Err(mut seat)) = waiter.map(|waiter| waiter.caller.send(seat)) {
+                    // The request is gone; its seat is free again, under the lock held here.
+                    state.release(&seat.live.target.instance);
+                    seat.is_released = true;
                 }
             }
             if !progress {
@@ -613,14 +619,6 @@
     }
 }
 
-/// Gives a seat back under the lock that is held already.
-fn release(state: &mut State, mut seat: Seat) {
-    if let Some(count) = state.own.get_mut(&seat.live.target.instance) {
-        *count = count.saturating_sub(1);
-    }
-    seat.is_released = true;
-}
-
 /// Tells whether two entries are of one life of a target.
 fn is_same(one: &Target, other: &Target) -> bool {
     one.born == other.born && one.address == other.address && one.service == other.service
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -401,7 +401,7 @@
         for host in &lost {
             self.note(host, Change::Lost);
         }
-        let members = self.members();
+        let mut members = self.members();
         let mut me = self.me.lock().expect("no holder of the lock panics");
         me.ready = catalog.is_some();
         me.fresh = mirror.age() < FRESH;
@@ -424,6 +424,7 @@
         let hosts = members.everyone(now).count() + 1;
         me.entry = is_entry;
         drop(me);
+        members.set_entry(is_entry);
         drop(members);
         self.dispatcher.set_fleet(entries, hosts);
     }
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -29,6 +29,7 @@
 use tokio::time::Instant;
 
 use super::Gateway;
+use super::SOON;
 use super::answer::Streamed;
 use super::dispatcher::Live;
 use super::dispatcher::Seat;
@@ -203,7 +204,7 @@
         }
         match refusal.reason {
             Reason::Lost | Reason::Timeout => {
-                Err(Refusal::new(Reason::Late, refusal.detail).retry_after(self.gateway.soon()))
+                Err(Refusal::new(Reason::Late, refusal.detail).retry_after(SOON))
             }
             _ => Err(refusal),
         }
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -21,8 +21,11 @@
 pub(super) const WIDE_BEAT: Duration = Duration::from_secs(5);
 /// Silence after which a near host that takes callers counts as lost; three beats.
 const ENTRY_LIFE: Duration = Duration::from_millis(800);
-/// Silence after which any other host counts as lost; three beats.
+/// Silence after which another near host counts as lost, and a far one at a host that takes
+/// callers; three beats.
 const LIFE: Duration = Duration::from_millis(3300);
+/// Silence after which a far host counts as lost at a host that takes none; three wide beats.
+const WIDE_LIFE: Duration = Duration::from_millis(16_000);
 /// Silence after which a host is no longer sent anything.
 const FORGET: Duration = Duration::from_secs(120);
 
@@ -52,6 +55,8 @@
     /// Data centre and rank of this host itself.
     data_centre: id::DataCentre,
     rank: u64,
+    /// Whether this host takes callers, and so hears those of other data centres often.
+    is_entry: bool,
     known: HashMap<id::Host, Known>,
     /// Hosts that were alive at the last look.
     alive: HashMap<id::Host, bool>,
@@ -60,7 +65,12 @@
 impl Members {
     pub(super) fn new(me: &Member) -> Self {
         let (data_centre, rank) = (me.data_centre.clone(), entry::rank(&me.host));
-        Self { data_centre, rank, known: HashMap::new(), alive: HashMap::new() }
+        Self { data_centre, rank, is_entry: false, known: HashMap::new(), alive: HashMap::new() }
+    }
+
+    /// Notes whether this host takes callers.
+    pub(super) fn set_entry(&mut self, is_entry: bool) {
+        self.is_entry = is_entry;
     }
 
     /// Takes in what a host says of itself.
@@ -73,6 +83,7 @@
                 Some(Change::Restarted)
             }
             Some(known) if member.leaving && !known.member.leaving => Some(Change::Leaving),
+            Some(known) if !self.is_alive(known, now) => Some(Change::Joined),
             Some(_) => None,
         };
         let rank = before.map_or_else(|| entry::rank(&host), |known| known.rank);
@@ -89,7 +100,11 @@
 
     fn is_alive(&self, known: &Known, now: Moment) -> bool {
         let is_near = known.member.data_centre == self.data_centre;
-        let life = if is_near && known.member.entry { ENTRY_LIFE } else { LIFE };
+        let life = match (is_near, self.is_entry) {
+            (true, _) if known.member.entry => ENTRY_LIFE,
+            (true, _) | (false, true) => LIFE,
+            (false, false) => WIDE_LIFE,
+        };
         known.heard.is_some_and(|heard| now.since(heard) < life)
     }
 
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -301,11 +301,6 @@
         parts.uri = http::Uri::from(path);
         Ok(parts)
     }
-
-    /// Returns the wait that a caller is told when the cause is expected to pass soon.
-    fn soon(&self) -> Duration {
-        SOON
-    }
 }
 
 fn past_rate(workspace: &Workspace, excess: &chicoryloom_policy::allowance::Excess) -> Refusal {
