Tell of lapsed entries with a copy, and ask the store sooner after a loss of all

Cause: the process test of lapsed targets failed once: a host regained the store after another one, took its copy, which kept the entries that had lapsed, and then watched from a revision past their deletion, so that it kept a target for good.

Change: an update names the entries that lapsed, and its receiver drops them in time by itself. A host looks for others only while it knows none. What the dispatcher shares with other hosts has a module of its own.

--- /dev/null
+++ b/chicoryloom/src/gateway/dispatcher/share.rs
@@ -0,0 +1,154 @@
+//! What this host and the others tell each other of targets and requests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::gray::News;
+use chicoryloom_policy::gray::Outcome;
+use chicoryloom_policy::holdback::Fingerprint;
+use chicoryloom_policy::id;
+use serde_json::json;
+
+use super::Dispatcher;
+use super::Live;
+use super::Other;
+use crate::gateway::message::Load;
+
+impl Dispatcher {
+    /// Takes in how a request at a target ended.
+    pub(in crate::gateway) fn observe(&self, live: &Live, outcome: Outcome, sent: Moment) {
+        let now = self.clock.now();
+        let instance = &live.target.instance;
+        let mut state = self.lock();
+        let news = state.board.observe(instance, outcome, sent, now);
+        let episode = state.board.episode();
+        if let Some(news) = news {
+            state.news.push((instance.clone(), news));
+            drop(state);
+            self.changed.notify_one();
+            self.events.emit(
+                "target",
+                json!({
+                    "target": instance.as_str(), "service": live.target.service.as_str(),
+                    "belief": if news == News::Failed { "held back" } else { "in use" },
+                    "by": "own request", "episode_ms": episode.as_millis() as u64,
+                }),
+            );
+        }
+    }
+
+    /// Takes in what another host found about a target.
+    pub(in crate::gateway) fn hear_target(
+        &self,
+        host: &id::Host,
+        target: &id::Instance,
+        news: News,
+    ) {
+        let now = self.clock.now();
+        self.lock().board.hear(target, news, now);
+        self.events.emit(
+            "target",
+            json!({
+                "target": target.as_str(), "by": host.as_str(),
+                "belief": if news == News::Failed { "held back" } else { "in use" },
+            }),
+        );
+        self.pump_all();
+    }
+
+    /// Takes in the requests that another host has in flight.
+    pub(in crate::gateway) fn hear_loads(
+        &self,
+        host: &id::Host,
+        incarnation: id::Incarnation,
+        sequence: u64,
+        loads: Vec<Load>,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let Some(known) = state.others.get(host)
+            && known.incarnation == incarnation
+            && known.sequence >= sequence
+        {
+            return;
+        }
+        let loads = loads.into_iter().map(|load| (load.target, load.in_flight.into())).collect();
+        state.others.insert(host.clone(), Other { incarnation, sequence, heard: now, loads });
+        drop(state);
+        self.pump_all();
+    }
+
+    /// Forgets the requests in flight of a host that is lost.
+    pub(in crate::gateway) fn forget_host(&self, host: &id::Host) {
+        self.lock().others.remove(host);
+        self.pump_all();
+    }
+
+    /// Returns the requests of this host that are in flight, by the data centre of their targets.
+    pub(in crate::gateway) fn loads(&self) -> BTreeMap<id::DataCentre, Vec<Load>> {
+        let state = self.lock();
+        let targets = state.services.values().flat_map(|service| &service.targets);
+        let mut loads: BTreeMap<id::DataCentre, Vec<Load>> = BTreeMap::new();
+        for live in targets {
+            let target = &live.target.instance;
+            let count = state.own.get(target).copied().unwrap_or_default();
+            if count > 0 {
+                let in_flight = u16::try_from(count).unwrap_or(u16::MAX);
+                let centre = live.target.data_centre.clone();
+                loads.entry(centre).or_default().push(Load { target: target.clone(), in_flight });
+            }
+        }
+        loads
+    }
+
+    /// Takes what the other hosts should know of targets.
+    pub(in crate::gateway) fn take_news(&self) -> Vec<(id::Instance, News)> {
+        std::mem::take(&mut self.lock().news)
+    }
+
+    /// Takes what the other hosts should know of requests that take targets down.
+    pub(in crate::gateway) fn take_crashes(&self) -> Vec<(Fingerprint, SocketAddr, bool)> {
+        std::mem::take(&mut self.lock().crashes)
+    }
+
+    /// Returns the time for which a request is held back since it took targets down.
+    pub(in crate::gateway) fn held(&self, request: Fingerprint) -> Option<Duration> {
+        self.lock().holdback.held(request, self.clock.now())
+    }
+
+    /// Records that a target broke the connection on a request, or answered it.
+    pub(in crate::gateway) fn note_crash(
+        &self,
+        request: Fingerprint,
+        address: SocketAddr,
+        answered: bool,
+    ) {
+        if self.hear_crash(request, address, answered) {
+            self.lock().crashes.push((request, address, answered));
+            self.changed.notify_one();
+        }
+    }
+
+    /// Takes in such a record; tells whether it says something new.
+    pub(in crate::gateway) fn hear_crash(
+        &self,
+        request: Fingerprint,
+        address: SocketAddr,
+        answered: bool,
+    ) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if answered {
+            return state.holdback.answered(request);
+        }
+        let held = state.holdback.lost(request, id::Target(address), now);
+        drop(state);
+        if held.is_some() {
+            let request = format!("{:032x}", request.0);
+            self.events.emit("held_back", json!({ "fingerprint": request }));
+        }
+        true
+    }
+}
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -92,16 +92,16 @@
             self.mirror.expire();
             let now = self.clock.now();
             avoided.retain(|_, until| now < *until);
-            let (before, rank) = self.order(now);
+            let (before, rank, is_alone) = self.order(now);
             let is_usable = |relay: &&Relay| !avoided.contains_key(&relay.host);
             let watchers = before.iter().filter(|relay| relay.watches).find(is_usable);
             let first = before.iter().take(WATCHERS).find(is_usable);
             let Some(relay) = watchers.or(first) else {
-                let is_alone = before.is_empty() && now.since(started) < LOOK_AROUND;
+                let looks = is_alone && now.since(started) < LOOK_AROUND;
                 let turns = rank.saturating_sub(WATCHERS).min(TURNS);
                 let patience = FRESH + TURN * u32::try_from(turns).unwrap_or_default();
                 let age = self.mirror.age().min(now.since(started));
-                self.set_direct(&direct, !is_alone && (rank < WATCHERS || age >= patience));
+                self.set_direct(&direct, !looks && (rank < WATCHERS || age >= patience));
                 tokio::time::sleep(CHECK).await;
                 continue;
             };
@@ -130,9 +130,11 @@
         }
     }
 
-    /// Returns the hosts that come before this one, and this one's rank.
-    fn order(&self, now: Moment) -> (Vec<Relay>, usize) {
+    /// Returns the hosts that come before this one, this one's rank, and whether no other host of
+    /// the data centre is known.
+    fn order(&self, now: Moment) -> (Vec<Relay>, usize, bool) {
         let mut near = self.fleet.relays(now);
+        let is_alone = near.is_empty();
         let me = self.fleet.name();
         let own = (me, self.fleet.capacity());
         let hosts = near.iter().map(|relay| (&relay.host, relay.capacity)).chain([own]);
@@ -141,7 +143,7 @@
         let rank = place(me).unwrap_or_default();
         near.retain(|relay| place(&relay.host) < Some(rank));
         near.sort_by_key(|relay| place(&relay.host));
-        (near, rank)
+        (near, rank, is_alone)
     }
 
     /// Asks a relay once; tells whether its copy is fresh.
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -53,6 +53,8 @@
     pub records: Vec<Record>,
     /// Names of objects that the receiver has already as they are.
     pub kept: Vec<SmolStr>,
+    /// Names of objects that the platform no longer lists and that may come back.
+    pub lapsed: Vec<SmolStr>,
     /// Whether objects that are neither in the records nor kept don't exist.
     pub whole: bool,
     /// Revision of the platform that the records reach.
@@ -162,7 +164,13 @@
             shelf.records.values().partition(|record| record.revision <= revision);
         let kept = kept.into_iter().map(|record| record.name.clone()).collect();
         let records = records.into_iter().cloned().collect();
-        Update { kind, records, kept, whole: true, revision: shelf.revision }
+        let lapsed = self.lapsed_names(kind);
+        Update { kind, records, kept, lapsed, whole: true, revision: shelf.revision }
+    }
+
+    fn lapsed_names(&self, kind: Kind) -> Vec<SmolStr> {
+        let names = self.lapsed.keys().filter(|_| kind == Kind::Target);
+        names.cloned().collect()
     }
 
     /// Returns the number of the latest change of this copy.
@@ -196,7 +204,8 @@
             shelf.records.get(name).cloned().or_else(gone)
         };
         let records = names.into_iter().filter_map(record).collect();
-        Update { kind, records, kept: Vec::new(), whole: false, revision: shelf.revision }
+        let (kept, lapsed) = (Vec::new(), self.lapsed_names(kind));
+        Update { kind, records, kept, lapsed, whole: false, revision: shelf.revision }
     }
 
     fn note(&mut self, kind: Kind, names: &[SmolStr]) {
@@ -220,7 +229,16 @@
         if update.kind == Kind::Target {
             self.grace = None;
         }
-        self.apply(update, now)
+        let lapsed = update.lapsed.clone();
+        let accepted = self.accepts(&update);
+        let changes = self.apply(update, now);
+        // Its sender may not be followed any more when their time is over.
+        for name in lapsed.into_iter().filter(|_| accepted) {
+            if self.targets.records.contains_key(&name) {
+                self.lapsed.entry(name).or_insert(now.after(LAPSE_GRACE));
+            }
+        }
+        changes
     }
 
     /// Applies an update of the platform; one that is older than what is known changes nothing.
@@ -229,7 +247,7 @@
         if !self.accepts(&update) {
             return changes;
         }
-        let Update { kind, records, kept, whole, revision } = update;
+        let Update { kind, records, kept, lapsed: _, whole, revision } = update;
         let mut names: Vec<SmolStr> = Vec::new();
         if whole {
             names = self.missing(kind, &records, &kept, revision, now);
--- a/chicoryloom_policy/tests/replica.rs
+++ b/chicoryloom_policy/tests/replica.rs
@@ -53,6 +53,7 @@
             kind: Kind::Target,
             records,
             kept: Vec::new(),
+            lapsed: Vec::new(),
             whole: true,
             revision: self.revision,
         }
@@ -64,6 +65,7 @@
             kind: Kind::Target,
             records: records.cloned().collect(),
             kept: Vec::new(),
+            lapsed: Vec::new(),
             whole: false,
             revision: self.revision,
         }
@@ -197,6 +199,31 @@
     assert_eq!(held(&replica), listed(&platform));
 }
 
+/// A host that takes over the copy of one that keeps lapsed entries, and then watches the platform
+/// itself, drops them in time as well.
+#[test]
+fn lapsed_entries_are_dropped_by_a_host_that_was_told_of_them() {
+    let start = Moment::from_millis(1000);
+    let mut platform = Platform::default();
+    platform.put("a");
+    platform.put("b");
+    let mut first = Replica::default();
+    first.apply(platform.list(), start);
+    let mut second = first.clone();
+    platform.delete("a");
+    first.platform_returned(start);
+    first.apply(platform.list(), start);
+    for update in first.after(0, second.reached()) {
+        second.follow(update, start);
+    }
+    assert_eq!(held(&second).len(), 2);
+    let later = start.after(Duration::from_millis(100));
+    second.apply(platform.watch(second.revision(Kind::Target)), later);
+    let over = later.after(LAPSE_GRACE);
+    assert_eq!(second.expire(over).targets, ["a"]);
+    assert_eq!(held(&second), listed(&platform));
+}
+
 /// Entries that lapse while the platform is away are kept for as long as they may come back, and
 /// a host that follows learns their end too.
 #[test]
