Name what keeps a copy up to date a watcher, and drop a flag that only a log used

Cause: a newcomer's reading of the change: Sync shadowed the standard trait, name() took in hearsay of a host, and an attempt's flag went into one debug line.

Change: names only, and the flag is gone. No behaviour changes.

--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -259,7 +259,7 @@
             Body::Members(members) => {
                 let mut known = self.members();
                 for member in members.into_iter().filter(|member| member.host != self.name) {
-                    known.name(member, now);
+                    known.hear_of(member, now);
                 }
             }
             Body::Loads(loads) => {
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -34,7 +34,7 @@
 use super::relay;
 use super::settings;
 use super::settings::Settings;
-use super::sync::Sync;
+use super::sync::Watcher;
 use crate::clock::BootClock;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -151,7 +151,7 @@
         });
         let (closing, closed) = watch::channel(false);
         let edge = Edge::new(gateway.clone(), closed);
-        let sync = Sync {
+        let watcher = Watcher {
             mirror: mirror.clone(),
             store: store.clone(),
             fleet: fleet.clone(),
@@ -165,7 +165,7 @@
             tokio::spawn(fleet.clone().upkeep(mirror.clone())),
             tokio::spawn(fleet.clone().share()),
             tokio::spawn(relay::serve(relay, incarnation, mirror.clone())),
-            tokio::spawn(sync.run()),
+            tokio::spawn(watcher.run()),
             tokio::spawn(edge.clone().accept(callers)),
             tokio::spawn(edge::serve_page(locator, gateway.clone(), edge::locate)),
             tokio::spawn(edge::serve_page(readiness, gateway.clone(), edge::readiness)),
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -113,7 +113,7 @@
     pub(super) async fn run(&self) -> Result<Response<Body>, Refusal> {
         self.gateway.dispatcher.deposit(&self.service);
         let mut running: FuturesUnordered<BoxFuture<'_, End>> = FuturesUnordered::new();
-        running.push(self.attempt(true).boxed());
+        running.push(self.attempt().boxed());
         let mut started = 1;
         let mut last: Option<End> = None;
         let late = tokio::time::sleep(self.patience());
@@ -129,7 +129,7 @@
                     }
                     if started < self.route.attempts && self.may_retry(last.as_ref()) {
                         started += 1;
-                        running.push(self.attempt(false).boxed());
+                        running.push(self.attempt().boxed());
                     } else if running.is_empty() {
                         return self.conclude(last);
                     }
@@ -139,7 +139,7 @@
                     let has_run = self.progress.may_have_run.load(Ordering::Relaxed);
                     if has_run && started < self.route.attempts && self.take_retry() {
                         started += 1;
-                        running.push(self.attempt(false).boxed());
+                        running.push(self.attempt().boxed());
                     }
                 }
                 () = tokio::time::sleep_until(self.end) => {
@@ -211,7 +211,7 @@
     }
 
     /// Sends the request to one target; targets that surely don't run it are passed over.
-    async fn attempt(&self, is_first: bool) -> End {
+    async fn attempt(&self) -> End {
         let mut last = Failure::Cap;
         for turn in 0..MAX_TURNS {
             let seat = match self.seat().await {
@@ -241,7 +241,7 @@
                 Ok(end) => return end,
             }
         }
-        log::debug!("gateway: {}: no target took the request (first: {is_first})", self.id);
+        log::debug!("gateway: {}: no target took the request", self.id);
         End::Broken(last)
     }
 
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -92,7 +92,7 @@
     }
 
     /// Takes in what others say of a host; its own word goes first.
-    pub(super) fn name(&mut self, member: Member, now: Moment) {
+    pub(super) fn hear_of(&mut self, member: Member, now: Moment) {
         let known = self.known.entry(member.host.clone());
         let rank = entry::rank(&member.host);
         known.or_insert(Known { member, rank, heard: None, named: now });
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -70,7 +70,7 @@
 
 /// Keeps a mirror up to date.
 #[derive(Clone, Debug)]
-pub(super) struct Sync {
+pub(super) struct Watcher {
     pub(super) mirror: Arc<Mirror>,
     pub(super) store: Arc<dyn Store>,
     pub(super) fleet: Arc<Fleet>,
@@ -78,7 +78,7 @@
     pub(super) events: Events,
 }
 
-impl Sync {
+impl Watcher {
     /// Runs until the task is aborted.
     pub(super) async fn run(self) {
         let (direct, duty) = watch::channel(false);
