Count on a small part of the rate until a started host can hear the others

Change: for 0.6 s after its start a host refills its buckets at a tenth of the rate, unless a host that has run for longer tells its level.

--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -8,7 +8,8 @@
 //! The window alone would let all its requests come at its beginning, and again after a restart
 //! of the whole fleet, when no host knows what was admitted before. So there is a bucket of tokens
 //! beside it, a little larger than the burst. A host starts with an empty bucket and takes over
-//! the level of hosts that have run for longer than a window.
+//! the level of hosts that have run for longer than a window. Until it can have heard the others
+//! it counts on a small part of the rate only.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -34,6 +35,11 @@
 /// Time without a sign of life after which this host stood still and knows as little as one that
 /// starts; twenty times the usual time between two signs.
 const STALL: Duration = Duration::from_secs(1);
+/// Time after its start in which a host may not hear the others yet; they find each other within
+/// two rounds of beats.
+const DEAF: Duration = Duration::from_millis(600);
+/// Part of the rate that a host counts on in that time, as if it shared it with as many others.
+const DEAF_SHARE: f64 = 0.1;
 /// Largest debt, in parts of the bucket; older debt than that is out of any window.
 const MAX_DEBT: f64 = 2.0;
 /// Admissions within this time are kept as one entry.
@@ -173,8 +179,9 @@
         self.tick(now);
         let Some(grant) = Grant::of(workspace) else { return Ok(()) };
         let window = self.window;
+        let heard_from = self.started.after(DEAF);
         let meter = self.meter(&workspace.name);
-        meter.take(grant, now);
+        meter.take(grant, heard_from, now);
         meter.left = meter.left(now, window);
         if meter.left >= 1.0 {
             return Ok(());
@@ -254,13 +261,17 @@
 
 impl Meter {
     /// Takes in the grant as the configuration has it now.
-    fn take(&mut self, grant: Grant, now: Moment) {
+    ///
+    /// The others can be heard from `heard_from` on.
+    fn take(&mut self, grant: Grant, heard_from: Moment, now: Moment) {
         let is_known = self.grant.rate > 0.0;
         if is_known && (grant.rate < self.grant.rate || grant.burst < self.grant.burst) {
             self.lowered = Some((now, self.grant));
         }
         self.grant = grant;
-        let span = now.since(self.refilled).as_secs_f64();
+        let span = now.since(self.refilled);
+        let deaf = span.saturating_sub(now.since(heard_from));
+        let span = (span - deaf).as_secs_f64() + DEAF_SHARE * deaf.as_secs_f64();
         self.refilled = now;
         let size = grant.bucket();
         self.level = (self.level + grant.rate * span).clamp(-MAX_DEBT * size, size);
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -47,6 +47,8 @@
     told: [Vec<u64>; 2],
     /// Hosts that stand still; what they are sent is lost.
     paused: Vec<usize>,
+    /// Whether messages are lost.
+    is_deaf: bool,
     admitted: Vec<Moment>,
     refused: usize,
 }
@@ -61,6 +63,7 @@
             sent: Vec::new(),
             told: [vec![0; hosts], vec![0; hosts]],
             paused: Vec::new(),
+            is_deaf: false,
             admitted: Vec::new(),
             refused: 0,
         }
@@ -119,7 +122,7 @@
                     self.hosts[host].hear(&name, &workspace().name, report, self.now);
                 }
             }
-            if step % URGENT_STEPS == 0 {
+            if step % URGENT_STEPS == 0 && !self.is_deaf {
                 self.tell(false, step % NEAR_STEPS == 0, delay);
                 self.tell(true, step % gap == 0, delay);
             }
@@ -225,6 +228,25 @@
     assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
 }
 
+/// After a restart of the whole fleet, hosts don't hear each other for a while.
+#[rstest]
+#[case(7)]
+#[case(30)]
+fn grant_holds_while_restarted_hosts_are_deaf(#[case] host_count: usize) {
+    let mut fleet = Fleet::new(host_count);
+    fleet.run(800, 0.0, 10, Duration::from_millis(1), 1);
+    fleet.run(300, RATE * 8.0, 10, Duration::from_millis(1), 3);
+    for host in 0..host_count {
+        fleet.restart(host);
+    }
+    fleet.sent.clear();
+    fleet.is_deaf = true;
+    fleet.run(50, RATE * 8.0, 10, Duration::from_millis(1), 5);
+    fleet.is_deaf = false;
+    fleet.run(1000, RATE * 8.0, 10, Duration::from_millis(1), 7);
+    assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
+}
+
 /// A host that starts beside settled ones takes over what they know and refuses nobody.
 #[test]
 fn single_restart_costs_no_request_within_the_rate() {
