Excuse no missing target at a host's first contact with the store

The events show a host that started alone, took its first contact for the platform's return, and so kept a target that was deleted a second later until 2.2 s after its start.

Change: a host whose copy was empty keeps nothing that is missing.

Figures: the new test of a first contact fails without the change and passes with it.

--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -190,7 +190,9 @@
             let mut follower = None;
             return self.follow(&mut follower, peer, Duration::ZERO).await;
         }
-        if away {
+        // A host that starts has missed nothing: what is not listed was never there for it.
+        let is_first = self.mirror.age() == Duration::MAX;
+        if away && !is_first {
             self.mirror.platform_returned();
         }
         false
