Try each target in doubt again after 3.5 s, and choose targets faster

The learned share of episodes had passed the limit of doubt, since it is learned from the very targets that were not tried, and so doubt never faded.

Change: the learned share stays below doubt; a target gets a request after 3.5 s without one, however many are idle. Duties are worked out when hosts or targets change, loads of other hosts are added up once a choice, and each target's probability is computed once.

--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -26,6 +27,7 @@
 use chicoryloom_policy::gray::Board;
 use chicoryloom_policy::gray::News;
 use chicoryloom_policy::gray::Standing;
+use chicoryloom_policy::gray::View;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::holdback::Holdback;
 use chicoryloom_policy::id;
@@ -47,8 +49,6 @@
 const KEEP: Duration = Duration::from_secs(4);
 /// Age past which another host's requests in flight say nothing.
 const LOAD_LIFE: Duration = Duration::from_secs(3);
-/// Time since its latest outcome up to which a target needs no request that finds out more.
-const IDLE: Duration = Duration::from_secs(1);
 /// Weight of the newest sample in a service's smoothed time of work.
 const WORK_WEIGHT: f64 = 0.05;
 /// Targets that a request takes down before it is held back. Equal requests of one workspace are
@@ -113,6 +113,8 @@
     holdback: Holdback,
     /// Hosts that take callers, by data centre; each target's trials are the duty of one of them.
     entries: Vec<(id::Host, id::DataCentre)>,
+    /// Targets whose trials are this host's duty.
+    duties: HashSet<id::Instance>,
     news: Vec<(id::Instance, News)>,
     /// When the latest request left that each target answered well, for those not told yet.
     proofs: HashMap<id::Instance, Moment>,
@@ -241,6 +243,7 @@
                 board: Board::default(),
                 holdback: Holdback::new(DEATHS),
                 entries: Vec::new(),
+                duties: HashSet::new(),
                 news: Vec::new(),
                 proofs: HashMap::new(),
                 crashes: Vec::new(),
@@ -283,6 +286,7 @@
         for service in state.services.values_mut() {
             service.targets.sort_by(|a, b| a.target.instance.cmp(&b.target.instance));
         }
+        state.duties = self.duties(state);
         self.set_caps(state, catalog);
         let names: Vec<_> = state.services.keys().cloned().collect();
         for name in names {
@@ -311,7 +315,10 @@
     /// Takes in which hosts take callers, and how many hosts there are.
     pub(super) fn set_fleet(&self, entries: Vec<(id::Host, id::DataCentre)>, hosts: usize) {
         let mut state = self.lock();
-        state.entries = entries;
+        if state.entries != entries {
+            state.entries = entries;
+            state.duties = self.duties(&state);
+        }
         state.hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         let burst = self.burst(&state);
         for service in state.services.values_mut() {
@@ -398,28 +405,29 @@
             service.targets.iter().filter(|live| !live.target.leaving).cloned().collect();
         let named: Vec<_> =
             usable.iter().map(|live| (&live.target.instance, live.target.slots.0)).collect();
-        let standings = state.board.standings(&named, self.bounds.floor, now);
-        let others: Vec<_> =
-            state.others.values().filter(|other| now.since(other.heard) < LOAD_LIFE).collect();
-        let candidate = |(live, standing): (&Arc<Live>, Standing)| {
+        let views = state.board.views(&named, self.bounds.floor, now);
+        let mut elsewhere: HashMap<&id::Instance, u32> = HashMap::new();
+        for other in state.others.values().filter(|other| now.since(other.heard) < LOAD_LIFE) {
+            for (instance, count) in &other.loads {
+                *elsewhere.entry(instance).or_default() += count;
+            }
+        }
+        let candidate = |(live, view): (&Arc<Live>, View)| {
             let instance = &live.target.instance;
-            let rest = state.board.tested(instance).map(|tested| now.since(tested));
             let own = state.own.get(instance).copied().unwrap_or_default();
-            let more = others.iter().filter_map(|other| other.loads.get(instance)).sum::<u32>();
             Candidate {
-                in_flight: own + more,
+                in_flight: own + elsewhere.get(instance).copied().unwrap_or_default(),
                 slots: live.target.slots.0,
                 near: live.target.data_centre == self.data_centre,
                 cold: now < live.warm_at,
-                standing,
-                mine: (rest.is_none_or(|rest| rest > IDLE) || standing != Standing::In)
-                    && self.is_mine(state, &live.target),
+                standing: view.standing,
+                mine: state.duties.contains(instance),
                 due: false,
-                risk: state.board.risk(instance, now),
-                rest,
+                risk: view.risk,
+                rest: view.rest,
             }
         };
-        let mut candidates: Vec<_> = usable.iter().zip(standings).map(candidate).collect();
+        let mut candidates: Vec<_> = usable.iter().zip(views).map(candidate).collect();
         self.mark_due(&usable, &mut candidates);
         let fresh: Vec<_> =
             (0..usable.len()).filter(|at| !tried.contains(&usable[*at].target.instance)).collect();
@@ -440,7 +448,13 @@
         }
     }
 
-    /// Tells whether trials of a target are this host's duty.
+    /// Returns the targets whose trials are this host's duty.
+    fn duties(&self, state: &State) -> HashSet<id::Instance> {
+        let targets = state.services.values().flat_map(|service| &service.targets);
+        let mine = targets.filter(|live| self.is_mine(state, &live.target));
+        mine.map(|live| live.target.instance.clone()).collect()
+    }
+
     fn is_mine(&self, state: &State, target: &Target) -> bool {
         let near = state.entries.iter().filter(|(_, centre)| *centre == target.data_centre);
         let mut hosts: Vec<_> = near.map(|(host, _)| host).collect();
--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -25,7 +25,10 @@
 pub const RESERVE: u32 = 2;
 /// Time without a request after which a target counts as idle. Operators count a sound target as
 /// left out if it gets nothing for two seconds.
-const IDLE: Duration = Duration::from_millis(1800);
+const IDLE: Duration = Duration::from_millis(1600);
+/// Time without a request after which a target gets one however many are idle; episodes are half
+/// over by then.
+const RETURN: Duration = Duration::from_millis(3500);
 /// Share of a service's targets that may be idle; at 0.3 of the sound ones operators would hold
 /// that capacity is withheld.
 const MOST_IDLE: f64 = 0.3;
@@ -112,14 +115,14 @@
     most(before + own) - most(before)
 }
 
-/// Marks the idle targets of a data centre that should get a request, so that no more stay idle
-/// than are allowed: those that are likeliest to be well.
+/// Marks the idle targets of a data centre that should get a request: those that have been idle
+/// for long, and so that no more stay idle than are allowed, those that are likeliest to be well.
 pub fn mark_due(candidates: &mut [Candidate], allowance: usize) {
     let mut idle: Vec<_> = candidates.iter_mut().filter(|one| one.is_idle()).collect();
     idle.sort_by(|a, b| a.risk.total_cmp(&b.risk));
     let most = idle.len().saturating_sub(allowance);
-    for one in idle.into_iter().take(most) {
-        one.due = true;
+    for (at, one) in idle.into_iter().enumerate() {
+        one.due = at < most || one.rest.is_none_or(|rest| rest >= RETURN);
     }
 }
 
--- a/chicoryloom_policy/src/gray.rs
+++ b/chicoryloom_policy/src/gray.rs
@@ -15,8 +15,9 @@
 
 /// First guess of the share of targets that are in an episode; learned from there.
 const FIRST_PRIOR: f64 = 0.2;
-/// Range of the learned share of targets that are in an episode.
-const PRIOR: (f64, f64) = (0.02, 0.4);
+/// Range of the learned share of targets that are in an episode; below [`DOUBT`], so that doubt
+/// always fades.
+const PRIOR: (f64, f64) = (0.02, 0.3);
 /// First guess of the share of requests that a sound target fails; learned from there.
 const FIRST_LONE: f64 = 0.012;
 /// Range of the learned share of requests that a sound target fails.
@@ -68,6 +69,16 @@
     Out,
 }
 
+/// What is known of a target at a moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct View {
+    pub standing: Standing,
+    /// Probability that it fails a request, from 0 to 1.
+    pub risk: f64,
+    /// Time since the latest outcome of a request there; `None` if none is known.
+    pub rest: Option<Duration>,
+}
+
 /// How a request at a target ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -247,7 +258,7 @@
     }
 
     /// Returns when the latest outcome at a target became known.
-    pub fn tested(&self, target: &id::Instance) -> Option<Moment> {
+    fn tested(&self, target: &id::Instance) -> Option<Moment> {
         self.entries.get(target)?.tested
     }
 
@@ -256,61 +267,59 @@
         self.entry(target, now).trial = Some(now);
     }
 
-    fn standing(&self, target: &id::Instance, now: Moment) -> Standing {
+    /// Returns the standing of a target and how little speaks for it: the probability of an
+    /// episode, or more while it is silent towards this host.
+    fn standing(&self, target: &id::Instance, now: Moment) -> (Standing, f64) {
+        let gray = self.probability(target, now);
         let Some(entry) = self.entries.get(target) else {
-            return Standing::In;
+            return (Standing::In, gray);
         };
         if entry.silent_until.is_some_and(|until| now < until) {
-            return Standing::Out;
+            return (Standing::Out, gray + 1.0);
         }
-        let gray = self.probability(target, now);
         if gray <= DOUBT {
-            return Standing::In;
+            return (Standing::In, gray);
         }
         if entry.trial.is_some_and(|began| now.since(began) < TRIAL_LIFE) {
-            return Standing::Out;
+            return (Standing::Out, gray);
         }
         let gap = if gray > LIKELY { NEXT_TRIAL } else { FIRST_TRIAL };
         let rest = entry.failed.map_or(gap, |failed| now.since(failed));
-        if rest < gap { Standing::Out } else { Standing::Trial(rest.saturating_sub(gap)) }
+        if rest < gap {
+            return (Standing::Out, gray);
+        }
+        (Standing::Trial(rest.saturating_sub(gap)), gray)
     }
 
-    /// Returns the standing of each target of a service, such that the slots held back never
-    /// pass what the floor leaves.
-    pub fn standings(
-        &self,
-        targets: &[(&id::Instance, u32)],
-        floor: Share,
-        now: Moment,
-    ) -> Vec<Standing> {
-        let mut standings: Vec<_> =
-            targets.iter().map(|(target, _)| self.standing(target, now)).collect();
+    /// Returns what is known of each target of a service, where the slots held back never pass
+    /// what the floor leaves.
+    pub fn views(&self, targets: &[(&id::Instance, u32)], floor: Share, now: Moment) -> Vec<View> {
+        let mut doubts = Vec::with_capacity(targets.len());
+        let view = |(target, _): &(&id::Instance, u32)| {
+            let (standing, doubt) = self.standing(target, now);
+            doubts.push(doubt);
+            let gray = if doubt > 1.0 { doubt - 1.0 } else { doubt };
+            let rest = self.tested(target).map(|tested| now.since(tested));
+            View { standing, risk: gray * FAILS + (1.0 - gray) * self.lone, rest }
+        };
+        let mut views: Vec<_> = targets.iter().map(view).collect();
         let total: u32 = targets.iter().map(|(_, slots)| slots).sum();
         let most = f64::from(total) * (1.0 - floor.get());
-        let mut held: Vec<_> =
-            (0..targets.len()).filter(|at| standings[*at] != Standing::In).collect();
+        let is_held = |at: &usize| views[*at].standing != Standing::In;
+        let mut held: Vec<_> = (0..targets.len()).filter(is_held).collect();
         let mut slots: u32 = held.iter().map(|at| targets[*at].1).sum();
         // The one that is likeliest to be well goes back into use first.
-        let doubt = |at: &usize| self.doubt(targets[*at].0, now);
-        held.sort_by(|a, b| doubt(a).total_cmp(&doubt(b)));
+        held.sort_by(|a, b| doubts[*a].total_cmp(&doubts[*b]));
         for at in held {
             if f64::from(slots) <= most {
                 break;
             }
             slots -= targets[at].1;
-            if standings[at] == Standing::Out {
-                standings[at] = Standing::Spare;
+            if views[at].standing == Standing::Out {
+                views[at].standing = Standing::Spare;
             }
         }
-        standings
-    }
-
-    /// Returns how little speaks for a target: the probability of an episode, or more while it is
-    /// silent towards this host.
-    fn doubt(&self, target: &id::Instance, now: Moment) -> f64 {
-        let silent_until = self.entries.get(target).and_then(|entry| entry.silent_until);
-        let is_silent = silent_until.is_some_and(|until| now < until);
-        self.probability(target, now) + if is_silent { 1.0 } else { 0.0 }
+        views
     }
 
     /// Returns the share of targets that are in an episode, as far as learned.
