Try a target that stays sick every twelve seconds at the latest

A failed trial doubled the hold like a relapse: trials came 3, 9, 21, 45, 93 and 153 s after the ejection, so that a target that was sick for a minute stayed out for another one, and one slow trial on a busy machine was enough to pass 60 s.

Change: a failed trial holds for 12 s at most and does not make the next ejection longer beyond that; relapses after a return still double up to 60 s.

Figures: a target that was sick for 100 s is back within 14 s (before: out until the trial at 153 s). The new test fails without the change.

--- a/chicoryloom_policy/src/health/gate.rs
+++ b/chicoryloom_policy/src/health/gate.rs
@@ -8,6 +8,9 @@
 const HOLD: Duration = Duration::from_secs(3);
 /// Longest time that an ejected target stays out.
 const MAX_HOLD: Duration = Duration::from_secs(60);
+/// Longest time from a failed trial to the next one; a target that was sick for minutes is as
+/// likely to be well soon as one that was for seconds.
+const MAX_TRIAL_HOLD: Duration = Duration::from_secs(12);
 /// Good answers in a row that end a trial.
 const TRIAL_OKS: u32 = 5;
 /// Time between two trial requests of one host.
@@ -61,10 +64,17 @@
     }
 
     pub(super) fn eject(&mut self, badness: f64, now: Moment) {
-        let hold = HOLD.saturating_mul(1 << self.flaps.min(8)).min(MAX_HOLD);
         self.badness = badness;
-        self.flaps += 1;
-        self.enter(State::Out { until: now.after(hold) }, now);
+        self.hold(MAX_HOLD, now);
+    }
+
+    /// Takes the target out for twice as long as the last time, up to a limit.
+    fn hold(&mut self, most: Duration, now: Moment) {
+        let hold = HOLD.saturating_mul(1 << self.flaps.min(8));
+        if hold <= most {
+            self.flaps += 1;
+        }
+        self.enter(State::Out { until: now.after(hold.min(most)) }, now);
     }
 
     /// Takes the target back at once, such as when the floor asks for it.
@@ -112,7 +122,7 @@
             return false;
         };
         if !good {
-            self.eject(self.badness, now);
+            self.hold(MAX_TRIAL_HOLD, now);
             return true;
         }
         if oks + 1 >= TRIAL_OKS {
--- a/chicoryloom_policy/tests/health.rs
+++ b/chicoryloom_policy/tests/health.rs
@@ -216,6 +216,19 @@
     assert_eq!(bench.board.standing(0, 0, bench.now), Standing::In(1.0));
 }
 
+/// Trials that fail say that an old episode goes on, not that the target flaps: however long it
+/// lasted, the target is back soon after its end.
+#[test]
+fn target_that_was_sick_for_long_is_back_soon_after() {
+    let mut bench = Bench::new(Detection::Sequential, 4, 1);
+    let second = 100;
+    let sick = |target| if target == 1 { Outcome::Failed(Failed::Timeout) } else { ok(5) };
+    bench.run(100 * second, |target, _| sick(target));
+    assert_eq!(bench.out(0), [1]);
+    bench.run(14 * second, |_, _| ok(5));
+    assert_eq!(bench.out(0), [0; 0]);
+}
+
 #[test]
 fn one_peer_cannot_eject_and_three_can() {
     let mut bench = Bench::new(Detection::Sequential, 4, 1);
