Tell a request that waited in vain when the line is clear, and drop what decides nothing

A request whose time passed in a line was told its own waiting time as Retry-After, while one refused on arrival got the line's estimate.

Change: both refusals give the line's estimate; the rest is removed or logged.

--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -359,17 +359,14 @@
         match seat {
             Ok(Ok(seat)) => Ok(seat),
             Ok(Err(_)) | Err(_) => {
-                let ahead = self.waiting(&service_name);
-                Err(Late { wait: self.clock.now().since(now), ahead })
+                let state = self.lock();
+                let line = state.services.get(&service_name).map(|service| &service.line);
+                let wait = line.map_or(Duration::ZERO, |line| line.clearance(self.clock.now()));
+                Err(Late { wait, ahead: line.map_or(0, Line::len) })
             }
         }
     }
 
-    /// Returns how many requests wait for a service.
-    pub(super) fn waiting(&self, service: &id::Service) -> usize {
-        self.lock().services.get(service).map_or(0, |service| service.line.len())
-    }
-
     /// Chooses a target for a request and takes a place at it.
     fn take(&self, state: &mut State, wish: &Wish, now: Moment) -> Option<Seat> {
         let service = state.services.get(&wish.service)?;
--- a/chicoryloom/src/gateway/edge.rs
+++ b/chicoryloom/src/gateway/edge.rs
@@ -1,7 +1,6 @@
 //! Connections of callers, and of those who ask for hosts and readiness.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -189,8 +188,3 @@
     *response.status_mut() = status;
     response
 }
-
-/// Binds a listener.
-pub(super) async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -15,6 +15,7 @@
 use chicoryloom_policy::allowance::Allowance;
 use chicoryloom_policy::id;
 use serde_json::json;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -105,12 +106,12 @@
         let incarnation = id::Incarnation(rand::random());
         let peer = SocketAddr::new(settings.address, settings.listen.peer_port);
         let socket = UdpSocket::bind(peer).await.map_err(bind("peer", peer))?;
-        let relay = edge::bind(peer).await.map_err(bind("relay", peer))?;
-        let callers = edge::bind(settings.listen.caller);
+        let relay = TcpListener::bind(peer).await.map_err(bind("relay", peer))?;
+        let callers = TcpListener::bind(settings.listen.caller);
         let callers = callers.await.map_err(bind("caller", settings.listen.caller))?;
-        let locator = edge::bind(settings.listen.locator);
+        let locator = TcpListener::bind(settings.listen.locator);
         let locator = locator.await.map_err(bind("locator", settings.listen.locator))?;
-        let readiness = edge::bind(settings.listen.readiness);
+        let readiness = TcpListener::bind(settings.listen.readiness);
         let readiness = readiness.await.map_err(bind("readiness", settings.listen.readiness))?;
 
         let allowance =
@@ -173,7 +174,7 @@
             tokio::spawn(edge::serve_page(readiness, gateway.clone(), edge::readiness)),
         ];
         if let Some(address) = settings.listen.metrics {
-            let listener = edge::bind(address).await.map_err(bind("metrics", address))?;
+            let listener = TcpListener::bind(address).await.map_err(bind("metrics", address))?;
             tasks.push(tokio::spawn(edge::serve_page(listener, gateway.clone(), edge::metrics)));
         }
         events.emit(
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -126,9 +126,13 @@
     pub(super) updates: Vec<Update>,
 }
 
-/// Encodes a value; the types above can't fail to be encoded.
+/// Encodes a value. An error would be a fault of the types above; the empty message that takes the
+/// place of the value is malformed for its receiver.
 pub(super) fn encode<T: Serialize>(value: &T) -> Bytes {
-    postcard::to_stdvec(value).map(Bytes::from).unwrap_or_default()
+    postcard::to_stdvec(value).map(Bytes::from).unwrap_or_else(|error| {
+        log::error!("message: can't be encoded: {error}");
+        Bytes::new()
+    })
 }
 
 /// Decodes a value.
--- a/chicoryloom/src/gateway/port.rs
+++ b/chicoryloom/src/gateway/port.rs
@@ -17,7 +17,6 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::Uri;
-use smol_str::SmolStr;
 
 use crate::target::Protocol;
 
@@ -110,8 +109,6 @@
 /// A caller's question which hosts to use.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Question {
-    /// Host name that the caller wants to reach.
-    pub site: SmolStr,
     /// Data centre that the caller is in or near to; unknown ones are no fault of the caller's.
     pub data_centre: Option<id::DataCentre>,
 }
--- a/chicoryloom/src/gateway/settings.rs
+++ b/chicoryloom/src/gateway/settings.rs
@@ -57,7 +57,6 @@
     grace_s: f64,
     retry_share: f64,
     retry_burst: f64,
-    retry_window_s: f64,
     rate_window_s: f64,
     floor: f64,
 }
@@ -74,14 +73,7 @@
 
 impl Default for RawBounds {
     fn default() -> Self {
-        Self {
-            grace_s: 6.0,
-            retry_share: 0.2,
-            retry_burst: 50.0,
-            retry_window_s: 10.0,
-            rate_window_s: 5.0,
-            floor: 0.7,
-        }
+        Self { grace_s: 6.0, retry_share: 0.2, retry_burst: 50.0, rate_window_s: 5.0, floor: 0.7 }
     }
 }
 
@@ -122,7 +114,6 @@
     pub retry_share: f64,
     /// Retries beyond that share which the fleet may send to a service in the window.
     pub retry_burst: f64,
-    pub retry_window: Duration,
     /// Window over which rates and bursts are counted.
     pub rate_window: Duration,
     /// Share of a service's slots that holding targets back leaves in use.
@@ -197,7 +188,6 @@
             grace: span("bounds.grace_s", raw.grace_s)?,
             retry_share: above_zero("bounds.retry_share", raw.retry_share)?,
             retry_burst: above_zero("bounds.retry_burst", raw.retry_burst)?,
-            retry_window: span("bounds.retry_window_s", raw.retry_window_s)?,
             rate_window: span("bounds.rate_window_s", raw.rate_window_s)?,
             floor: floor.ok_or(("bounds.floor", "must be 0 to 1".to_owned()))?,
         })
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -54,7 +54,7 @@
 /// Shortest and longest pause after a failed call.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time after the start in which other hosts are looked for before the platform is asked.
-const LOOK_AROUND: Duration = Duration::from_millis(600);
+const LOOK_AROUND: Duration = Duration::from_millis(300);
 /// How often the choice of a source is looked at.
 const CHECK: Duration = Duration::from_millis(50);
 /// Time without the platform after which it counts as having been away.
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -153,6 +153,9 @@
 
     /// Notes a sign of life; to be called often. After a standstill, what others admitted
     /// meanwhile is not known.
+    ///
+    /// Each check is one, so that a request that comes first after a standstill is not admitted by
+    /// old knowledge; a host without requests calls this by itself, or its quiet would count as one.
     pub fn tick(&mut self, now: Moment) {
         if now.since(self.alive) > STALL {
             self.started = now;
--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -173,13 +173,9 @@
     pub fn enter(&mut self, rank: Rank, latest: Moment, now: Moment) -> Result<Ticket, Late> {
         let end = Ticket { rank, number: u64::MAX };
         let ahead = self.waiting.range(..end).count();
-        let stalled = self.last.map_or(0.0, |last| now.since(last).as_secs_f64());
-        let pace = if self.waiting.is_empty() { self.pace } else { self.pace.max(stalled) };
-        let wait = Duration::try_from_secs_f64(pace * ahead as f64).unwrap_or(Duration::MAX);
+        let wait = self.time_for(ahead, now);
         if now.after(wait) > latest || self.waiting.len() >= MAX_WAITING {
-            let all = pace * (self.waiting.len() + 1) as f64;
-            let wait = Duration::try_from_secs_f64(all).unwrap_or(wait);
-            return Err(Late { wait, ahead });
+            return Err(Late { wait: self.clearance(now), ahead });
         }
         if self.waiting.is_empty() {
             self.last = Some(now);
@@ -190,6 +186,18 @@
         Ok(ticket)
     }
 
+    /// Returns the time until a request that comes then would get a target at once.
+    pub fn clearance(&self, now: Moment) -> Duration {
+        self.time_for(self.waiting.len() + 1, now)
+    }
+
+    /// Returns the time in which as many requests leave the line for a target.
+    fn time_for(&self, count: usize, now: Moment) -> Duration {
+        let stalled = self.last.map_or(0.0, |last| now.since(last).as_secs_f64());
+        let pace = if self.waiting.is_empty() { self.pace } else { self.pace.max(stalled) };
+        Duration::try_from_secs_f64(pace * count as f64).unwrap_or(Duration::MAX)
+    }
+
     /// Takes a request out of the line; tells whether it was in it.
     pub fn leave(&mut self, ticket: Ticket) -> bool {
         self.waiting.remove(&ticket).is_some()
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -119,6 +119,8 @@
     assert_eq!(late.ahead, 20);
     let seconds = late.wait.as_secs_f64();
     assert!((1.5..3.0).contains(&seconds), "{seconds}");
+    // One that waited in vain is told the same, not the time that it waited.
+    assert_eq!(line.clearance(now), late.wait);
     line.enter(rank, now.after(Duration::from_secs(5)), now).unwrap();
     let urgent = Rank { priority: 0, route: 1 };
     line.enter(urgent, now.after(Duration::from_millis(500)), now).unwrap();
