Let requests wait briefly for the first configuration and for room in their grant

Callers of both sites don't come back after a refusal. A 429 of a started host told them to wait for five seconds, the whole window, though only the bucket was empty.

Change: in the first second of a host, requests wait for the configuration; later a host that knows none refuses at once. A request past its grant waits if, behind those that wait already, its turn comes within a quarter of the time in which its answer has its full worth; else it is refused at once, as before. Admission itself is unchanged, so that grants hold as before. The time told is that of what lacks: the window, or the bucket.

--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -149,6 +149,8 @@
             allowance,
             splits: Mutex::new(HashMap::new()),
             metrics: Arc::new(Metrics::new()),
+            shaped: Mutex::new(HashMap::new()),
+            started: clock.now(),
             leaving: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         });
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -101,6 +101,21 @@
         self.catalog.load_full()
     }
 
+    /// Returns the newest configuration, once any is known, or `None` after `wait`.
+    pub(super) async fn first_catalog(&self, wait: Duration) -> Option<Arc<Catalog>> {
+        let mut latest = self.latest.subscribe();
+        let known = async {
+            loop {
+                if let Some(catalog) = self.catalog() {
+                    return Some(catalog);
+                }
+                // The sender lives as long as the mirror.
+                latest.changed().await.ok()?;
+            }
+        };
+        tokio::time::timeout(wait, known).await.ok().flatten()
+    }
+
     /// Returns the time since the copy was surely the platform's state.
     pub(super) fn age(&self) -> Duration {
         let confirmed = self.lock().confirmed;
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -29,7 +29,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::allowance;
 use chicoryloom_policy::allowance::Allowance;
+use chicoryloom_policy::allowance::Excess;
 use chicoryloom_policy::catalog::Catalog;
 use chicoryloom_policy::catalog::Route;
 use chicoryloom_policy::catalog::Workspace;
@@ -74,6 +77,11 @@
 
 /// Wait that a caller is told when the cause is expected to pass soon.
 const SOON: Duration = Duration::from_millis(300);
+/// Time after the start of a host for which requests wait for its first configuration; twice the
+/// time that hosts took to know it after a loss of all.
+const FIRST_WAIT: Duration = Duration::from_secs(1);
+/// Shortest and longest pause between two looks whether a grant has room.
+const ROOM_CHECK: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
 /// Bytes around a header's name and value in its line.
 const LINE_OVERHEAD: usize = 4;
 /// Largest head that is taken before any configuration is known.
@@ -91,6 +99,9 @@
     allowance: Arc<Mutex<Allowance>>,
     splits: Mutex<HashMap<id::Route, Split>>,
     metrics: Arc<Metrics>,
+    /// Requests that wait until their workspace's grant has room, by workspace.
+    shaped: Mutex<HashMap<id::Workspace, usize>>,
+    started: Moment,
     leaving: AtomicBool,
     /// Requests that have no head of an answer yet.
     in_flight: AtomicUsize,
@@ -180,16 +191,16 @@
     ) -> Result<Response<Body>, Refusal> {
         let arrived = self.clock.now();
         let begun = Instant::now();
-        let asked = self.ask(&request)?;
+        let asked = self.ask(&request).await?;
         let Asked { catalog, route, workspace, key } = asked;
         story.route = Some(route.clone());
         story.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
         story.version = Some(catalog.version.0);
-        if let Some(workspace) = &workspace {
-            self.check(workspace)?;
-        }
         let budget = self.budget(&request, &route);
         let end = begun + budget;
+        if let Some(workspace) = &workspace {
+            self.room(workspace, allowance::patience(route.aim.min(budget))).await?;
+        }
         let limits = catalog.limits;
         let (parts, body) = request.into_parts();
         let body = body::bounded(body, limits.body_bytes, limits.idle_timeout);
@@ -232,8 +243,11 @@
     }
 
     /// Checks a request's form and finds its route and workspace.
-    fn ask(&self, request: &Request<Incoming>) -> Result<Asked, Refusal> {
-        let Some(catalog) = self.mirror.catalog() else {
+    async fn ask(&self, request: &Request<Incoming>) -> Result<Asked, Refusal> {
+        // A host that starts knows the configuration soon, and the request has time until then.
+        let age = self.clock.now().since(self.started);
+        let catalog = self.mirror.first_catalog(FIRST_WAIT.saturating_sub(age)).await;
+        let Some(catalog) = catalog else {
             let refusal = Refusal::new(Reason::Unknowing, "this host knows no configuration yet");
             return Err(refusal.retry_after(SOON));
         };
@@ -261,9 +275,24 @@
         Refusal::new(Reason::Unknowing, detail).retry_after(SOON)
     }
 
-    fn check(&self, workspace: &Workspace) -> Result<(), Refusal> {
+    fn check(&self, workspace: &Workspace) -> Result<(), Excess> {
         let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
-        allowance.check(workspace, self.clock.now()).map_err(|excess| past_rate(workspace, &excess))
+        allowance.check(workspace, self.clock.now())
+    }
+
+    /// Waits until a workspace's grant has room for a request, if that is soon.
+    async fn room(&self, workspace: &Workspace, patience: Duration) -> Result<(), Refusal> {
+        let Err(mut excess) = self.check(workspace) else { return Ok(()) };
+        let until = self.clock.now().after(patience);
+        let place = Shaped::enter(&self.shaped, workspace);
+        while excess.wait_behind(place.ahead) <= until.since(self.clock.now()) {
+            tokio::time::sleep(excess.wait.clamp(ROOM_CHECK.0, ROOM_CHECK.1)).await;
+            match self.check(workspace) {
+                Ok(()) => return Ok(()),
+                Err(still) => excess = still,
+            }
+        }
+        Err(past_rate(workspace, &excess))
     }
 
     /// Counts a request towards its workspace's grant.
@@ -304,7 +333,37 @@
     }
 }
 
-fn past_rate(workspace: &Workspace, excess: &chicoryloom_policy::allowance::Excess) -> Refusal {
+/// A request that waits until its workspace's grant has room; leaves when dropped.
+struct Shaped<'a> {
+    shaped: &'a Mutex<HashMap<id::Workspace, usize>>,
+    workspace: &'a Workspace,
+    /// Requests that waited when it came.
+    ahead: usize,
+}
+
+impl<'a> Shaped<'a> {
+    fn enter(shaped: &'a Mutex<HashMap<id::Workspace, usize>>, workspace: &'a Workspace) -> Self {
+        let mut waiting = shaped.lock().expect("no holder of the lock panics");
+        let count = waiting.entry(workspace.name.clone()).or_default();
+        let ahead = *count;
+        *count += 1;
+        Self { shaped, workspace, ahead }
+    }
+}
+
+impl Drop for Shaped<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.shaped.lock().expect("no holder of the lock panics");
+        if let Some(count) = waiting.get_mut(&self.workspace.name) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                waiting.remove(&self.workspace.name);
+            }
+        }
+    }
+}
+
+fn past_rate(workspace: &Workspace, excess: &Excess) -> Refusal {
     let detail = format!("workspace {} has {:.1} requests left", workspace.name, excess.left);
     Refusal::new(Reason::Rate, detail).retry_after(excess.wait)
 }
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -40,6 +40,8 @@
 const DEAF: Duration = Duration::from_millis(600);
 /// Part of the rate that a host counts on in that time, as if it shared it with as many others.
 const DEAF_SHARE: f64 = 0.1;
+/// Part of the time in which an answer has its full worth that a request may wait for its grant.
+const PATIENCE: f64 = 0.25;
 /// Largest debt, in parts of the bucket; older debt than that is out of any window.
 const MAX_DEBT: f64 = 2.0;
 /// Admissions within this time are kept as one entry.
@@ -106,6 +108,26 @@
     pub left: f64,
     /// Time after which the next request can be admitted.
     pub wait: Duration,
+    /// Time between two requests at the workspace's rate.
+    pub pace: Duration,
+}
+
+impl Excess {
+    /// Returns the time after which a request can be admitted that comes after `ahead` others.
+    pub fn wait_behind(&self, ahead: usize) -> Duration {
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.wait.saturating_add(self.pace.saturating_mul(ahead))
+    }
+}
+
+/// Returns how long a request may wait for room in its grant, by the time in which its answer has
+/// its full worth.
+///
+/// Load that this answers: hosts that start anew with empty buckets, and bursts that one host
+/// sees a moment before the others' news. A workspace that asks for much more than its rate has
+/// its line full and is refused at once.
+pub fn patience(aim: Duration) -> Duration {
+    aim.mul_f64(PATIENCE)
 }
 
 /// What another host tells of one workspace.
@@ -190,7 +212,9 @@
             return Ok(());
         }
         let left = meter.left;
-        Err(Excess { left, wait: meter.wait(now, window) })
+        let deaf = heard_from.since(now);
+        let pace = Duration::try_from_secs_f64(1.0 / grant.rate).unwrap_or(window).min(window);
+        Err(Excess { left, wait: meter.wait(deaf, now, window), pace })
     }
 
     /// Admits a request, or tells by how much its workspace is past its grant.
@@ -301,9 +325,12 @@
     }
 
     fn left(&self, now: Moment, window: Duration) -> f64 {
-        let coming = self.projected(now);
+        self.left_by_window(now, window).min(self.level) - self.projected(now)
+    }
+
+    fn left_by_window(&self, now: Moment, window: Duration) -> f64 {
         let used = self.used(now, window);
-        let by_window = match self.lowered.filter(|(at, _)| now.since(*at) < window) {
+        match self.lowered.filter(|(at, _)| now.since(*at) < window) {
             None => self.grant.over(window) - used,
             // A lower grant can't take back what was admitted before; it counts from its
             // beginning.
@@ -312,8 +339,7 @@
                 let left = self.grant.over(since) - self.used(now, since);
                 left.min(old.over(window) - used)
             }
-        };
-        by_window.min(self.level) - coming
+        }
     }
 
     /// Returns what the others are expected to have admitted since their latest messages.
@@ -326,17 +352,28 @@
         self.others.values().map(expected).sum()
     }
 
-    /// Returns the time until enough of the counted requests leave the window, or the rate
-    /// brings enough.
-    fn wait(&self, now: Moment, window: Duration) -> Duration {
-        let lacking = 1.0 - self.left;
-        let mut leaving = 0.0;
-        let leaves = self.admitted.iter().find(|(_, count)| {
-            leaving += count;
-            leaving >= lacking
-        });
-        let leaves = leaves.map_or(window, |(at, _)| window.saturating_sub(now.since(*at)));
-        let by_rate = Duration::try_from_secs_f64(lacking / self.grant.rate.max(0.1));
-        leaves.max(by_rate.unwrap_or(window).min(window / 4)).min(window)
+    /// Returns the time until a request can be admitted: until enough of the counted ones leave the
+    /// window, and the rate brings enough to the bucket, to which it brings little for `deaf`.
+    fn wait(&self, deaf: Duration, now: Moment, window: Duration) -> Duration {
+        let coming = self.projected(now);
+        let lacking = 1.0 + coming - self.left_by_window(now, window);
+        let by_window = if lacking > 0.0 {
+            let mut leaving = 0.0;
+            let leaves = self.admitted.iter().find(|(_, count)| {
+                leaving += count;
+                leaving >= lacking
+            });
+            leaves.map_or(window, |(at, _)| window.saturating_sub(now.since(*at)))
+        } else {
+            Duration::ZERO
+        };
+        let lacking = (1.0 + coming - self.level).max(0.0);
+        let slow = DEAF_SHARE * self.grant.rate;
+        let seconds = if lacking <= slow * deaf.as_secs_f64() {
+            lacking / slow
+        } else {
+            deaf.as_secs_f64() * (1.0 - DEAF_SHARE) + lacking / self.grant.rate
+        };
+        by_window.max(Duration::try_from_secs_f64(seconds).unwrap_or(window)).min(window)
     }
 }
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -213,6 +213,26 @@
     assert!((45..=60).contains(&rest), "{rest} in the next five seconds");
 }
 
+/// A host that has just started tells when its bucket brings a request, also to one that comes
+/// behind others.
+#[test]
+fn started_host_tells_when_it_admits_a_request() {
+    let start = Moment::from_millis(1000);
+    let mut allowance = Allowance::new(WINDOW, start);
+    let excess = allowance.check(&workspace(), start).unwrap_err();
+    assert!(excess.wait < Duration::from_millis(700), "{excess:?}");
+    let pace = Duration::from_secs_f64(1.0 / RATE);
+    assert_eq!(excess.wait_behind(3), excess.wait + pace * 3);
+    // Signs of life, without which the host would count as one that stood still.
+    for millis in (0..excess.wait.as_millis() as u64).step_by(50) {
+        allowance.tick(start.after(Duration::from_millis(millis)));
+    }
+    let early = allowance.clone().check(&workspace(), start.after(excess.wait * 9 / 10));
+    assert!(early.is_err());
+    let due = start.after(excess.wait + Duration::from_millis(1));
+    assert!(allowance.check(&workspace(), due).is_ok());
+}
+
 /// Hosts that stood still wake with callers waiting, and don't know what was admitted meanwhile.
 #[test]
 fn grant_holds_when_paused_hosts_wake() {
