Don't eject a returned target on its peers' old evidence

Cause: a target that returns keeps a third of the unhealthy score, so that a relapse is found sooner. Each home host reported that third to the others, and four of them add up to more than the limit. Besides, an ejected target's evidence was reported for three seconds and kept by its receivers for three more, so that a host whose trials had succeeded was still told of the time before. Both ejected a healthy target within 0.2 s of its return, for 3, 6, 12, 24 and 48 s.

Change: the kept part of a score is not reported. Evidence about an ejected target is reported for one second after its latest outcome. Evidence that no longer holds is reported as zero until receivers have dropped it.

Result: health::recovered_target_is_not_ejected_again plays four and eight hosts that report to each other; all four cases failed before and pass now.

--- a/chicoryloom/src/target/monitor.rs
+++ b/chicoryloom/src/target/monitor.rs
@@ -26,7 +26,8 @@
 
 /// Interval of the periodic decisions on the targets' health.
 const DECISION_INTERVAL: Duration = Duration::from_millis(50);
-/// Shortest time between two reports of a service with evidence against a target.
+/// Shortest time between two reports of a service with evidence against a target, or with evidence
+/// that no longer holds.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time between two reports of a service without such evidence.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
@@ -97,7 +98,8 @@
         let mut bodies: Vec<_> =
             crashes.iter().map(|crash| crash_body(service.name(), crash)).collect();
         let reports = service.reports(now);
-        let has_evidence = reports.reports.iter().any(|report| report.score.total() > 0.0);
+        let has_evidence =
+            reports.reports.iter().any(|report| report.score.total() > 0.0 || !report.draining);
         let interval = if has_evidence { EVIDENCE_INTERVAL } else { IDLE_INTERVAL };
         let due = sent.get(service.name()).is_none_or(|at| now.since(*at) >= interval);
         if due && reports.seen > 0 {
--- a/chicoryloom_policy/examples/detection.rs
+++ b/chicoryloom_policy/examples/detection.rs
@@ -332,7 +332,8 @@
         self.push(at + TICK_US, Event::Tick);
         self.sequence += 1;
         let now = moment(at);
-        let reports: Vec<_> = self.detectors.iter().map(|detector| detector.reports(now)).collect();
+        let reports: Vec<_> =
+            self.detectors.iter_mut().map(|detector| detector.reports(now)).collect();
         for host in 0..HOMES {
             for (peer, reports) in reports.iter().enumerate().filter(|(peer, _)| *peer != host) {
                 let name = format!("host-{peer}").parse().unwrap();
--- a/chicoryloom_policy/src/health/detector.rs
+++ b/chicoryloom_policy/src/health/detector.rs
@@ -208,23 +208,37 @@
     }
 
     /// Returns what this host reports to the other home hosts.
-    pub fn reports(&self, now: Moment) -> Reports {
+    ///
+    /// Evidence that no longer holds is reported with a score of zero until the peers have dropped
+    /// the earlier report by themselves.
+    pub fn reports(&mut self, now: Moment) -> Reports {
         let mut reports = Reports::default();
-        for entry in &self.entries {
-            let all_evidence = std::iter::once((None, &entry.overall))
-                .chain(entry.routes.iter().enumerate().map(|(i, r)| (Some(i), &r.evidence)));
+        let detection = self.detection;
+        for entry in &mut self.entries {
+            let is_draining = entry.is_draining(now);
+            let is_out = entry.gate.is_out();
+            let all_evidence = std::iter::once((None, is_out, &mut entry.overall)).chain(
+                entry.routes.iter_mut().enumerate().map(|(index, state)| {
+                    (Some(index), is_out || state.gate.is_out(), &mut state.evidence)
+                }),
+            );
             let mut seen = false;
-            for (route, evidence) in all_evidence {
-                let recent =
-                    evidence.last > Moment::ZERO && now.since(evidence.last) < peers::REPORT_TTL;
-                seen |= recent;
-                let score = evidence.score(self.detection, now);
-                let draining = route.is_none() && entry.is_draining(now);
-                if (recent && score.total() >= MIN_REPORTED_SCORE) || draining {
+            for (route, is_out, evidence) in all_evidence {
+                seen |= evidence.is_recent(peers::REPORT_TTL, now);
+                let ttl = if is_out { peers::EJECTED_REPORT_TTL } else { peers::REPORT_TTL };
+                let score = evidence.observed_score(detection, now);
+                let draining = route.is_none() && is_draining;
+                let holds = evidence.is_recent(ttl, now) && score.total() >= MIN_REPORTED_SCORE;
+                if holds {
+                    evidence.reported = Some(now);
+                }
+                let is_known =
+                    evidence.reported.is_some_and(|at| now.since(at) < peers::REPORT_TTL);
+                if is_known || draining {
                     reports.reports.push(Report {
                         target: entry.id,
                         route: route.map(|route| self.routes[route].name.clone()),
-                        score,
+                        score: if holds { score } else { Score::default() },
                         draining,
                     });
                 }
--- a/chicoryloom_policy/src/health/evidence.rs
+++ b/chicoryloom_policy/src/health/evidence.rs
@@ -76,6 +76,8 @@
 pub(super) struct Evidence {
     /// Sequential test on failures; 0 to [`MAX_SCORE`].
     failed: f64,
+    /// Part of `failed` that was kept at the latest reset rather than observed; 0 to `failed`.
+    kept: f64,
     /// Sequential test on slow answers; 0 to [`MAX_SCORE`].
     slow: f64,
     /// Smoothed share of failures.
@@ -93,6 +95,8 @@
     pub(super) samples: u32,
     /// When the latest outcome was observed.
     pub(super) last: Moment,
+    /// When a score above zero was last reported to the other home hosts.
+    pub(super) reported: Option<Moment>,
     consecutive: u32,
     window: Window,
 }
@@ -122,6 +126,11 @@
         self.last > Moment::ZERO
     }
 
+    /// Returns whether the latest outcome was observed within `span`.
+    pub(super) fn is_recent(&self, span: Duration, now: Moment) -> bool {
+        self.is_used() && now.since(self.last) < span
+    }
+
     /// Records one outcome; `slow` says whether it was slow by the reference of its route.
     pub(super) fn observe(
         &mut self,
@@ -151,14 +160,16 @@
 
     fn decay(&mut self, now: Moment) {
         let halvings = now.since(self.last).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let kept = (-halvings).exp2();
-        self.failed *= kept;
-        self.slow *= kept;
+        let share = (-halvings).exp2();
+        self.failed *= share;
+        self.kept *= share;
+        self.slow *= share;
         self.last = self.last.max(now);
     }
 
     fn add_failed(&mut self, step: f64) {
         self.failed = (self.failed + step).clamp(0.0, MAX_SCORE);
+        self.kept = self.kept.min(self.failed);
     }
 
     fn add_slow(&mut self, slow: bool, reference: &Reference, now: Moment) {
@@ -240,10 +251,23 @@
         }
     }
 
+    /// Returns the evidence without what was kept at the latest reset: if every host reported that,
+    /// their sum would eject a target that has just returned.
+    pub(super) fn observed_score(&self, detection: Detection, now: Moment) -> Score {
+        let score = self.score(detection, now);
+        if detection != Detection::Sequential {
+            return score;
+        }
+        let halvings = now.since(self.last).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        Score { failed: (score.failed - self.kept * (-halvings).exp2()).max(0.0), ..score }
+    }
+
     /// Resets the scores; `kept` remains as failure score, so that a relapse is detected sooner.
     pub(super) fn reset(&mut self, kept: f64, now: Moment) {
         *self = Self {
             failed: kept,
+            kept,
+            reported: self.reported,
             failed_share: self.failed_share,
             slow_share: self.slow_share,
             median: self.median,
--- a/chicoryloom_policy/src/health/peers.rs
+++ b/chicoryloom_policy/src/health/peers.rs
@@ -15,6 +15,9 @@
 const MAX_SPAN_SHARE: f64 = 0.7;
 /// Time for which a report is used.
 pub(super) const REPORT_TTL: Duration = Duration::from_secs(3);
+/// Time since the latest outcome for which evidence about an ejected target is reported. The target
+/// may recover meanwhile, so that hosts which try it must not be told of old failures for long.
+pub(super) const EJECTED_REPORT_TTL: Duration = Duration::from_secs(1);
 
 /// Evidence of one host about one target.
 #[derive(Clone, Debug, PartialEq)]
--- a/chicoryloom_policy/tests/health.rs
+++ b/chicoryloom_policy/tests/health.rs
@@ -82,21 +82,27 @@
     /// Records one outcome of each target in use on each route, and decides, once a round.
     fn run<F: FnMut(usize, usize) -> Outcome>(&mut self, rounds: usize, mut outcome: F) {
         for _ in 0..rounds {
-            self.now = self.now.after(STEP);
-            for target in 0..self.targets {
-                for route in 0..self.routes {
-                    let used = match self.detector.standing(target, route, self.now) {
-                        Standing::In(_) => true,
-                        Standing::Trial => self.detector.take_trial(target, route, self.now),
-                        Standing::Out => false,
-                    };
-                    if used {
-                        self.detector.observe(target, route, outcome(target, route), self.now);
-                    }
+            self.run_if(true, &mut outcome);
+        }
+    }
+
+    /// Does one round; without `has_requests`, time passes and nothing is sent.
+    fn run_if<F: FnMut(usize, usize) -> Outcome>(&mut self, has_requests: bool, mut outcome: F) {
+        self.now = self.now.after(STEP);
+        let targets = if has_requests { self.targets } else { 0 };
+        for target in 0..targets {
+            for route in 0..self.routes {
+                let used = match self.detector.standing(target, route, self.now) {
+                    Standing::In(_) => true,
+                    Standing::Trial => self.detector.take_trial(target, route, self.now),
+                    Standing::Out => false,
+                };
+                if used {
+                    self.detector.observe(target, route, outcome(target, route), self.now);
                 }
             }
-            self.detector.decide(self.now);
         }
+        self.detector.decide(self.now);
     }
 
     fn is_out(&self, target: usize, route: usize) -> bool {
@@ -273,6 +279,84 @@
     assert_eq!(fixture.targets_out(0), [0]);
 }
 
+/// Home hosts that report to each other every 100 ms, as on the wire: a report that is not
+/// repeated stays in force until it expires.
+struct Homes {
+    fixtures: Vec<Fixture>,
+    sequence: u64,
+}
+
+impl Homes {
+    const REPORT_STEPS: u64 = 10;
+
+    fn new(hosts: usize) -> Self {
+        let fixture = |_| Fixture::new(Detection::Sequential, 4, 3);
+        Self { fixtures: (0..hosts).map(fixture).collect(), sequence: 0 }
+    }
+
+    /// Each target in use gets one request a round on each route, from the hosts in turn.
+    fn run(&mut self, rounds: u64, mut outcome: impl FnMut(usize) -> Outcome) {
+        let hosts = self.fixtures.len() as u64;
+        for _ in 0..rounds {
+            self.sequence += 1;
+            for (at, fixture) in self.fixtures.iter_mut().enumerate() {
+                let is_turn = self.sequence % hosts == at as u64;
+                fixture.run_if(is_turn, |target, _| outcome(target));
+            }
+            if self.sequence.is_multiple_of(Self::REPORT_STEPS) {
+                self.exchange_reports();
+            }
+        }
+    }
+
+    fn exchange_reports(&mut self) {
+        let reports: Vec<_> =
+            self.fixtures.iter_mut().map(|host| host.detector.reports(host.now)).collect();
+        for (at, host) in self.fixtures.iter_mut().enumerate() {
+            for (sender, reports) in reports.iter().enumerate().filter(|(one, _)| *one != at) {
+                let name = format!("host-{sender}").parse().unwrap();
+                let sequence = (id::Incarnation(1), self.sequence);
+                host.detector.receive(name, sequence, reports, host.now);
+            }
+            host.detector.decide(host.now);
+        }
+    }
+
+    fn ejections(&self, target: usize) -> Vec<u32> {
+        let most = |fixture: &Fixture| {
+            let explained = fixture.detector.explain(fixture.now);
+            let of_target = explained.iter().filter(|one| one.target == address(target));
+            of_target.map(|one| one.ejections).max().unwrap_or_default()
+        };
+        self.fixtures.iter().map(most).collect()
+    }
+
+    fn hosts_without(&self, target: usize) -> Vec<usize> {
+        let hosts = 0..self.fixtures.len();
+        hosts.filter(|at| self.fixtures[*at].is_out(target, 0)).collect()
+    }
+}
+
+/// Hosts find a recovered target again at different times. What a host still reports of the time
+/// before, and the score that it keeps for a relapse, must not eject the target on the others.
+#[rstest]
+#[case::errors(Outcome::Failed(Failed::Error), 4)]
+#[case::timeouts(Outcome::Failed(Failed::Timeout), 4)]
+#[case::slow(ok(50), 4)]
+#[case::many_hosts(Outcome::Failed(Failed::Error), 8)]
+fn recovered_target_is_not_ejected_again(#[case] unhealthy: Outcome, #[case] hosts: usize) {
+    let second = 100;
+    let mut homes = Homes::new(hosts);
+    homes.run(10 * second, |_| ok(5));
+    homes.run(2 * second, |target| if target == 1 { unhealthy } else { ok(5) });
+    assert_eq!(homes.hosts_without(1).len(), hosts, "the target is unhealthy");
+    let before = homes.ejections(1);
+    // Hold, trials and the time for which reports are kept.
+    homes.run(10 * second, |_| ok(5));
+    assert_eq!(homes.hosts_without(1), [0; 0]);
+    assert_eq!(homes.ejections(1), before);
+}
+
 #[derive(Clone, Debug)]
 enum Op {
     Observe(usize, usize, u8, usize),
