--- a/chicoryloom_harness/tests/ctl.rs
+++ b/chicoryloom_harness/tests/ctl.rs
@@ -198,7 +198,7 @@
     #[case] code: i32,
     #[case] expected: &str,
 ) {
-    let desk = Desk::new(&format!("error-{code}-{}", arguments.len())).await;
+    let desk = Desk::new(&format!("error-{}", arguments.join("-"))).await;
     let output = desk.run(arguments);
     assert_eq!(output.status.code(), Some(code), "{}", error(&output));
     assert!(error(&output).contains(expected), "{}", error(&output));
