--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -1,6 +1,7 @@
 //! Assigns requests to targets, and queues requests while no target has a free slot.
 
 mod peers;
+mod withdrawal;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -32,6 +33,9 @@
 use chicoryloom_policy::holdback::Holdback;
 use chicoryloom_policy::id;
 use chicoryloom_policy::retry::Budget;
+use chicoryloom_policy::withdrawal::Availability;
+use chicoryloom_policy::withdrawal::Process;
+use chicoryloom_policy::withdrawal::Withdrawals;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::Notify;
@@ -57,6 +61,9 @@
 /// Requests at the head of a queue that are considered for free slots. Requests may need different
 /// targets, so that the first one must not block those behind it.
 const LOOKAHEAD: usize = 8;
+/// Time for which a leaving target is reported to the other hosts once a second, as datagrams get
+/// lost and hosts become entry hosts.
+const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(3);
 /// Least number of connections that a host may have to one target, however many hosts there are.
 const MIN_CONNECTIONS: u32 = 4;
 
@@ -112,6 +119,11 @@
     peer_loads: HashMap<id::Host, PeerLoads>,
     estimator: Estimator,
     holdback: Holdback,
+    withdrawals: Withdrawals,
+    /// Leaving targets that are not yet reported to the other hosts.
+    departures: Vec<Process>,
+    /// Leaving targets that this host reports, and since when.
+    reported_departures: Vec<(Process, Moment)>,
     /// Hosts that callers are sent to, with their data centres. One of them is responsible for the
     /// trial requests to each target.
     entry_hosts: Vec<(id::Host, id::DataCentre)>,
@@ -245,6 +257,9 @@
                 peer_loads: HashMap::new(),
                 estimator: Estimator::default(),
                 holdback: Holdback::new(CRASH_LIMIT),
+                withdrawals: Withdrawals::default(),
+                departures: Vec::new(),
+                reported_departures: Vec::new(),
                 entry_hosts: Vec::new(),
                 trial_targets: HashSet::new(),
                 notices: Vec::new(),
@@ -357,6 +372,7 @@
             if is_first && let Some(slot) = self.try_acquire(state, &requirements, now) {
                 return Ok(slot);
             }
+            self.check_capacity(state, &requirements, now)?;
             let service = state.services.entry(requirements.service.clone()).or_default();
             let ticket = service.queue.enqueue(requirements.rank, requirements.latest, now)?;
             let timeout = requirements.latest.since(now);
@@ -364,15 +380,21 @@
             service.waiters.insert(ticket, Waiter { requirements, sender });
             (ticket, receiver, timeout)
         };
+        let latest = now.after(timeout);
         let guard = QueueGuard { dispatcher: self, service: &service_name, ticket };
         let slot = tokio::time::timeout(timeout, receiver).await;
         drop(guard);
         match slot {
             Ok(Ok(slot)) => Ok(slot),
             Ok(Err(_)) | Err(_) => {
-                let state = self.lock();
+                let (state, now) = (self.lock(), self.clock.now());
                 let queue = state.services.get(&service_name).map(|service| &service.queue);
-                let wait = queue.map_or(Duration::ZERO, |queue| queue.drain_time(self.clock.now()));
+                let returns = Self::capacity_return(&state, &service_name, now);
+                let wait = if returns.is_after(latest) {
+                    returns.retry_after(now, &mut rand::rng())
+                } else {
+                    queue.map_or(Duration::ZERO, |queue| queue.drain_time(now))
+                };
                 Err(Rejection { retry_after: wait, ahead: queue.map_or(0, Queue::len) })
             }
         }
@@ -415,8 +437,10 @@
         tried: &[id::Instance],
         now: Moment,
     ) -> (Vec<Arc<Endpoint>>, Vec<Candidate>) {
-        let usable: Vec<_> =
-            service.targets.iter().filter(|endpoint| !endpoint.target.leaving).cloned().collect();
+        let is_usable = |endpoint: &&Arc<Endpoint>| {
+            Self::availability(state, endpoint, now) == Availability::Now
+        };
+        let usable: Vec<_> = service.targets.iter().filter(is_usable).cloned().collect();
         let slots: Vec<_> = usable
             .iter()
             .map(|endpoint| (&endpoint.target.instance, endpoint.target.slots.0))
@@ -580,6 +604,10 @@
         let held: Vec<_> = state.holdback.all_held(now).collect();
         let held = held.into_iter().map(|(request, target)| (request, target.0, false));
         state.crash_reports.extend(held);
+        state.withdrawals.sweep(now);
+        state.reported_departures.retain(|(_, at)| now.since(*at) < DEPARTURE_REPORT_TIME);
+        let again: Vec<_> = state.reported_departures.iter().map(|(one, _)| one.clone()).collect();
+        state.departures.extend(again);
         state.own_in_flight.retain(|_, count| *count > 0);
         state.peer_loads.retain(|_, peer| now.since(peer.received) < LOAD_MAX_AGE);
         for endpoint in state.services.values().flat_map(|service| &service.targets) {
--- /dev/null
+++ b/chicoryloom/src/gateway/dispatcher/withdrawal.rs
@@ -0,0 +1,166 @@
+//! Targets that ask for no more requests, and services that have no other ones.
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::dispatch::Queue;
+use chicoryloom_policy::dispatch::Rejection;
+use chicoryloom_policy::id;
+use chicoryloom_policy::withdrawal;
+use chicoryloom_policy::withdrawal::Availability;
+use chicoryloom_policy::withdrawal::MAX_PAUSE;
+use chicoryloom_policy::withdrawal::Pause;
+use chicoryloom_policy::withdrawal::Process;
+use serde_json::json;
+
+use super::Dispatcher;
+use super::Endpoint;
+use super::Requirements;
+use super::State;
+use crate::target::Withdrawal;
+
+impl Endpoint {
+    /// Returns the process that the endpoint reaches.
+    fn process(&self) -> Process {
+        Process { instance: self.target.instance.clone(), born: self.target.born }
+    }
+}
+
+impl Dispatcher {
+    /// Applies what a target said in an answer to this host.
+    ///
+    /// All hosts stop using a leaving target. A pause concerns this host only.
+    pub(in crate::gateway) fn withdraw(&self, endpoint: &Endpoint, withdrawal: &Withdrawal) {
+        if withdrawal.is_leaving {
+            self.record_departure(endpoint.process(), "answer", true);
+        }
+        match withdrawal.pause {
+            None => {}
+            Some(Ok(pause)) => self.record_pause(endpoint, pause),
+            Some(Err(error)) => log::warn!(
+                "target: {} of {}: its Retry-After is ignored: {error}",
+                endpoint.target.instance,
+                endpoint.target.service
+            ),
+        }
+    }
+
+    /// Applies another host's report that a target is leaving.
+    pub(in crate::gateway) fn apply_peer_departure(&self, host: &id::Host, process: Process) {
+        self.record_departure(process, host.as_str(), false);
+    }
+
+    /// Takes the leaving targets that are not yet reported to the other hosts.
+    pub(in crate::gateway) fn take_departures(&self) -> Vec<Process> {
+        std::mem::take(&mut self.lock().departures)
+    }
+
+    /// Returns how many targets are known to be leaving, and how many pause.
+    pub(in crate::gateway) fn withdrawal_counts(&self) -> (usize, usize) {
+        self.lock().withdrawals.counts(self.clock.now())
+    }
+
+    /// Returns whether a target asked for no more requests after it was chosen.
+    pub(in crate::gateway) fn is_withdrawn(&self, endpoint: &Endpoint) -> bool {
+        let (state, now) = (self.lock(), self.clock.now());
+        state.withdrawals.availability(&endpoint.process(), now) != Availability::Now
+    }
+
+    fn record_departure(&self, process: Process, by: &str, is_own: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if !state.withdrawals.leave(process.clone(), now) {
+            return;
+        }
+        for endpoint in state.services.values().flat_map(|service| &service.targets) {
+            if endpoint.process() == process {
+                endpoint.backend.close_idle();
+            }
+        }
+        if is_own {
+            state.departures.push(process.clone());
+            state.reported_departures.push((process.clone(), now));
+            self.changed.notify_one();
+        }
+        self.refuse_unservable(&mut state, now);
+        drop(state);
+        let Process { instance, born } = &process;
+        let fields = json!({ "target": instance.as_str(), "born": born, "by": by });
+        self.events.emit("target_leaving", fields);
+    }
+
+    fn record_pause(&self, endpoint: &Endpoint, pause: Pause) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(until) = state.withdrawals.pause(endpoint.process(), pause, now) else { return };
+        self.refuse_unservable(&mut state, now);
+        drop(state);
+        self.events.emit(
+            "target_paused",
+            json!({
+                "target": endpoint.target.instance.as_str(),
+                "service": endpoint.target.service.as_str(),
+                "pause_ms": pause.get().as_millis() as u64,
+                "until_up_s": until.since_start().as_secs_f64(),
+                "shortened": pause.get() == MAX_PAUSE,
+            }),
+        );
+    }
+
+    /// Returns when a target takes requests.
+    pub(super) fn availability(state: &State, endpoint: &Endpoint, now: Moment) -> Availability {
+        if endpoint.target.leaving {
+            return Availability::Never;
+        }
+        state.withdrawals.availability(&endpoint.process(), now)
+    }
+
+    /// Returns when a service has a target that takes requests. One that is listed soon may take
+    /// them where none is listed.
+    pub(super) fn capacity_return(
+        state: &State,
+        service: &id::Service,
+        now: Moment,
+    ) -> Availability {
+        let targets = state.services.get(service).map_or(&[][..], |service| &service.targets);
+        if targets.is_empty() {
+            return Availability::Now;
+        }
+        let targets = targets.iter().map(|endpoint| Self::availability(state, endpoint, now));
+        withdrawal::earliest(targets)
+    }
+
+    /// Refuses a request that must be sent before its service has a target that takes it.
+    pub(super) fn check_capacity(
+        &self,
+        state: &State,
+        requirements: &Requirements,
+        now: Moment,
+    ) -> Result<(), Rejection> {
+        let returns = Self::capacity_return(state, &requirements.service, now);
+        if !returns.is_after(requirements.latest) {
+            return Ok(());
+        }
+        let queue = state.services.get(&requirements.service).map(|service| &service.queue);
+        let retry_after = returns.retry_after(now, &mut rand::rng());
+        Err(Rejection { retry_after, ahead: queue.map_or(0, Queue::len) })
+    }
+
+    /// Ends the wait of all requests that can't be served any more.
+    fn refuse_unservable(&self, state: &mut State, now: Moment) {
+        let names: Vec<_> = state.services.keys().cloned().collect();
+        for name in names {
+            let returns = Self::capacity_return(state, &name, now);
+            if returns == Availability::Now {
+                continue;
+            }
+            let Some(service) = state.services.get_mut(&name) else { continue };
+            let waiters = service.waiters.iter();
+            let unservable = waiters.filter(|(_, one)| returns.is_after(one.requirements.latest));
+            let tickets: Vec<_> = unservable.map(|(ticket, _)| *ticket).collect();
+            for ticket in tickets {
+                service.queue.remove(ticket);
+                // The request is woken as its sender is dropped.
+                service.waiters.remove(&ticket);
+            }
+        }
+    }
+}
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -18,6 +18,7 @@
 use chicoryloom_policy::gray::Notice;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
+use chicoryloom_policy::withdrawal::Process;
 use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -68,6 +69,8 @@
 const REGISTER_DELAY: Duration = Duration::from_millis(600);
 /// Interval at which the registered hosts are read from the platform.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
+/// Longest delay before a host registers again at a restored store; all hosts do so.
+const REGISTER_SPREAD: Duration = Duration::from_secs(1);
 /// Delay before a failed registration is repeated.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Silence of all hosts after which this one counts itself as cut off; four heartbeats of an entry
@@ -295,6 +298,10 @@
                 let notice = if recovered { Notice::Recovered } else { Notice::Failed };
                 self.dispatcher.apply_peer_target(&sender, &target, notice);
             }
+            Body::Leaving { target, born } => {
+                let process = Process { instance: target, born };
+                self.dispatcher.apply_peer_departure(&sender, process);
+            }
             Body::Crash { fingerprint, target, answered } => {
                 self.dispatcher.apply_crash(Fingerprint(fingerprint), target, answered);
             }
@@ -351,17 +358,28 @@
     }
 
     /// Registers this host at the platform, and introduces it to the hosts registered there that it
-    /// does not know; runs until the task is aborted.
-    pub(super) async fn register(self: Arc<Self>, store: Arc<dyn Store>) {
+    /// does not know; runs until the task is aborted. A store that was restored from a copy may lack
+    /// the registration, so that it is written again in each era of the store.
+    pub(super) async fn register(self: Arc<Self>, store: Arc<dyn Store>, mirror: Arc<Mirror>) {
         tokio::time::sleep(REGISTER_DELAY).await;
         let me = self.me();
         let entry =
             Registration { host: me.host, data_centre: me.data_centre.clone(), peer: me.peer };
-        while let Err(error) = store.register(&entry).await {
-            log::info!("fleet: registration at the platform failed: {error}");
-            tokio::time::sleep(REGISTER_RETRY_DELAY).await;
-        }
+        let mut era = None;
         loop {
+            let present = mirror.era();
+            if era != Some(present) {
+                if era.is_some() {
+                    let delay = REGISTER_SPREAD.mul_f64(rand::random());
+                    tokio::time::sleep(delay).await;
+                }
+                while let Err(error) = store.register(&entry).await {
+                    log::info!("fleet: registration at the platform failed: {error}");
+                    tokio::time::sleep(REGISTER_RETRY_DELAY).await;
+                }
+                log::debug!("fleet: registered at the platform in era {present} of its store");
+                era = Some(present);
+            }
             match store.hosts().await {
                 Ok(hosts) => {
                     let hosts = hosts.iter().filter(|host| host.host != self.name);
@@ -373,7 +391,8 @@
                 }
                 Err(error) => log::debug!("fleet: registered hosts can't be read: {error}"),
             }
-            tokio::time::sleep(DISCOVERY_INTERVAL).await;
+            // A new era needs the registration at once, and the interval is no error.
+            let _ = tokio::time::timeout(DISCOVERY_INTERVAL, mirror.later_era(present)).await;
         }
     }
 
@@ -465,6 +484,9 @@
             let local = entries.remove(&own).unwrap_or_default();
             let remote: Vec<_> = entries.values().flatten().copied().collect();
             let all: Vec<_> = local.iter().chain(&remote).copied().collect();
+            for Process { instance, born } in self.dispatcher.take_departures() {
+                self.send(&all, Body::Leaving { target: instance, born }).await;
+            }
             for (target, notice) in self.dispatcher.take_notices() {
                 let recovered = notice == Notice::Recovered;
                 self.send(&all, Body::Health { target, recovered }).await;
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -143,7 +143,7 @@
             clock: clock.clone(),
             events: events.clone(),
             mirror: mirror.clone(),
-            dispatcher,
+            dispatcher: dispatcher.clone(),
             fleet: fleet.clone(),
             limiter,
             splits: Mutex::new(HashMap::new()),
@@ -153,6 +153,7 @@
             leaving: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         });
+        register_gauges(&gateway.metrics, &mirror, &dispatcher);
         let (closing, closed) = watch::channel(false);
         let server = Server::new(gateway.clone(), closed);
         let replicator = Replicator {
@@ -165,7 +166,7 @@
         let mut tasks = vec![
             tokio::spawn(fleet.clone().receive()),
             tokio::spawn(fleet.clone().join()),
-            tokio::spawn(fleet.clone().register(store)),
+            tokio::spawn(fleet.clone().register(store, mirror.clone())),
             tokio::spawn(fleet.clone().maintain(mirror.clone())),
             tokio::spawn(fleet.clone().share()),
             tokio::spawn(relay::serve(relay, incarnation, mirror.clone())),
@@ -254,6 +255,27 @@
     }
 }
 
+fn register_gauges(metrics: &Metrics, mirror: &Arc<Mirror>, dispatcher: &Arc<Dispatcher>) {
+    let read = mirror.clone();
+    metrics.register_gauge(
+        "chicory_store_era",
+        "Times that the platform's store was restored from a copy, as far as known",
+        move || read.era().0,
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_targets_leaving",
+        "Targets that said in an answer that they are leaving",
+        move || read.withdrawal_counts().0 as u64,
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_targets_paused",
+        "Targets that want no requests of this host for a while",
+        move || read.withdrawal_counts().1 as u64,
+    );
+}
+
 fn member(settings: &Settings, incarnation: id::Incarnation, peer: SocketAddr) -> Member {
     let by_core = settings.cores * REQUESTS_PER_CORE;
     let by_link = settings.link_mbps * REQUESTS_PER_MBPS;
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -242,9 +242,11 @@
             match self.send(slot).await {
                 Err(failure) => {
                     self.record_failure(&endpoint, &failure);
-                    let is_unsent =
-                        matches!(failure, Failure::Cap | Failure::Connect(_) | Failure::Unsent);
-                    let is_shed = matches!(failure, Failure::Shed { .. } | Failure::Misdirected);
+                    let is_unsent = matches!(
+                        failure,
+                        Failure::Cap | Failure::Connect(_) | Failure::Unsent | Failure::Withdrawn
+                    );
+                    let is_shed = matches!(failure, Failure::Shed(_) | Failure::Misdirected);
                     let goes_on = is_unsent || (is_shed && self.take_retry());
                     if !goes_on {
                         return Attempt::NoResponse(failure);
@@ -307,6 +309,10 @@
         let endpoint = slot.endpoint.clone();
         let lease = tokio::time::timeout_at(self.deadline, endpoint.backend.lease()).await;
         let lease = lease.unwrap_or(Err(Failure::Connect("deadline".to_owned())))?;
+        // The target may have withdrawn while the connection was opened.
+        if self.gateway.dispatcher.is_withdrawn(&endpoint) {
+            return Err(Failure::Withdrawn);
+        }
         let is_fresh = lease.is_new();
         let sent = self.gateway.clock.now();
         let started = Instant::now();
@@ -320,6 +326,10 @@
         if matches!(answer, Err(Failure::Unsent)) && !is_fresh && self.payload.is_available() {
             let lease =
                 endpoint.backend.lease_new().await.inspect_err(|_| self.clear_may_have_run())?;
+            if self.gateway.dispatcher.is_withdrawn(&endpoint) {
+                self.clear_may_have_run();
+                return Err(Failure::Withdrawn);
+            }
             let request = self.target_request(&endpoint).ok_or(Failure::Unsent)?;
             answer = self
                 .await_response(
@@ -398,6 +408,8 @@
     ) -> Result<Attempt, Failure> {
         let dispatcher = &self.gateway.dispatcher;
         let endpoint = slot.endpoint.clone();
+        let protocol = self.gateway.dialect.protocol();
+        dispatcher.withdraw(&endpoint, &protocol.withdrawal(answer.status(), answer.headers()));
         let is_failure = is_failure(answer.status());
         let outcome = if is_failure { Outcome::Failed } else { Outcome::Ok };
         if is_failure {
@@ -431,12 +443,15 @@
     fn record_failure(&self, endpoint: &Endpoint, failure: &Failure) {
         let now = self.gateway.clock.now();
         let outcome = match failure {
-            Failure::Cap | Failure::Body(_) => None,
+            Failure::Cap | Failure::Body(_) | Failure::Withdrawn => None,
             Failure::Connect(_) | Failure::Unsent | Failure::Misdirected | Failure::Deadline => {
                 endpoint.backend.close_idle();
                 Some(Outcome::Silent)
             }
-            Failure::Shed { .. } => Some(Outcome::Shed),
+            Failure::Shed(withdrawal) => {
+                self.gateway.dispatcher.withdraw(endpoint, withdrawal);
+                Some(Outcome::Shed)
+            }
             Failure::Lost(_)
             | Failure::Mismatched
             | Failure::CloseDelimited
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chicoryloom_policy::id;
-use chicoryloom_policy::replica::Revisions;
+use chicoryloom_policy::replica::Positions;
 use chicoryloom_policy::replica::Update;
 use serde::Deserialize;
 use serde::Serialize;
@@ -95,6 +95,12 @@
         target: SocketAddr,
         answered: bool,
     },
+    /// A target said in an answer that it is leaving.
+    Leaving {
+        target: id::Instance,
+        /// Start time of the target's process.
+        born: u64,
+    },
 }
 
 /// A datagram with its sender.
@@ -114,8 +120,8 @@
     pub(super) incarnation: id::Incarnation,
     /// Number of the relay's latest change that the follower has applied; 0 asks for everything.
     pub(super) after: u64,
-    /// Platform revisions that the follower's copies have reached.
-    pub(super) reached: Revisions,
+    /// Platform positions that the follower's copies have reached.
+    pub(super) reached: Positions,
     /// Longest time that the relay may wait for a change before it responds.
     pub(super) wait_ms: u32,
 }
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -11,10 +11,12 @@
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Catalog;
 use chicoryloom_policy::catalog::Target;
+use chicoryloom_policy::position::Era;
+use chicoryloom_policy::position::Position;
 use chicoryloom_policy::replica::Changes;
 use chicoryloom_policy::replica::Kind;
+use chicoryloom_policy::replica::Positions;
 use chicoryloom_policy::replica::Replica;
-use chicoryloom_policy::replica::Revisions;
 use chicoryloom_policy::replica::Update;
 use serde_json::json;
 use smol_str::SmolStr;
@@ -66,6 +68,8 @@
     events: Events,
     /// Number of the copy's latest change, and how often the copy was confirmed.
     latest: watch::Sender<(u64, u64)>,
+    /// Latest era of the platform's store that the copy has reached.
+    era: watch::Sender<Era>,
 }
 
 impl fmt::Debug for Mirror {
@@ -89,6 +93,7 @@
             clock,
             events,
             latest: watch::Sender::new((0, 0)),
+            era: watch::Sender::new(Era::default()),
         }
     }
 
@@ -128,21 +133,33 @@
         self.lock().source == Some(source)
     }
 
-    /// Returns the platform's revision up to which the objects of a kind are known.
-    pub(super) fn revision(&self, kind: Kind) -> u64 {
-        self.lock().replica.revision(kind)
+    /// Returns the platform's position up to which the objects of a kind are known.
+    pub(super) fn position(&self, kind: Kind) -> Position {
+        self.lock().replica.position(kind)
     }
 
     /// Returns the number of the latest change, and the updates that bring a host up to it that has
-    /// change `number` and the revisions in `reached`.
-    pub(super) fn after(&self, number: u64, reached: Revisions) -> (u64, Vec<Update>) {
+    /// change `number` and the positions in `reached`.
+    pub(super) fn after(&self, number: u64, reached: Positions) -> (u64, Vec<Update>) {
         let state = self.lock();
         (state.replica.latest_change(), state.replica.updates_after(number, reached))
     }
 
-    /// Returns the platform's revisions that the copies have reached.
-    pub(super) fn reached(&self) -> Revisions {
-        self.lock().replica.revisions()
+    /// Returns the platform's positions that the copies have reached.
+    pub(super) fn reached(&self) -> Positions {
+        self.lock().replica.positions()
+    }
+
+    /// Waits until the platform's store is known to be in a later era than `known`.
+    pub(super) async fn later_era(&self, known: Era) {
+        let mut era = self.era.subscribe();
+        // The mirror owns the sender, so this never fails.
+        let _ = era.wait_for(|era| *era > known).await;
+    }
+
+    /// Returns the latest known era of the platform's store.
+    pub(super) fn era(&self) -> Era {
+        *self.era.borrow()
     }
 
     /// Waits until there is a change after `number` or the copy is confirmed again, for `wait` at
@@ -163,14 +180,19 @@
 
     /// Applies an update that was confirmed to be the platform's state `age` ago; returns whether
     /// the copy accepted it. An update that lists all objects is rejected if it is older than the
-    /// copy.
+    /// copy, and any update if it is from an earlier era of the platform's store.
     pub(super) fn apply(&self, update: Update, age: Duration, source: Source) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        let accepted = state.replica.accepts(&update);
+        let accepted = match source {
+            Source::Platform => state.replica.accepts(&update),
+            Source::Host(_) => state.replica.accepts_relayed(&update),
+        };
         state.source = Some(source);
-        let index = usize::from(update.kind == Kind::Target);
-        if update.revision >= state.replica.revision(update.kind) {
+        let (kind, before) = (update.kind, state.replica.position(update.kind));
+        let (listed, position) = (update.records.len(), update.position);
+        let index = usize::from(kind == Kind::Target);
+        if accepted && position >= before {
             let confirmed = now.before(age);
             state.confirmed[index] = state.confirmed[index].max(Some(confirmed));
             self.latest.send_modify(|(_, confirmed)| *confirmed += 1);
@@ -179,6 +201,17 @@
             Source::Platform => state.replica.apply(update, now),
             Source::Host(_) => state.replica.apply_relayed(update, now),
         };
+        if accepted && !before.is_start() && position.era > before.era {
+            let fields = json!({
+                "kind": format!("{kind:?}"), "era": position.era.0, "before": before.era.0,
+                "revision": position.revision, "revision_before": before.revision,
+                "listed": listed, "changed": changes.len(),
+                "kept_until_grace_ends": state.replica.lapsed_count(), "from": source.to_string(),
+            });
+            self.events.emit("store_restored", fields);
+        }
+        let era = state.replica.era();
+        self.era.send_if_modified(|known| std::mem::replace(known, era) != era);
         self.apply_changes(&mut state, &changes, &source.to_string());
         accepted
     }
@@ -209,9 +242,9 @@
 
     fn read_catalog(&self, state: &State, source: &str) {
         // The platform keeps one object of this kind. If others were written, the newest counts.
-        let record = state.replica.records(Kind::Catalog).max_by_key(|record| record.revision);
-        let Some((revision, value)) =
-            record.and_then(|record| Some((record.revision, record.value.as_ref()?)))
+        let record = state.replica.records(Kind::Catalog).max_by_key(|record| record.generation);
+        let Some((position, value)) =
+            record.and_then(|record| Some((record.position, record.value.as_ref()?)))
         else {
             return;
         };
@@ -220,7 +253,7 @@
                 let known = self.catalog().map(|known| known.version);
                 let fields = json!({
                     "version": catalog.version.0, "before": known.map(|version| version.0),
-                    "revision": revision, "from": source,
+                    "revision": position.revision, "era": position.era.0, "from": source,
                 });
                 if known.is_some_and(|known| known >= catalog.version) {
                     self.events.emit("configuration_older", fields);
@@ -231,7 +264,10 @@
             }
             Err(error) => {
                 let error = error.to_string();
-                let fields = json!({ "revision": revision, "error": error, "from": source });
+                let fields = json!({
+                    "revision": position.revision, "era": position.era.0, "error": error,
+                    "from": source,
+                });
                 self.events.emit("configuration_invalid", fields);
             }
         }
@@ -239,8 +275,8 @@
 
     fn read_target(&self, state: &mut State, name: &SmolStr, source: &str) {
         let record = state.replica.get(Kind::Target, name);
-        let value = record.and_then(|record| Some((record.revision, record.value.clone()?)));
-        let Some((revision, value)) = value else {
+        let value = record.and_then(|record| Some((record.position, record.value.clone()?)));
+        let Some((position, value)) = value else {
             state.targets.remove(name);
             let fields = json!({ "target": name.as_str(), "from": source });
             self.events.emit("target_gone", fields);
@@ -251,7 +287,8 @@
                 let fields = json!({
                     "target": name.as_str(), "service": target.service.as_str(),
                     "address": target.address.to_string(), "leaving": target.leaving,
-                    "born": target.born, "revision": revision, "from": source,
+                    "born": target.born, "revision": position.revision, "era": position.era.0,
+                    "from": source,
                 });
                 self.events.emit("target_listed", fields);
                 state.targets.insert(name.clone(), target);
@@ -259,8 +296,10 @@
             Err(error) => {
                 state.targets.remove(name);
                 let error = error.to_string();
-                let fields =
-                    json!({ "target": name.as_str(), "revision": revision, "error": error });
+                let fields = json!({
+                    "target": name.as_str(), "revision": position.revision,
+                    "era": position.era.0, "error": error,
+                });
                 self.events.emit("target_invalid", fields);
             }
         }
--- a/chicoryloom/src/gateway/port.rs
+++ b/chicoryloom/src/gateway/port.rs
@@ -12,6 +12,7 @@
 use chicoryloom_policy::catalog::Catalog;
 use chicoryloom_policy::catalog::Target;
 use chicoryloom_policy::id;
+use chicoryloom_policy::position::Position;
 use chicoryloom_policy::replica::Kind;
 use chicoryloom_policy::replica::Update;
 use http::HeaderMap;
@@ -85,8 +86,11 @@
     /// Returns all objects of a kind.
     async fn list(&self, kind: Kind) -> Result<Update, Error>;
 
-    /// Returns what has changed after revision `after`; waits for a change for `wait` at most.
-    async fn watch(&self, kind: Kind, after: u64, wait: Duration) -> Result<Update, Error>;
+    /// Returns what has changed after a position; waits for a change for `wait` at most.
+    ///
+    /// A store that was restored since answers with [`Error::Compacted`], or with changes of its new
+    /// era, which are incomplete.
+    async fn watch(&self, kind: Kind, after: Position, wait: Duration) -> Result<Update, Error>;
 
     /// Writes the entry of a host; replaces one that an earlier process of the host left.
     async fn register(&self, host: &Registration) -> Result<(), Error>;
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use chicoryloom_policy::id;
-use chicoryloom_policy::replica::Revisions;
+use chicoryloom_policy::replica::Positions;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -96,7 +96,7 @@
     /// Requests the changes since the acknowledged one; the relay may wait for one for `wait`.
     pub(super) async fn poll(
         &mut self,
-        reached: Revisions,
+        reached: Positions,
         wait: Duration,
     ) -> io::Result<SyncResponse> {
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -222,17 +222,19 @@
         let mut retry_delay = RETRY_DELAY.0;
         let mut is_listed = false;
         let mut is_lost = false;
+        let mut was_compacted = false;
         let mut batch_delay = Duration::ZERO;
         loop {
             if !*should_watch.borrow_and_update() {
-                is_listed = self.mirror.revision(kind) > 0;
+                is_listed = !self.mirror.position(kind).is_start();
                 if should_watch.changed().await.is_err() {
                     return;
                 }
                 continue;
             }
-            let after = self.mirror.revision(kind);
-            let called = if is_listed && after > 0 {
+            let after = self.mirror.position(kind);
+            let is_watch = is_listed && !after.is_start();
+            let called = if is_watch {
                 tokio::time::sleep(batch_delay).await;
                 self.store.watch(kind, after, WATCH_WAIT - batch_delay).await
             } else {
@@ -252,10 +254,26 @@
                         // The objects are listed next, unless this update is a listing.
                         is_listed = update.whole;
                     }
-                    retry_delay = RETRY_DELAY.0;
-                    self.mirror.apply(update, Duration::ZERO, Source::Platform);
+                    if is_watch {
+                        retry_delay = RETRY_DELAY.0;
+                    }
+                    // The changes of a store that was restored from a copy are incomplete, and an
+                    // answer from before the restoration may arrive after it.
+                    let is_accepted = self.mirror.apply(update, Duration::ZERO, Source::Platform);
+                    if !is_accepted {
+                        is_listed = false;
+                        retry_delay = self.back_off(retry_delay).await;
+                    }
+                }
+                Err(port::Error::Compacted) => {
+                    // Without a pause, a store that keeps no history would get one list after the
+                    // other.
+                    if std::mem::replace(&mut was_compacted, true) {
+                        retry_delay = self.back_off(retry_delay).await;
+                    }
+                    is_listed = false;
+                    continue;
                 }
-                Err(port::Error::Compacted) => is_listed = false,
                 Err(error) => {
                     if !is_lost {
                         is_lost = true;
@@ -263,11 +281,17 @@
                         let fields = json!({ "kind": format!("{kind:?}"), "error": error });
                         self.events.emit("store_lost", fields);
                     }
-                    let jitter = rand::rng().random_range(0.7..1.3);
-                    tokio::time::sleep(retry_delay.mul_f64(jitter)).await;
-                    retry_delay = (retry_delay * 2).min(RETRY_DELAY.1);
+                    retry_delay = self.back_off(retry_delay).await;
                 }
             }
+            was_compacted &= !is_watch;
         }
     }
+
+    /// Waits before a call to the platform is repeated; returns the delay of the next repetition.
+    async fn back_off(&self, delay: Duration) -> Duration {
+        let jitter = rand::rng().random_range(0.7..1.3);
+        tokio::time::sleep(delay.mul_f64(jitter)).await;
+        (delay * 2).min(RETRY_DELAY.1)
+    }
 }
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -203,12 +203,12 @@
     fn observe_failure(&self, member: &Member, failure: &Failure, fresh: bool) {
         let now = self.proxy.clock.now();
         let failed = match failure {
-            Failure::Cap | Failure::Body(_) => return,
+            Failure::Cap | Failure::Body(_) | Failure::Withdrawn => return,
             Failure::Unsent if !fresh => return,
             Failure::Connect(_) | Failure::Unsent => Failed::Refused,
-            Failure::Shed { draining } => {
+            Failure::Shed(withdrawal) => {
                 member.backend.gauge().record_shed(now);
-                if *draining {
+                if withdrawal.is_leaving {
                     self.service.mark_draining(member.target.id, now);
                 }
                 return;
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -8,12 +8,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryloom_policy::withdrawal::InvalidPause;
+use chicoryloom_policy::withdrawal::Pause;
 use chicoryloom_wire::header;
+use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::RETRY_AFTER;
 use http::header::TRANSFER_ENCODING;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Frame;
@@ -33,7 +37,7 @@
     pub allows_no_echo: bool,
     /// Set on an answer to a request that was not run.
     pub not_run: HeaderName,
-    /// Set by a target that is draining.
+    /// Set by a target that is draining, in all its answers; the value 0 means that it is not.
     pub draining: Option<HeaderName>,
     /// Set by a target on each whole answer and required on successful ones; `None` if targets
     /// don't set it.
@@ -57,6 +61,27 @@
     }
 }
 
+/// What a target says in an answer about further requests.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Withdrawal {
+    /// Whether the target is leaving.
+    pub(crate) is_leaving: bool,
+    /// Time for which it wants no requests, if it turned this one away.
+    pub(crate) pause: Option<Result<Pause, InvalidPause>>,
+}
+
+impl Protocol {
+    /// Returns what the head of an answer says about further requests.
+    pub(crate) fn withdrawal(&self, status: StatusCode, headers: &HeaderMap) -> Withdrawal {
+        let draining = self.draining.as_ref().and_then(|name| headers.get(name));
+        let is_leaving = draining.is_some_and(|value| value.as_bytes().trim_ascii() != b"0");
+        let pause = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+        let parse =
+            |value: &HeaderValue| value.to_str().map_err(|_| InvalidPause::NotSeconds)?.parse();
+        Withdrawal { is_leaving, pause: pause.map(parse) }
+    }
+}
+
 /// Body of a request to a target, or of an answer to a caller.
 pub(crate) type Body = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -104,7 +129,9 @@
     /// No answer arrived before the deadline.
     Deadline,
     /// The target reports that it did not run the request.
-    Shed { draining: bool },
+    Shed(Withdrawal),
+    /// The target asked for no more requests before this one was sent.
+    Withdrawn,
     /// The address now belongs to another target, which did not run the request.
     Misdirected,
     /// The answer is successful but lacks the header that a target sets on whole answers.
@@ -137,8 +164,11 @@
             Self::Mismatched => f.write_str("answer belongs to another request"),
             Self::CloseDelimited => f.write_str("answer without a length or chunks"),
             Self::Deadline => f.write_str("the target did not answer before the deadline"),
-            Self::Shed { draining: true } => f.write_str("shed by a draining target"),
-            Self::Shed { draining: false } => f.write_str("shed by the target"),
+            Self::Shed(Withdrawal { is_leaving: true, .. }) => {
+                f.write_str("shed by a draining target")
+            }
+            Self::Shed(_) => f.write_str("shed by the target"),
+            Self::Withdrawn => f.write_str("the target asked for no more requests"),
             Self::Misdirected => f.write_str("another target has the address"),
             Self::Unsealed => f.write_str("answer without a target's seal"),
         }
@@ -199,8 +229,7 @@
     // A target that sheds a request before it reads the head can't echo the identifier.
     let is_shed = headers.contains_key(&protocol.not_run) && echoed.is_none_or(|_| is_own);
     if is_shed {
-        let draining = protocol.draining.as_ref().is_some_and(|name| headers.contains_key(name));
-        return Err(Failure::Shed { draining });
+        return Err(Failure::Shed(protocol.withdrawal(response.status(), headers)));
     }
     if !is_own {
         return Err(Failure::Mismatched);
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod moment;
 pub mod pick;
 pub mod placement;
+pub mod position;
 pub mod queue;
 pub mod replay;
 pub mod replica;
@@ -28,5 +29,6 @@
 pub mod run;
 pub mod split;
 pub mod unit;
+pub mod withdrawal;
 
 pub use moment::Moment;
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -1,4 +1,15 @@
 //! A host's copy of the platform's objects, fed by the platform itself or by other hosts.
+//!
+//! Within an era of the platform's store, the order of two contents of an object is that of their
+//! revisions. A store that was restored from a copy lists contents that this host may know to be
+//! outdated. The first listing of a new era is therefore merged into the copy:
+//!
+//! - Of two contents from different eras, the one with the higher [`Generation`] is kept: no
+//!   configuration is replaced by an earlier version, and no target that leaves by one in use.
+//! - An object that was deleted in an earlier era stays deleted, even if the restored copy lists
+//!   it. Only a higher generation, or a write after the listing, creates it again.
+//! - Targets that the restored copy lacks are kept for a grace period, in which those that are alive
+//!   are written again. A configuration is kept until a later version is written.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -9,8 +20,12 @@
 use smol_str::SmolStr;
 
 use crate::Moment;
+use crate::position::Era;
+use crate::position::Generation;
+use crate::position::Position;
 
-/// Time after an outage of the platform for which entries that lapsed in it are kept.
+/// Time after an outage of the platform, or its restoration from a copy, for which entries that
+/// lapsed in it are kept.
 ///
 /// The platform guarantees that live targets are listed again about two seconds after its return.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2200);
@@ -40,8 +55,10 @@
 pub struct Record {
     pub kind: Kind,
     pub name: SmolStr,
-    /// Revision of the last change, the deletion included.
-    pub revision: u64,
+    /// Position of the last change, the deletion included.
+    pub position: Position,
+    /// Orders this content among those of other eras; for a deleted object, that of its last one.
+    pub generation: Generation,
     /// Encoded object, which the platform's adapter decodes; `None` for a deleted object.
     pub value: Option<Bytes>,
 }
@@ -57,19 +74,19 @@
     pub lapsed: Vec<SmolStr>,
     /// Whether the update is a full listing: objects neither in `records` nor `kept` don't exist.
     pub whole: bool,
-    /// The platform's revision as of this update.
-    pub revision: u64,
+    /// The platform's position as of this update.
+    pub position: Position,
 }
 
-/// The platform's revisions that a host's copies are at.
+/// The platform's positions that a host's copies are at.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Revisions {
-    pub catalog: u64,
-    pub targets: u64,
+pub struct Positions {
+    pub catalog: Position,
+    pub targets: Position,
 }
 
-impl Revisions {
-    fn get(self, kind: Kind) -> u64 {
+impl Positions {
+    fn get(self, kind: Kind) -> Position {
         match kind {
             Kind::Catalog => self.catalog,
             Kind::Target => self.targets,
@@ -85,23 +102,48 @@
 }
 
 impl Changes {
+    /// Returns the number of changed objects.
+    pub fn len(&self) -> usize {
+        usize::from(self.catalog) + self.targets.len()
+    }
+
     /// Returns whether nothing changed.
     pub fn is_empty(&self) -> bool {
         !self.catalog && self.targets.is_empty()
     }
 }
 
+/// A deletion, which keeps an older content of the object from restoring it.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    position: Position,
+    /// Generation of the deleted content.
+    generation: Generation,
+}
+
 /// Objects of one kind.
 #[derive(Clone, Debug, Default)]
 struct Table {
+    /// May include objects of earlier eras that the platform has not written again yet.
     records: HashMap<SmolStr, Record>,
-    /// Deleted objects, with the revision of each deletion.
-    deleted: HashMap<SmolStr, u64>,
-    /// The platform's revision that the table is at.
-    revision: u64,
+    deleted: HashMap<SmolStr, Tombstone>,
+    /// The platform's position that the table is at.
+    position: Position,
 }
 
-/// Copies of all objects. The revision of each object never decreases.
+/// What happens to a listed or changed object.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Merge {
+    /// The content is older than what is known, or known already.
+    Outdated,
+    /// The content is that of an earlier era; it only moves to the new position.
+    Unchanged,
+    /// The content is new.
+    Changed,
+}
+
+/// Copies of all objects. The position of each copy never decreases, nor does that of an object
+/// within an era, nor its generation from one era to the next.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     catalog: Table,
@@ -132,14 +174,24 @@
         }
     }
 
-    /// Returns the platform's revision that the copy of a kind is at.
-    pub fn revision(&self, kind: Kind) -> u64 {
-        self.table(kind).revision
+    /// Returns the platform's position that the copy of a kind is at.
+    pub fn position(&self, kind: Kind) -> Position {
+        self.table(kind).position
+    }
+
+    /// Returns the platform's positions that all copies are at.
+    pub fn positions(&self) -> Positions {
+        Positions { catalog: self.catalog.position, targets: self.targets.position }
+    }
+
+    /// Returns the latest era of the platform's store that any copy has reached.
+    pub fn era(&self) -> Era {
+        self.catalog.position.era.max(self.targets.position.era)
     }
 
-    /// Returns the platform's revisions that all copies are at.
-    pub fn revisions(&self) -> Revisions {
-        Revisions { catalog: self.catalog.revision, targets: self.targets.revision }
+    /// Returns how many targets are kept although the platform doesn't list them.
+    pub fn lapsed_count(&self) -> usize {
+        self.lapsed.len()
     }
 
     /// Returns the objects of a kind.
@@ -157,16 +209,19 @@
         self.grace_until = Some(now.after(LAPSE_GRACE));
     }
 
-    /// Returns a full update for a receiver whose copy is at `revision`; that is 0 for an empty copy.
-    pub fn snapshot(&self, kind: Kind, revision: u64) -> Update {
+    /// Returns a full update for a receiver whose copy is at a position.
+    pub fn snapshot(&self, kind: Kind, reached: Position) -> Update {
         let table = self.table(kind);
-        // A receiver with a newer copy rejects the update, so what it holds is not sent.
-        let (kept, records): (Vec<_>, Vec<_>) =
-            table.records.values().partition(|record| record.revision <= revision);
+        // A receiver with a newer copy rejects the update, so what it holds is not sent. Objects of
+        // earlier eras are missing in a copy that was listed from the restored store.
+        let is_known = |record: &&Record| {
+            record.position <= reached && record.position.era == table.position.era
+        };
+        let (kept, records): (Vec<_>, Vec<_>) = table.records.values().partition(is_known);
         let kept = kept.into_iter().map(|record| record.name.clone()).collect();
         let records = records.into_iter().cloned().collect();
         let lapsed = self.lapsed_names(kind);
-        Update { kind, records, kept, lapsed, whole: true, revision: table.revision }
+        Update { kind, records, kept, lapsed, whole: true, position: table.position }
     }
 
     fn lapsed_names(&self, kind: Kind) -> Vec<SmolStr> {
@@ -180,13 +235,13 @@
     }
 
     /// Returns what changed after a numbered change of this copy, or whole copies if the log does
-    /// not reach back that far. The receiver's copies are at `revisions`.
-    pub fn updates_after(&self, number: u64, revisions: Revisions) -> Vec<Update> {
+    /// not reach back that far. The receiver's copies are at `reached`.
+    pub fn updates_after(&self, number: u64, reached: Positions) -> Vec<Update> {
         let first = self.log.front().map_or(self.latest_change + 1, |(first, ..)| *first);
         if number == 0 || number + 1 < first || number > self.latest_change {
             return Kind::ALL
                 .into_iter()
-                .map(|kind| self.snapshot(kind, revisions.get(kind)))
+                .map(|kind| self.snapshot(kind, reached.get(kind)))
                 .collect();
         }
         Kind::ALL.into_iter().map(|kind| self.delta(kind, number)).collect()
@@ -203,14 +258,14 @@
             .collect();
         let record = |name: &SmolStr| {
             let deletion = || {
-                let revision = table.deleted.get(name).copied()?;
-                Some(Record { kind, name: name.clone(), revision, value: None })
+                let Tombstone { position, generation } = table.deleted.get(name).copied()?;
+                Some(Record { kind, name: name.clone(), position, generation, value: None })
             };
             table.records.get(name).cloned().or_else(deletion)
         };
         let records = names.into_iter().filter_map(record).collect();
         let (kept, lapsed) = (Vec::new(), self.lapsed_names(kind));
-        Update { kind, records, kept, lapsed, whole: false, revision: table.revision }
+        Update { kind, records, kept, lapsed, whole: false, position: table.position }
     }
 
     /// Appends changed objects to the log.
@@ -224,22 +279,33 @@
         }
     }
 
-    /// Returns whether an update is at least as new as this copy. Only then do later changes of its
-    /// sender add up to the sender's copy.
+    /// Returns whether an update of the platform is at least as new as this copy. After the store was
+    /// restored, its changes are accepted once the objects have been listed.
     pub fn accepts(&self, update: &Update) -> bool {
-        !update.whole || update.revision >= self.table(update.kind).revision
+        let known = self.table(update.kind).position;
+        let follows = update.whole || known.is_start() || update.position.era == known.era;
+        follows && self.accepts_relayed(update)
+    }
+
+    /// Returns whether an update of another host is at least as new as this copy. Only then do later
+    /// changes of its sender add up to the sender's copy.
+    pub fn accepts_relayed(&self, update: &Update) -> bool {
+        let known = self.table(update.kind).position;
+        if update.whole { update.position >= known } else { update.position.era >= known.era }
     }
 
     /// Applies an update from another host, whose copy includes the lapsed targets that it keeps.
     pub fn apply_relayed(&mut self, update: Update, now: Moment) -> Changes {
+        if !self.accepts_relayed(&update) {
+            return Changes::default();
+        }
         if update.kind == Kind::Target {
             self.grace_until = None;
         }
         let lapsed = update.lapsed.clone();
-        let accepted = self.accepts(&update);
-        let changes = self.apply(update, now);
+        let changes = self.merge(update, now);
         // This host may follow another one by the time they expire, so it expires them itself.
-        for name in lapsed.into_iter().filter(|_| accepted) {
+        for name in lapsed {
             if self.targets.records.contains_key(&name) {
                 self.lapsed.entry(name).or_insert(now.after(LAPSE_GRACE));
             }
@@ -249,50 +315,77 @@
 
     /// Applies an update of the platform; an update older than this copy changes nothing.
     pub fn apply(&mut self, update: Update, now: Moment) -> Changes {
-        let mut changes = Changes::default();
         if !self.accepts(&update) {
-            return changes;
+            return Changes::default();
+        }
+        self.merge(update, now)
+    }
+
+    fn merge(&mut self, update: Update, now: Moment) -> Changes {
+        let Update { kind, records, kept, lapsed: _, whole, position } = update;
+        let known = self.table(kind).position;
+        let is_restored = !known.is_start() && position.era > known.era;
+        if is_restored && kind == Kind::Target {
+            self.grace_until = Some(now.after(LAPSE_GRACE));
         }
-        let Update { kind, records, kept, lapsed: _, whole, revision } = update;
         let mut names: Vec<SmolStr> = Vec::new();
+        let merges: Vec<_> = records.iter().map(|one| self.table(kind).merge(one)).collect();
+        let lapsed_before: HashSet<_> = self.lapsed.keys().cloned().collect();
         if whole {
-            names = self.delete_unlisted(kind, &records, &kept, revision, now);
+            let listed: HashSet<_> = records
+                .iter()
+                .zip(&merges)
+                .filter(|(record, merge)| self.table(kind).lists(record, **merge))
+                .map(|(record, _)| record.name.clone())
+                .chain(kept)
+                .collect();
+            names = self.delete_unlisted(kind, &listed, position, now);
         }
         let grace = self.grace_until.filter(|until| kind == Kind::Target && now < *until);
-        for record in records {
+        for (record, merge) in records.into_iter().zip(merges) {
             let table = self.table_mut(kind);
-            let known = table.records.get(&record.name).map_or(0, |known| known.revision);
-            let deleted_at = table.deleted.get(&record.name).copied().unwrap_or_default();
-            // A deletion may carry the revision of the change before it, and takes precedence.
-            let is_newer = match record.value {
-                Some(_) => record.revision > known.max(deleted_at),
-                None => record.revision >= known.max(1) && record.revision > deleted_at,
-            };
-            if !is_newer {
-                continue;
-            }
-            if record.value.is_some() {
-                table.deleted.remove(&record.name);
-                names.push(record.name.clone());
-                table.records.insert(record.name.clone(), record);
-            } else if let Some(until) = grace.filter(|_| known > 0) {
-                self.lapsed.entry(record.name).or_insert(until);
-            } else {
-                table.delete(&record.name, record.revision);
-                names.push(record.name);
+            match merge {
+                Merge::Outdated => {
+                    if let Some(tombstone) = table.deleted.get_mut(&record.name)
+                        && record.position.era > tombstone.position.era
+                    {
+                        // Only a write after this update shows that the object exists again.
+                        tombstone.position = position;
+                    }
+                }
+                Merge::Unchanged => {
+                    if kind == Kind::Target && lapsed_before.contains(&record.name) {
+                        // Followers must learn that it no longer lapses.
+                        names.push(record.name.clone());
+                    }
+                    table.records.insert(record.name.clone(), record);
+                }
+                Merge::Changed if record.value.is_some() => {
+                    table.deleted.remove(&record.name);
+                    names.push(record.name.clone());
+                    table.records.insert(record.name.clone(), record);
+                }
+                Merge::Changed => match grace {
+                    Some(until) if table.records.contains_key(&record.name) => {
+                        self.lapsed.entry(record.name).or_insert(until);
+                    }
+                    _ => {
+                        table.delete(&record.name, record.position, record.generation);
+                        names.push(record.name);
+                    }
+                },
             }
         }
         let table = self.table_mut(kind);
-        table.revision = table.revision.max(revision);
+        table.position = table.position.max(position);
         for name in &names {
             self.lapsed.remove(name);
         }
         self.log_changes(kind, &names);
         match kind {
-            Kind::Catalog => changes.catalog = !names.is_empty(),
-            Kind::Target => changes.targets = names,
+            Kind::Catalog => Changes { catalog: !names.is_empty(), ..Changes::default() },
+            Kind::Target => Changes { catalog: false, targets: names },
         }
-        changes
     }
 
     /// Deletes the objects that a full listing lacks and returns their names; in the grace period,
@@ -300,19 +393,23 @@
     fn delete_unlisted(
         &mut self,
         kind: Kind,
-        records: &[Record],
-        kept: &[SmolStr],
-        revision: u64,
+        listed: &HashSet<SmolStr>,
+        position: Position,
         now: Moment,
     ) -> Vec<SmolStr> {
-        let listed: HashSet<_> = records.iter().map(|record| &record.name).chain(kept).collect();
         if kind == Kind::Target {
             self.lapsed.retain(|name, _| !listed.contains(name));
         }
         let grace = self.grace_until.filter(|until| kind == Kind::Target && now < *until);
         let table = self.table_mut(kind);
-        let unlisted: Vec<_> =
-            table.records.keys().filter(|name| !listed.contains(name)).cloned().collect();
+        // A configuration of an earlier era stays in force until it is written again.
+        let is_kept = |record: &Record| kind == Kind::Catalog && record.position.era < position.era;
+        let unlisted: Vec<_> = table
+            .records
+            .values()
+            .filter(|record| !listed.contains(&record.name) && !is_kept(record))
+            .map(|record| record.name.clone())
+            .collect();
         if let Some(until) = grace {
             for name in unlisted {
                 self.lapsed.entry(name).or_insert(until);
@@ -320,7 +417,7 @@
             return Vec::new();
         }
         for name in &unlisted {
-            table.delete(name, revision);
+            table.delete_known(name, position);
         }
         unlisted
     }
@@ -333,10 +430,10 @@
             .filter(|(_, until)| now >= **until)
             .map(|(n, _)| n.clone())
             .collect();
-        let revision = self.targets.revision;
+        let position = self.targets.position;
         for name in &due {
             self.lapsed.remove(name);
-            self.targets.delete(name, revision);
+            self.targets.delete_known(name, position);
         }
         self.log_changes(Kind::Target, &due);
         Changes { catalog: false, targets: due }
@@ -344,15 +441,59 @@
 }
 
 impl Table {
+    /// Compares an object of an update with what is known of it.
+    fn merge(&self, record: &Record) -> Merge {
+        let known = self.records.get(&record.name);
+        let deleted = self.deleted.get(&record.name);
+        let earlier = known.filter(|known| known.position.era < record.position.era);
+        if let Some(known) = earlier {
+            return match &record.value {
+                _ if record.generation < known.generation => Merge::Outdated,
+                value if *value == known.value => Merge::Unchanged,
+                _ => Merge::Changed,
+            };
+        }
+        let is_newer = match (record.value.is_some(), known, deleted) {
+            // The object was deleted in an earlier era.
+            (true, None, Some(deleted)) if deleted.position.era < record.position.era => {
+                record.generation > deleted.generation
+            }
+            (true, ..) => {
+                known.is_none_or(|known| record.position > known.position)
+                    && deleted.is_none_or(|deleted| record.position > deleted.position)
+            }
+            // A deletion may carry the revision of the change before it, and takes precedence.
+            (false, ..) => {
+                known.is_none_or(|known| record.position >= known.position)
+                    && deleted.is_none_or(|deleted| record.position > deleted.position)
+            }
+        };
+        if is_newer { Merge::Changed } else { Merge::Outdated }
+    }
+
+    /// Returns whether a full listing with this record shows that the known object still exists.
+    fn lists(&self, record: &Record, merge: Merge) -> bool {
+        let known = self.records.get(&record.name);
+        let is_of_earlier_era = known.is_some_and(|known| known.position.era < record.position.era);
+        merge != Merge::Outdated || !is_of_earlier_era
+    }
+
+    /// Deletes an object and remembers its generation.
+    fn delete_known(&mut self, name: &SmolStr, position: Position) {
+        let generation = self.records.get(name).map(|record| record.generation);
+        self.delete(name, position, generation.unwrap_or_default());
+    }
+
     /// Deletes an object and remembers the deletion; forgets the oldest one if there are too many.
-    fn delete(&mut self, name: &SmolStr, revision: u64) {
-        self.records.remove(name);
+    fn delete(&mut self, name: &SmolStr, position: Position, generation: Generation) {
+        let known = self.records.remove(name).map(|record| record.generation);
         if self.deleted.len() >= MAX_TOMBSTONES
-            && let Some(oldest) = self.deleted.iter().min_by_key(|(_, at)| **at)
+            && let Some(oldest) = self.deleted.iter().min_by_key(|(_, one)| one.position)
         {
             let oldest = oldest.0.clone();
             self.deleted.remove(&oldest);
         }
-        self.deleted.insert(name.clone(), revision);
+        let generation = known.map_or(generation, |known| known.max(generation));
+        self.deleted.insert(name.clone(), Tombstone { position, generation });
     }
 }
--- a/chicoryloom_policy/tests/replica.rs
+++ b/chicoryloom_policy/tests/replica.rs
@@ -5,6 +5,9 @@
 
 use bytes::Bytes;
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::position::Era;
+use chicoryloom_policy::position::Generation;
+use chicoryloom_policy::position::Position;
 use chicoryloom_policy::replica::Kind;
 use chicoryloom_policy::replica::LAPSE_GRACE;
 use chicoryloom_policy::replica::Record;
@@ -38,14 +41,21 @@
 
     fn log(&mut self, name: &str, value: Option<Bytes>) {
         let name = name.into();
-        self.history.push(Record { kind: Kind::Target, name, revision: self.revision, value });
+        let (position, generation) = (self.position(self.revision), Generation::default());
+        self.history.push(Record { kind: Kind::Target, name, position, generation, value });
+    }
+
+    /// Returns the position of a revision in the store's only era.
+    fn position(&self, revision: u64) -> Position {
+        Position::new(Era::default(), revision)
     }
 
     fn list(&self) -> Update {
         let record = |(name, (revision, value)): (&SmolStr, &(u64, Bytes))| Record {
             kind: Kind::Target,
             name: name.clone(),
-            revision: *revision,
+            position: self.position(*revision),
+            generation: Generation::default(),
             value: Some(value.clone()),
         };
         let records = self.objects.iter().map(record).collect();
@@ -55,26 +65,26 @@
             kept: Vec::new(),
             lapsed: Vec::new(),
             whole: true,
-            revision: self.revision,
+            position: self.position(self.revision),
         }
     }
 
-    fn watch(&self, after: u64) -> Update {
-        let records = self.history.iter().filter(|record| record.revision > after);
+    fn watch(&self, after: Position) -> Update {
+        let records = self.history.iter().filter(|record| record.position > after);
         Update {
             kind: Kind::Target,
             records: records.cloned().collect(),
             kept: Vec::new(),
             lapsed: Vec::new(),
             whole: false,
-            revision: self.revision,
+            position: self.position(self.revision),
         }
     }
 }
 
 fn stored(replica: &Replica) -> BTreeMap<SmolStr, u64> {
     let records = replica.records(Kind::Target);
-    records.map(|record| (record.name.clone(), record.revision)).collect()
+    records.map(|record| (record.name.clone(), record.position.revision)).collect()
 }
 
 fn listed(platform: &Platform) -> BTreeMap<SmolStr, u64> {
@@ -131,7 +141,7 @@
                 Step::Delete(name) => platform.delete(&name.to_string()),
                 Step::Learn { host, whole, ago } => {
                     let seen = &past[past.len().saturating_sub(1 + ago)];
-                    let after = hosts[host].revision(Kind::Target);
+                    let after = hosts[host].position(Kind::Target);
                     let update = if whole { seen.list() } else { seen.watch(after) };
                     hosts[host].apply(update, now);
                     // A relay's changes only apply to a copy that came from it alone.
@@ -140,8 +150,8 @@
                 Step::Follow { host, relay } if host != relay => {
                     let after = cursors[host][relay];
                     cursors[host] = [0; HOSTS];
-                    let updates = hosts[relay].updates_after(after, hosts[host].revisions());
-                    if updates.iter().all(|update| hosts[host].accepts(update)) {
+                    let updates = hosts[relay].updates_after(after, hosts[host].positions());
+                    if updates.iter().all(|update| hosts[host].accepts_relayed(update)) {
                         cursors[host][relay] = hosts[relay].latest_change();
                     }
                     for update in updates {
@@ -158,8 +168,8 @@
                     let was_deleted = platform.history.iter().any(|record| {
                         record.name == *name
                             && record.value.is_none()
-                            && record.revision > *revision
-                            && record.revision <= host.revision(Kind::Target)
+                            && record.position.revision > *revision
+                            && record.position <= host.position(Kind::Target)
                     });
                     prop_assert!(!was_deleted, "{name} at {revision} was deleted");
                 }
@@ -167,8 +177,8 @@
         }
         hosts[0].apply(platform.list(), now);
         for host in 1..HOSTS {
-            let revisions = hosts[host].revisions();
-            for update in hosts[0].updates_after(cursors[host][0], revisions) {
+            let reached = hosts[host].positions();
+            for update in hosts[0].updates_after(cursors[host][0], reached) {
                 hosts[host].apply_relayed(update, now);
             }
         }
@@ -187,7 +197,7 @@
     platform.put("b");
     let mut replica = Replica::default();
     replica.apply(platform.list(), start);
-    let known = replica.revision(Kind::Target);
+    let known = replica.position(Kind::Target);
     platform.delete("a");
     platform.delete("b");
     platform.put("b");
@@ -213,12 +223,12 @@
     platform.delete("a");
     first.platform_returned(start);
     first.apply(platform.list(), start);
-    for update in first.updates_after(0, second.revisions()) {
+    for update in first.updates_after(0, second.positions()) {
         second.apply_relayed(update, start);
     }
     assert_eq!(stored(&second).len(), 2);
     let later = start.after(Duration::from_millis(100));
-    second.apply(platform.watch(second.revision(Kind::Target)), later);
+    second.apply(platform.watch(second.position(Kind::Target)), later);
     let expired = later.after(LAPSE_GRACE);
     assert_eq!(second.expire(expired).targets, ["a"]);
     assert_eq!(stored(&second), listed(&platform));
@@ -235,7 +245,7 @@
     let mut relay = Replica::default();
     relay.apply(platform.list(), start);
     let mut follower = Replica::default();
-    for update in relay.updates_after(0, follower.revisions()) {
+    for update in relay.updates_after(0, follower.positions()) {
         follower.apply_relayed(update, start);
     }
     let cursor = relay.latest_change();
@@ -245,12 +255,12 @@
     platform.delete("b");
     assert!(relay.apply(platform.list(), start).is_empty());
     platform.put("b");
-    relay.apply(platform.watch(relay.revision(Kind::Target)), start);
+    relay.apply(platform.watch(relay.position(Kind::Target)), start);
     assert_eq!(stored(&relay).len(), 2);
 
     let expired = start.after(LAPSE_GRACE + Duration::from_millis(1));
     assert_eq!(relay.expire(expired).targets, ["a"]);
-    for update in relay.updates_after(cursor, follower.revisions()) {
+    for update in relay.updates_after(cursor, follower.positions()) {
         follower.apply_relayed(update, expired);
     }
     assert_eq!(stored(&follower), listed(&platform));
