Keep the cost of a request and of messages from growing with the fleet

Cause: for each request, and for each waiting one at each message of another host, the dispatcher built the view of all targets of a service and summed the reports of all hosts. Each change of a target hashed every target with every entry host. Admitted requests of a workspace near its limit were reported one by one to all entry hosts, and the admissions of all workspaces were copied twice a round.

Change: policy::inflight keeps sums; one board of candidates serves all requests that are assigned at a moment; policy::entry::Owners hashes names once; policy::share bounds the messages of a host to a fixed number a second, whatever the number of recipients.

--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -25,6 +25,7 @@
 use chicoryloom_policy::dispatch::Rejection;
 use chicoryloom_policy::dispatch::Ticket;
 use chicoryloom_policy::entry;
+use chicoryloom_policy::entry::Owners;
 use chicoryloom_policy::gray::Estimator;
 use chicoryloom_policy::gray::Notice;
 use chicoryloom_policy::gray::Standing;
@@ -32,6 +33,7 @@
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::holdback::Holdback;
 use chicoryloom_policy::id;
+use chicoryloom_policy::inflight::InFlight;
 use chicoryloom_policy::retry::Budget;
 use chicoryloom_policy::withdrawal::Availability;
 use chicoryloom_policy::withdrawal::Process;
@@ -51,8 +53,6 @@
 /// Time for which an idle connection to a target is kept; targets close theirs after ten seconds
 /// at the earliest.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Age at which another host's report of its requests in flight is ignored.
-const LOAD_MAX_AGE: Duration = Duration::from_secs(3);
 /// Weight of the newest sample in the smoothed latency of a route.
 const LATENCY_WEIGHT: f64 = 0.05;
 /// Targets that must crash on equal requests before such requests are held back. Equal requests of
@@ -74,6 +74,8 @@
     pub(super) backend: Arc<Backend>,
     /// When the target is expected to have warmed up after its start.
     warmup_end: Moment,
+    /// Key by which the responsibility for its trial requests is assigned.
+    trial_key: u64,
 }
 
 /// Requirements of a request for its target.
@@ -105,18 +107,11 @@
     latencies: HashMap<id::Route, f64>,
 }
 
-/// Requests that another host has in flight, by target.
-struct PeerLoads {
-    incarnation: id::Incarnation,
-    sequence: u64,
-    received: Moment,
-    loads: HashMap<id::Instance, u32>,
-}
-
 struct State {
     services: HashMap<id::Service, Service>,
-    own_in_flight: HashMap<id::Instance, u32>,
-    peer_loads: HashMap<id::Host, PeerLoads>,
+    /// Data centre of each listed target.
+    data_centres: HashMap<id::Instance, id::DataCentre>,
+    in_flight: InFlight,
     estimator: Estimator,
     holdback: Holdback,
     withdrawals: Withdrawals,
@@ -137,12 +132,32 @@
     host_count: u32,
 }
 
-impl State {
-    /// Subtracts one request from those that this host has in flight at a target.
-    fn release(&mut self, target: &id::Instance) {
-        if let Some(count) = self.own_in_flight.get_mut(target) {
-            *count = count.saturating_sub(1);
+/// The targets of a service that take requests, and what to choose among them by.
+///
+/// One board serves all requests that are assigned at a moment, since building it takes time for
+/// each target.
+struct Board {
+    endpoints: Vec<Arc<Endpoint>>,
+    /// In the order of `endpoints`.
+    candidates: Vec<Candidate>,
+}
+
+impl Board {
+    /// Returns whether no target has a free slot.
+    fn is_full(&self) -> bool {
+        !self.candidates.iter().any(Candidate::is_free)
+    }
+
+    /// Chooses a target for a request, other than those already tried.
+    fn choose(&self, request: dispatch::Request, tried: &[id::Instance]) -> Option<usize> {
+        let rng = &mut rand::rng();
+        if tried.is_empty() {
+            return dispatch::choose(&self.candidates, request, rng);
         }
+        let is_fresh = |at: &usize| !tried.contains(&self.endpoints[*at].target.instance);
+        let fresh: Vec<_> = (0..self.endpoints.len()).filter(is_fresh).collect();
+        let candidates: Vec<_> = fresh.iter().map(|at| self.candidates[*at]).collect();
+        dispatch::choose(&candidates, request, rng).map(|at| fresh[at])
     }
 }
 
@@ -213,7 +228,7 @@
         if self.is_released {
             return;
         }
-        self.dispatcher.lock().release(&self.endpoint.target.instance);
+        self.dispatcher.lock().in_flight.end(&self.endpoint.target.instance);
         self.dispatcher.changed.notify_one();
         self.dispatcher.dispatch_waiting(&self.endpoint.target.service);
     }
@@ -253,8 +268,8 @@
             events,
             state: Mutex::new(State {
                 services: HashMap::new(),
-                own_in_flight: HashMap::new(),
-                peer_loads: HashMap::new(),
+                data_centres: HashMap::new(),
+                in_flight: InFlight::default(),
                 estimator: Estimator::default(),
                 holdback: Holdback::new(CRASH_LIMIT),
                 withdrawals: Withdrawals::default(),
@@ -297,6 +312,7 @@
                 Some(endpoint) if endpoint.target == target => endpoint,
                 Some(endpoint) => Arc::new(Endpoint {
                     backend: endpoint.backend.clone(),
+                    trial_key: endpoint.trial_key,
                     warmup_end: now.after(target.warmup),
                     target,
                 }),
@@ -308,6 +324,11 @@
         for service in state.services.values_mut() {
             service.targets.sort_by(|a, b| a.target.instance.cmp(&b.target.instance));
         }
+        let endpoints = state.services.values().flat_map(|service| &service.targets);
+        state.data_centres = endpoints
+            .map(|endpoint| &endpoint.target)
+            .map(|target| (target.instance.clone(), target.data_centre.clone()))
+            .collect();
         state.trial_targets = self.trial_targets(state);
         self.set_connection_caps(state, catalog);
         let names: Vec<_> = state.services.keys().cloned().collect();
@@ -319,7 +340,9 @@
     fn new_endpoint(&self, target: Target, now: Moment) -> Endpoint {
         let address = id::Target(target.address);
         let backend = Backend::new(address, self.source, CONNECT_TIMEOUT, IDLE_TIMEOUT);
-        Endpoint { backend: Arc::new(backend), warmup_end: now.after(target.warmup), target }
+        let trial_key = entry::target_key(&target.instance);
+        let warmup_end = now.after(target.warmup);
+        Endpoint { backend: Arc::new(backend), warmup_end, trial_key, target }
     }
 
     /// Sets this host's share of the connections to each target.
@@ -363,11 +386,8 @@
             let mut state = self.lock();
             let state = &mut *state;
             let is_first = state.services.get(&requirements.service).is_none_or(|service| {
-                service
-                    .queue
-                    .tickets()
-                    .first()
-                    .is_none_or(|first| first.is_behind(requirements.rank))
+                let first = service.queue.tickets().next();
+                first.is_none_or(|first| first.is_behind(requirements.rank))
             });
             if is_first && let Some(slot) = self.try_acquire(state, &requirements, now) {
                 return Ok(slot);
@@ -407,75 +427,77 @@
         requirements: &Requirements,
         now: Moment,
     ) -> Option<Slot> {
-        let service = state.services.get(&requirements.service)?;
-        let (usable, candidates) = self.candidates(state, service, &requirements.tried, now);
-        let retries = service.budget.as_ref().map_or(0, Budget::left);
-        let ask = dispatch::Request {
+        let mut board = self.board(state, &requirements.service, now)?;
+        self.assign(state, &mut board, requirements, now)
+    }
+
+    /// Chooses a target of a board for a request and takes a slot there, if one is free.
+    fn assign(
+        &self,
+        state: &mut State,
+        board: &mut Board,
+        requirements: &Requirements,
+        now: Moment,
+    ) -> Option<Slot> {
+        let budget = state.services.get(&requirements.service)?.budget.as_ref();
+        let retries = budget.map_or(0, Budget::left);
+        let request = dispatch::Request {
             can_retry: requirements.can_retry && retries >= dispatch::RETRY_RESERVE,
             waited: now.since(requirements.arrived),
         };
-        let chosen = dispatch::choose(&candidates, ask, &mut rand::rng())?;
-        let endpoint = usable[chosen].clone();
-        let is_trial = matches!(candidates[chosen].standing, Standing::Trial(_));
-        let instance = endpoint.target.instance.clone();
-        if is_trial {
-            state.estimator.begin_trial(&instance, now);
+        let chosen = board.choose(request, &requirements.tried)?;
+        let endpoint = board.endpoints[chosen].clone();
+        let candidate = &mut board.candidates[chosen];
+        let target = endpoint.target.instance.clone();
+        let choice = Choice { target, candidate: *candidate, waited: request.waited };
+        candidate.in_flight += 1;
+        candidate.due = false;
+        if let Standing::Trial(_) = candidate.standing {
+            state.estimator.begin_trial(&choice.target, now);
+            candidate.standing = Standing::HeldBack;
         }
-        *state.own_in_flight.entry(instance).or_default() += 1;
+        state.in_flight.begin(&choice.target);
         self.changed.notify_one();
         let dispatcher = self.weak_self.upgrade()?;
-        let target = endpoint.target.instance.clone();
-        let choice = Choice { target, candidate: candidates[chosen], waited: ask.waited };
         Some(Slot { endpoint, choice: Box::new(choice), dispatcher, is_released: false })
     }
 
-    /// Returns the targets of a service that a request may use, and what to choose among them by.
-    fn candidates(
-        &self,
-        state: &State,
-        service: &Service,
-        tried: &[id::Instance],
-        now: Moment,
-    ) -> (Vec<Arc<Endpoint>>, Vec<Candidate>) {
+    /// Returns the targets of a service that take requests; `None` if none has a free slot.
+    fn board(&self, state: &State, service: &id::Service, now: Moment) -> Option<Board> {
+        let service = state.services.get(service)?;
         let is_usable = |endpoint: &&Arc<Endpoint>| {
             Self::availability(state, endpoint, now) == Availability::Now
         };
-        let usable: Vec<_> = service.targets.iter().filter(is_usable).cloned().collect();
-        let slots: Vec<_> = usable
+        let endpoints: Vec<_> = service.targets.iter().filter(is_usable).cloned().collect();
+        let counts: Vec<_> = endpoints
+            .iter()
+            .map(|endpoint| state.in_flight.total(&endpoint.target.instance))
+            .collect();
+        let is_free = |(endpoint, count): (&Arc<Endpoint>, &u32)| *count < endpoint.target.slots.0;
+        if !endpoints.iter().zip(&counts).any(is_free) {
+            return None;
+        }
+        let slots: Vec<_> = endpoints
             .iter()
             .map(|endpoint| (&endpoint.target.instance, endpoint.target.slots.0))
             .collect();
         let views = state.estimator.views(&slots, self.bounds.floor, now);
-        let mut peer_in_flight: HashMap<&id::Instance, u32> = HashMap::new();
-        for peer in state.peer_loads.values().filter(|peer| now.since(peer.received) < LOAD_MAX_AGE)
-        {
-            for (instance, count) in &peer.loads {
-                *peer_in_flight.entry(instance).or_default() += count;
-            }
-        }
-        let candidate = |(endpoint, view): (&Arc<Endpoint>, View)| {
-            let instance = &endpoint.target.instance;
-            let own = state.own_in_flight.get(instance).copied().unwrap_or_default();
-            Candidate {
-                in_flight: own + peer_in_flight.get(instance).copied().unwrap_or_default(),
-                slots: endpoint.target.slots.0,
-                near: endpoint.target.data_centre == self.data_centre,
-                cold: now < endpoint.warmup_end,
-                standing: view.standing,
-                owned: state.trial_targets.contains(instance),
-                due: false,
-                risk: view.risk,
-                evidence_age: view.evidence_age,
-                since_failure: view.since_failure,
-            }
+        let candidate = |((endpoint, in_flight), view): ((&Arc<Endpoint>, u32), View)| Candidate {
+            in_flight,
+            slots: endpoint.target.slots.0,
+            near: endpoint.target.data_centre == self.data_centre,
+            cold: now < endpoint.warmup_end,
+            standing: view.standing,
+            owned: state.trial_targets.contains(&endpoint.target.instance),
+            due: false,
+            risk: view.risk,
+            evidence_age: view.evidence_age,
+            since_failure: view.since_failure,
         };
-        let mut candidates: Vec<_> = usable.iter().zip(views).map(candidate).collect();
-        self.mark_due(&usable, &mut candidates);
-        let fresh: Vec<_> = (0..usable.len())
-            .filter(|index| !tried.contains(&usable[*index].target.instance))
-            .collect();
-        let pick = |index: &usize| (usable[*index].clone(), candidates[*index]);
-        fresh.iter().map(pick).unzip()
+        let mut candidates: Vec<_> =
+            endpoints.iter().zip(counts).zip(views).map(candidate).collect();
+        self.mark_due(&endpoints, &mut candidates);
+        Some(Board { endpoints, candidates })
     }
 
     /// Marks the idle targets of this data centre that should get the next request, although others
@@ -498,21 +520,28 @@
     }
 
     /// Returns the targets whose trial requests this host is responsible for.
+    ///
+    /// Those of a data centre are divided among its entry hosts, or among all if it has none.
     fn trial_targets(&self, state: &State) -> HashSet<id::Instance> {
-        let targets = state.services.values().flat_map(|service| &service.targets);
-        let mine = targets.filter(|endpoint| self.is_trial_owner(state, &endpoint.target));
-        mine.map(|endpoint| endpoint.target.instance.clone()).collect()
-    }
-
-    fn is_trial_owner(&self, state: &State, target: &Target) -> bool {
-        let near = state.entry_hosts.iter().filter(|(_, centre)| *centre == target.data_centre);
-        let mut hosts: Vec<_> = near.map(|(host, _)| host).collect();
-        if hosts.is_empty() {
-            hosts = state.entry_hosts.iter().map(|(host, _)| host).collect();
+        let entry_hosts = &state.entry_hosts;
+        if !entry_hosts.is_empty() && !entry_hosts.iter().any(|(host, _)| *host == self.me) {
+            return HashSet::new();
+        }
+        let all = Owners::new(entry_hosts.iter().map(|(host, _)| host));
+        let mut by_centre: HashMap<&id::DataCentre, Owners<'_>> = HashMap::new();
+        let mut own = HashSet::new();
+        for endpoint in state.services.values().flat_map(|service| &service.targets) {
+            let centre = &endpoint.target.data_centre;
+            let near = by_centre.entry(centre).or_insert_with(|| {
+                let near = entry_hosts.iter().filter(|(_, of)| of == centre);
+                Owners::new(near.map(|(host, _)| host))
+            });
+            let owners = if near.is_empty() { &all } else { near };
+            if owners.owner(endpoint.trial_key).is_none_or(|host| *host == self.me) {
+                own.insert(endpoint.target.instance.clone());
+            }
         }
-        let hosts = hosts.into_iter().map(|host| (host, 0.0));
-        let order = entry::failover_order(target.instance.as_str(), hosts);
-        order.first().is_none_or(|first| **first == self.me)
+        own
     }
 
     /// Assigns free slots of a service's targets to its queued requests.
@@ -532,10 +561,14 @@
     }
 
     fn dispatch_locked(&self, state: &mut State, name: &id::Service) {
+        if state.services.get(name).is_none_or(|service| service.queue.is_empty()) {
+            return;
+        }
         let now = self.clock.now();
-        loop {
+        let Some(mut board) = self.board(state, name, now) else { return };
+        while !board.is_full() {
             let Some(service) = state.services.get(name) else { return };
-            let heads: Vec<_> = service.queue.tickets().into_iter().take(LOOKAHEAD).collect();
+            let heads: Vec<_> = service.queue.tickets().take(LOOKAHEAD).collect();
             let mut progress = false;
             for ticket in heads {
                 let Some(service) = state.services.get(name) else { return };
@@ -544,7 +577,9 @@
                 else {
                     continue;
                 };
-                let Some(slot) = self.try_acquire(state, &requirements, now) else { continue };
+                let Some(slot) = self.assign(state, &mut board, &requirements, now) else {
+                    continue;
+                };
                 progress = true;
                 let Some(service) = state.services.get_mut(name) else { return };
                 service.queue.dispatch(ticket, now);
@@ -552,7 +587,7 @@
                 if let Some(Err(mut slot)) = waiter.map(|waiter| waiter.sender.send(slot)) {
                     // The request is gone. Dropping the slot would take the lock that is held here,
                     // so that the slot is freed directly.
-                    state.release(&slot.endpoint.target.instance);
+                    state.in_flight.end(&slot.endpoint.target.instance);
                     slot.is_released = true;
                 }
             }
@@ -608,8 +643,7 @@
         state.reported_departures.retain(|(_, at)| now.since(*at) < DEPARTURE_REPORT_TIME);
         let again: Vec<_> = state.reported_departures.iter().map(|(one, _)| one.clone()).collect();
         state.departures.extend(again);
-        state.own_in_flight.retain(|_, count| *count > 0);
-        state.peer_loads.retain(|_, peer| now.since(peer.received) < LOAD_MAX_AGE);
+        state.in_flight.expire(now);
         for endpoint in state.services.values().flat_map(|service| &service.targets) {
             endpoint.backend.sweep();
         }
--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -13,7 +13,6 @@
 
 use super::Dispatcher;
 use super::Endpoint;
-use super::PeerLoads;
 use crate::gateway::message::Load;
 use crate::gateway::message::Success;
 
@@ -77,16 +76,10 @@
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
-        if let Some(known) = state.peer_loads.get(host)
-            && known.incarnation == incarnation
-            && known.sequence >= sequence
-        {
+        let loads = loads.into_iter().map(|load| (load.target, load.in_flight.into()));
+        if !state.in_flight.report(host, incarnation, sequence, loads, now) {
             return;
         }
-        let loads = loads.into_iter().map(|load| (load.target, load.in_flight.into())).collect();
-        state
-            .peer_loads
-            .insert(host.clone(), PeerLoads { incarnation, sequence, received: now, loads });
         drop(state);
         self.dispatch_all();
     }
@@ -114,23 +107,23 @@
 
     /// Drops the requests in flight of a host that was lost or restarted.
     pub(in crate::gateway) fn forget_host(&self, host: &id::Host) {
-        self.lock().peer_loads.remove(host);
+        self.lock().in_flight.forget(host);
         self.dispatch_all();
     }
 
     /// Returns the requests of this host that are in flight, by the data centre of their targets.
     pub(in crate::gateway) fn loads(&self) -> BTreeMap<id::DataCentre, Vec<Load>> {
         let state = self.lock();
-        let targets = state.services.values().flat_map(|service| &service.targets);
         let mut loads: BTreeMap<id::DataCentre, Vec<Load>> = BTreeMap::new();
-        for endpoint in targets {
-            let target = &endpoint.target.instance;
-            let count = state.own_in_flight.get(target).copied().unwrap_or_default();
-            if count > 0 {
-                let in_flight = u16::try_from(count).unwrap_or(u16::MAX);
-                let centre = endpoint.target.data_centre.clone();
-                loads.entry(centre).or_default().push(Load { target: target.clone(), in_flight });
-            }
+        for (target, count) in state.in_flight.own() {
+            let Some(centre) = state.data_centres.get(target) else { continue };
+            let in_flight = u16::try_from(count).unwrap_or(u16::MAX);
+            let load = Load { target: target.clone(), in_flight };
+            loads.entry(centre.clone()).or_default().push(load);
+        }
+        for loads in loads.values_mut() {
+            // Equal loads compare as equal, whatever order the map has.
+            loads.sort_by(|one, two| one.target.cmp(&two.target));
         }
         loads
     }
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -18,6 +18,7 @@
 use chicoryloom_policy::gray::Notice;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
+use chicoryloom_policy::share;
 use chicoryloom_policy::withdrawal::Process;
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -45,9 +46,6 @@
 use super::sync::Relay;
 use crate::clock::Clock;
 
-/// Shortest interval between two messages on requests in flight within the data centre, multiplied
-/// by the number of hosts that get them; a host then sends at most 200 of them a second.
-const LOADS_INTERVAL_PER_PEER: Duration = Duration::from_millis(5);
 /// Time after which unchanged requests in flight are sent again, as datagrams get lost.
 const LOADS_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest interval between two rounds of messages on requests and targets.
@@ -496,8 +494,8 @@
                 self.send(&all, crash).await;
             }
             let loads = self.dispatcher.loads();
-            let loads_interval =
-                LOADS_INTERVAL_PER_PEER * u32::try_from(local.len()).unwrap_or(u32::MAX);
+            // Loads change with each request, and take half of the messages that usages may.
+            let loads_interval = share::min_interval(2 * local.len());
             let is_old =
                 !loads.is_empty() && now.since(sent.local_loads_at) >= LOADS_REPEAT_INTERVAL;
             if (loads != sent.local_loads || is_old)
@@ -525,17 +523,23 @@
                 sent.remote_loads = loads;
             }
             let hosts = all.len() + 1;
-            let (usage, urgent) = self.usage(&sent.remote_usage, hosts);
-            if urgent || now.since(sent.remote_usage_at) >= REMOTE_SHARE_INTERVAL {
-                sent.remote_usage_at = now;
-                self.send_usage(&remote, &usage, &sent.remote_usage).await;
-                sent.remote_usage = usage.clone();
+            let remote_age = now.since(sent.remote_usage_at);
+            if !remote.is_empty() && remote_age >= share::min_interval(remote.len()) {
+                let (usage, urgent) = self.usage(&sent.remote_usage, hosts);
+                if urgent || remote_age >= REMOTE_SHARE_INTERVAL {
+                    sent.remote_usage_at = now;
+                    self.send_usage(&remote, &usage, &sent.remote_usage).await;
+                    sent.remote_usage = usage;
+                }
             }
-            let (_, urgent) = self.usage(&sent.local_usage, hosts);
-            if urgent || now.since(sent.local_usage_at) >= USAGE_INTERVAL {
-                sent.local_usage_at = now;
-                self.send_usage(&local, &usage, &sent.local_usage).await;
-                sent.local_usage = usage;
+            let local_age = now.since(sent.local_usage_at);
+            if !local.is_empty() && local_age >= share::min_interval(local.len()) {
+                let (usage, urgent) = self.usage(&sent.local_usage, hosts);
+                if urgent || local_age >= USAGE_INTERVAL {
+                    sent.local_usage_at = now;
+                    self.send_usage(&local, &usage, &sent.local_usage).await;
+                    sent.local_usage = usage;
+                }
             }
             tokio::time::sleep(MIN_SHARE_INTERVAL).await;
         }
--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -65,7 +65,8 @@
 }
 
 impl Candidate {
-    fn is_free(&self) -> bool {
+    /// Returns whether it has a free slot.
+    pub fn is_free(&self) -> bool {
         self.in_flight < self.slots
     }
 
@@ -243,8 +244,8 @@
     }
 
     /// Returns the tickets of the waiting requests in order.
-    pub fn tickets(&self) -> Vec<Ticket> {
-        self.waiting.keys().copied().collect()
+    pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.waiting.keys().copied()
     }
 
     /// Returns the number of waiting requests.
--- a/chicoryloom_policy/src/entry.rs
+++ b/chicoryloom_policy/src/entry.rs
@@ -12,6 +12,9 @@
 /// Purpose in the rendezvous hash of the ranking.
 const PURPOSE: &str = "entry";
 
+/// Purpose in the hashes that divide targets among hosts.
+const OWNER_PURPOSE: &str = "owner";
+
 /// A host that callers may be sent to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -45,6 +48,46 @@
     chosen
 }
 
+/// Returns the key of a target for [`Owners::owner`].
+pub fn target_key(target: &id::Instance) -> u64 {
+    placement::hash(OWNER_PURPOSE, target.as_str())
+}
+
+/// Hosts among which the responsibility for targets is divided by rendezvous hashing.
+///
+/// Answers the load of hundreds of targets that are divided anew at each change: names are hashed
+/// once, and finding an owner takes a few instructions for each host.
+#[derive(Clone, Debug, Default)]
+pub struct Owners<'a> {
+    hosts: Vec<(u64, &'a id::Host)>,
+}
+
+impl<'a> Owners<'a> {
+    /// Returns the division among hosts.
+    pub fn new(hosts: impl Iterator<Item = &'a id::Host>) -> Self {
+        let key = |host: &'a id::Host| (placement::hash(OWNER_PURPOSE, host.as_str()), host);
+        Self { hosts: hosts.map(key).collect() }
+    }
+
+    /// Returns whether there is no host.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns the host that is responsible for the target with a key.
+    pub fn owner(&self, target_key: u64) -> Option<&'a id::Host> {
+        let weight = |(key, host): &&(u64, &'a id::Host)| (mix(key ^ target_key), *host);
+        self.hosts.iter().max_by_key(weight).map(|(_, host)| *host)
+    }
+}
+
+/// Returns a value whose bits all depend on all bits of `key`.
+const fn mix(key: u64) -> u64 {
+    let key = (key ^ (key >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let key = (key ^ (key >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    key ^ (key >> 31)
+}
+
 /// Returns the hosts of a fleet in the order in which they take over a task: by descending
 /// capacity, and by rendezvous hash of `purpose` among equals.
 pub fn failover_order<'a>(
--- a/chicoryloom_policy/src/placement.rs
+++ b/chicoryloom_policy/src/placement.rs
@@ -50,10 +50,15 @@
 /// Returns the rendezvous weight of a host for a purpose, such as the name of a service. The host
 /// with the highest weight comes first.
 pub(crate) fn rank(purpose: &str, host: &id::Host) -> u64 {
+    hash(purpose, host.as_str())
+}
+
+/// Returns the hash of a name for a purpose.
+pub(crate) fn hash(purpose: &str, name: &str) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(purpose.as_bytes());
     hasher.update(&[0]);
-    hasher.update(host.as_str().as_bytes());
+    hasher.update(name.as_bytes());
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
     u64::from_le_bytes(bytes)
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -118,7 +118,7 @@
     }
     for _ in 0..80 {
         now = now.after(Duration::from_millis(100));
-        let first = queue.tickets()[0];
+        let first = queue.tickets().next().unwrap();
         queue.dispatch(first, now);
     }
     assert_eq!(queue.len(), 20);
@@ -131,7 +131,7 @@
     queue.enqueue(rank, now.after(Duration::from_secs(5)), now).unwrap();
     let urgent = Rank { priority: 0, route: 1 };
     queue.enqueue(urgent, now.after(Duration::from_millis(500)), now).unwrap();
-    assert!(queue.tickets()[0].is_behind(Rank { priority: 0, route: 0 }));
+    assert!(queue.tickets().next().unwrap().is_behind(Rank { priority: 0, route: 0 }));
 }
 
 proptest! {
@@ -162,7 +162,7 @@
         }
         expected.sort_by_key(|(rank, at, _)| (*rank, *at));
         let tickets: Vec<_> = expected.into_iter().map(|(.., ticket)| ticket).collect();
-        prop_assert_eq!(queue.tickets(), tickets);
+        prop_assert_eq!(queue.tickets().collect::<Vec<_>>(), tickets);
     }
 
     /// After any number of requests, each destination has its share, within as many requests as
