Keep a grant while most hosts restart and two survive

Cause: a host that had just started was lifted to the bucket level of the hosts that had run for longer at each of their reports, for five seconds. So each of many started hosts got back what it and the others had spent meanwhile. Before it received any report, its bucket filled at a tenth of the rate, however many hosts had started with it.

Change: the level is adopted once, and what the hosts that run for longer had admitted before is not taken from it a second time. The rate of the first 0.6 s is divided by the number of hosts that the grants need.

--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -452,6 +452,7 @@
         let granted = catalog.and_then(|catalog| catalog.total_rate()).unwrap_or_default();
         let demand = granted / centres.len().max(1) as f64;
         *self.demand.lock().expect("no holder of the lock panics") = demand;
+        let capacity = f64::from(me.capacity);
         let own = members.entries(&me.data_centre, &me, demand, now);
         let is_entry = own.iter().any(|member| member.host == self.name);
         let mut entries: Vec<_> =
@@ -465,6 +466,11 @@
         drop(me);
         members.set_entry(is_entry);
         drop(members);
+        // A host that has just started knows few others, but can tell how many the grants need.
+        let needed = (granted / capacity.max(1.0)).ceil() as usize;
+        let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
+        allowance.set_hosts(entries.len().max(needed));
+        drop(allowance);
         self.dispatcher.set_fleet(entries, hosts);
     }
 
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -40,8 +40,8 @@
 /// Time after its start in which a host may not have received reports of the others yet; hosts
 /// find each other within two rounds of heartbeats.
 const DISCOVERY_TIME: Duration = Duration::from_millis(600);
-/// Part of the rate at which the bucket fills in that time, as if ten hosts shared the rate.
-const DISCOVERY_RATE_SHARE: f64 = 0.1;
+/// Largest part of the rate at which the bucket fills in that time, as if ten hosts shared the rate.
+const MAX_DISCOVERY_SHARE: f64 = 0.1;
 /// Part of its route's target latency for which a request may wait for its grant.
 const MAX_WAIT_SHARE: f64 = 0.25;
 /// Largest debt, in sizes of the bucket; debt beyond that has left every window.
@@ -96,6 +96,9 @@
     /// Tokens in the bucket; negative if more requests were admitted than it held.
     level: f64,
     refilled: Moment,
+    /// Whether the level of a host that has run for longer was adopted. Later reports would restore
+    /// what this host and others that started with it have spent meanwhile.
+    is_adopted: bool,
     peers: HashMap<id::Host, Peer>,
     grant: Grant,
     /// When the grant was last lowered, and the grant before.
@@ -166,13 +169,26 @@
     started: Moment,
     /// Latest call of [`Limiter::tick`].
     last_tick: Moment,
+    /// Part of the rate at which buckets fill until the other hosts' reports are received.
+    discovery_share: f64,
     meters: HashMap<id::Workspace, Meter>,
 }
 
 impl Limiter {
     /// Returns a limiter without counts; once it has run for `window`, its counts are complete.
     pub fn new(window: Duration, started: Moment) -> Self {
-        Self { window, started, last_tick: started, meters: HashMap::new() }
+        Self {
+            window,
+            started,
+            last_tick: started,
+            discovery_share: MAX_DISCOVERY_SHARE,
+            meters: HashMap::new(),
+        }
+    }
+
+    /// Sets how many hosts are expected to admit requests, as all of them may start at once.
+    pub fn set_hosts(&mut self, count: usize) {
+        self.discovery_share = MAX_DISCOVERY_SHARE.min(1.0 / count.max(1) as f64);
     }
 
     /// Detects that this host was suspended; to be called often. After a suspension, the limiter
@@ -187,6 +203,7 @@
             for meter in self.meters.values_mut() {
                 meter.level = meter.level.min(0.0);
                 meter.refilled = now;
+                meter.is_adopted = false;
             }
         }
         self.last_tick = now;
@@ -208,8 +225,9 @@
         let Some(grant) = Grant::of(workspace) else { return Ok(()) };
         let window = self.window;
         let discovery_end = self.started.after(DISCOVERY_TIME);
+        let share = self.discovery_share;
         let meter = self.meter(&workspace.name);
-        meter.refill(grant, discovery_end, now);
+        meter.refill(grant, discovery_end, share, now);
         meter.remaining = meter.remaining(now, window);
         if meter.remaining >= 1.0 {
             return Ok(());
@@ -217,7 +235,7 @@
         let remaining = meter.remaining;
         let discovery = discovery_end.since(now);
         let interval = Duration::try_from_secs_f64(1.0 / grant.rate).unwrap_or(window).min(window);
-        Err(Excess { remaining, wait: meter.wait(discovery, now, window), interval })
+        Err(Excess { remaining, wait: meter.wait(discovery, share, now, window), interval })
     }
 
     /// Admits and counts a request, or returns by how much its workspace exceeds its grant.
@@ -277,11 +295,16 @@
             Some(known) => known.rate,
             None => 0.0,
         };
-        if delta > 0.0 {
+        // The level of a host that has run for longer accounts for what all such hosts admitted.
+        let is_in_adopted_level = known.is_none() && report.level.is_some() && !has_full_window;
+        if delta > 0.0 && is_in_adopted_level {
+            meter.count(delta, now, window);
+        } else if delta > 0.0 {
             meter.record(delta, now, window);
         }
-        if let Some(level) = report.level.filter(|_| !has_full_window) {
+        if let Some(level) = report.level.filter(|_| !has_full_window && !meter.is_adopted) {
             meter.level = meter.level.max(level);
+            meter.is_adopted = true;
         }
         let total = report.total.max(before);
         let peer = Peer { incarnation: report.incarnation, total, reported_at: now, rate };
@@ -290,8 +313,8 @@
 }
 
 impl Meter {
-    /// Updates the grant and refills the bucket, at a small part of the rate until `discovery_end`.
-    fn refill(&mut self, grant: Grant, discovery_end: Moment, now: Moment) {
+    /// Updates the grant and refills the bucket, at `share` of the rate until `discovery_end`.
+    fn refill(&mut self, grant: Grant, discovery_end: Moment, share: f64, now: Moment) {
         let is_known = self.grant.rate > 0.0;
         if is_known && (grant.rate < self.grant.rate || grant.burst < self.grant.burst) {
             self.lowered = Some((now, self.grant));
@@ -299,16 +322,20 @@
         self.grant = grant;
         let span = now.since(self.refilled);
         let discovery = span.saturating_sub(now.since(discovery_end));
-        let span =
-            (span - discovery).as_secs_f64() + DISCOVERY_RATE_SHARE * discovery.as_secs_f64();
+        let span = (span - discovery).as_secs_f64() + share * discovery.as_secs_f64();
         self.refilled = now;
         let size = grant.bucket();
         self.level = (self.level + grant.rate * span).clamp(-MAX_DEBT_BUCKETS * size, size);
     }
 
-    /// Counts admitted requests, and drops entries that left the window.
+    /// Counts admitted requests, and takes their tokens out of the bucket.
     fn record(&mut self, count: f64, now: Moment, window: Duration) {
         self.level -= count;
+        self.count(count, now, window);
+    }
+
+    /// Counts admitted requests, and drops entries that left the window.
+    fn count(&mut self, count: f64, now: Moment, window: Duration) {
         match self.admitted.back_mut() {
             Some((at, recorded)) if now.since(*at) < GRANULARITY => *recorded += count,
             _ => self.admitted.push_back((now, count)),
@@ -359,8 +386,8 @@
     }
 
     /// Returns the time until a request can be admitted: until enough of the counted ones leave the
-    /// window and the bucket has a token. For `discovery`, the bucket fills at a part of the rate.
-    fn wait(&self, discovery: Duration, now: Moment, window: Duration) -> Duration {
+    /// window and the bucket has a token. For `discovery`, the bucket fills at `share` of the rate.
+    fn wait(&self, discovery: Duration, share: f64, now: Moment, window: Duration) -> Duration {
         let projected = self.projected(now);
         let lacking = 1.0 + projected - self.remaining_in_window(now, window);
         let by_window = if lacking > 0.0 {
@@ -374,11 +401,11 @@
             Duration::ZERO
         };
         let lacking = (1.0 + projected - self.level).max(0.0);
-        let slow_rate = DISCOVERY_RATE_SHARE * self.grant.rate;
+        let slow_rate = share * self.grant.rate;
         let seconds = if lacking <= slow_rate * discovery.as_secs_f64() {
             lacking / slow_rate
         } else {
-            discovery.as_secs_f64() * (1.0 - DISCOVERY_RATE_SHARE) + lacking / self.grant.rate
+            discovery.as_secs_f64() * (1.0 - share) + lacking / self.grant.rate
         };
         by_window.max(Duration::try_from_secs_f64(seconds).unwrap_or(window)).min(window)
     }
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -26,6 +26,8 @@
 const NEAR_REPORT_STEPS: usize = 10;
 /// Steps between two checks for urgent reports.
 const URGENT_CHECK_STEPS: usize = 2;
+/// Time that a started host and the others need to find each other.
+const FIND_TIME: Duration = Duration::from_millis(300);
 /// One step of the simulation.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -50,6 +52,8 @@
     paused: Vec<usize>,
     /// Whether all messages are lost.
     drops_messages: bool,
+    /// Until when the messages of each host to the others, and theirs to it, are lost.
+    unknown_until: Vec<Moment>,
     admitted: Vec<Moment>,
     refused: usize,
 }
@@ -65,6 +69,7 @@
             reported: [vec![0; hosts], vec![0; hosts]],
             paused: Vec::new(),
             drops_messages: false,
+            unknown_until: vec![now; hosts],
             admitted: Vec::new(),
             refused: 0,
         }
@@ -76,6 +81,8 @@
 
     fn restart(&mut self, host: usize) {
         self.hosts[host] = Limiter::new(WINDOW, self.now);
+        let count = self.hosts.len();
+        self.hosts[host].set_hosts(count);
         self.incarnations[host] += 1;
         self.reported[0][host] = 0;
         self.reported[1][host] = 0;
@@ -118,7 +125,9 @@
             for (_, sender, far, report) in due_now {
                 let is_far = |host: &usize| host % CENTRES != sender % CENTRES;
                 let receivers = (0..self.hosts.len()).filter(|host| *host != sender);
+                let is_known = |host: &usize| self.now >= self.unknown_until[*host];
                 let receivers = receivers.filter(|host| !self.paused.contains(host));
+                let receivers = receivers.filter(|host| is_known(host) && is_known(&sender));
                 for host in receivers.filter(|host| is_far(host) == far) {
                     let name = Self::name(sender);
                     self.hosts[host].apply_report(&name, &workspace().name, report, self.now);
@@ -269,6 +278,33 @@
     assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
 }
 
+/// Nearly all hosts restart within a second while a workspace asks for eight times its rate. Those
+/// that start learn the bucket level of the two that don't, and must not each spend it.
+#[rstest]
+#[case::at_once(16, 0, 3)]
+#[case::one_after_the_other(30, 3, 5)]
+#[case::with_a_full_bucket(30, 0, 7)]
+#[case::large_fleet(110, 1, 9)]
+fn grant_holds_when_two_hosts_survive_a_restart(
+    #[case] host_count: usize,
+    #[case] steps_between: usize,
+    #[case] seed: u64,
+) {
+    let mut fleet = Fleet::new(host_count);
+    let before = if seed == 7 { 0.0 } else { RATE * 8.0 };
+    fleet.run(800, 0.0, 10, Duration::from_millis(1), 1);
+    fleet.run(300, before, 10, Duration::from_millis(1), seed);
+    for host in 2..host_count {
+        fleet.restart(host);
+        fleet.unknown_until[host] = fleet.now.after(FIND_TIME);
+        fleet.run(steps_between, RATE * 8.0, 50, Duration::from_millis(1), seed + host as u64);
+    }
+    fleet.run(1000, RATE * 8.0, 50, Duration::from_millis(1), seed + 1);
+    assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
+    // The workspace still gets its rate.
+    assert!(fleet.admitted.len() as f64 >= RATE * 10.0 * 0.8, "{}", fleet.admitted.len());
+}
+
 /// A host that restarts adopts the bucket level of hosts that have run for a window, and refuses
 /// no request within the rate.
 #[test]
