--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -67,6 +67,10 @@
 const REGISTER_DELAY: Duration = Duration::from_millis(600);
 /// Interval at which the registered hosts are read from the platform.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
+/// Hosts of a data centre that register at the platform and look for unknown ones there.
+const CONTACT_HOSTS: usize = 8;
+/// Interval at which any other host checks whether it has become one of them.
+const CONTACT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest delay before a host registers again at a restored store; all hosts do so.
 const REGISTER_SPREAD: Duration = Duration::from_secs(1);
 /// Delay before a failed registration is repeated.
@@ -356,8 +360,11 @@
     }
 
     /// Registers this host at the platform, and introduces it to the hosts registered there that it
-    /// does not know; runs until the task is aborted. A store that was restored from a copy may lack
-    /// the registration, so that it is written again in each era of the store.
+    /// does not know; runs until the task is aborted.
+    ///
+    /// Some hosts of a data centre are enough for others to find the fleet by, so that the calls don't
+    /// grow with its size. A store that was restored from a copy may lack the registration, which is
+    /// therefore written in each era of the store.
     pub(super) async fn register(self: Arc<Self>, store: Arc<dyn Store>, mirror: Arc<Mirror>) {
         tokio::time::sleep(REGISTER_DELAY).await;
         let me = self.me();
@@ -365,6 +372,15 @@
             Registration { host: me.host, data_centre: me.data_centre.clone(), peer: me.peer };
         let mut era = None;
         loop {
+            let is_contact = {
+                let members = self.members();
+                members.is_among_first(CONTACT_HOSTS, &self.me(), self.clock.now())
+            };
+            let knows_others = self.peer_count() > 0;
+            if !is_contact && knows_others {
+                tokio::time::sleep(CONTACT_CHECK_INTERVAL).await;
+                continue;
+            }
             let present = mirror.era();
             if era != Some(present) {
                 if era.is_some() {
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -204,6 +204,16 @@
         entry::choose(&candidates, demand).into_iter().map(|at| members[at]).collect()
     }
 
+    /// Returns whether this host is among the first `count` of its data centre, live or leaving ones
+    /// included, in the order in which they become entry hosts.
+    pub(super) fn is_among_first(&self, count: usize, me: &Member, now: Moment) -> bool {
+        let before = self.alive(&me.data_centre, now).filter(|member| {
+            let rank = entry::rank(&member.host);
+            member.capacity > me.capacity || (member.capacity == me.capacity && rank > self.rank)
+        });
+        before.count() < count
+    }
+
     /// Returns the hosts that get a heartbeat: those of this data centre, with `remote` also the
     /// entry hosts of other data centres, and with `fleet` all known hosts.
     pub(super) fn recipients(&self, remote: bool, fleet: bool, now: Moment) -> Vec<SocketAddr> {
--- a/chicoryloom_policy/src/entry.rs
+++ b/chicoryloom_policy/src/entry.rs
@@ -2,7 +2,8 @@
 //!
 //! The fewer entry hosts there are, the more each knows of requests in flight, of failing targets
 //! and of the use of grants. There must be enough of them that the loss of one affects only a small
-//! part of a data centre's callers.
+//! part of a data centre's callers. What entry hosts tell each other grows with their number, so that
+//! a data centre with some strong hosts among many weak ones uses the strong ones.
 
 use crate::id;
 use crate::placement;
@@ -29,13 +30,17 @@
     placement::rank(PURPOSE, host)
 }
 
-/// Returns the indices of the entry hosts, highest rank first: at least [`MIN_HOSTS`], and as many
-/// as the demand needs.
+/// Returns the indices of the entry hosts, the strongest first and those of higher rank first among
+/// equals: at least [`MIN_HOSTS`], and as many as the demand needs.
 ///
 /// With rendezvous hashing, the loss of a host moves only the callers that it had.
 pub fn choose(candidates: &[Candidate], demand: f64) -> Vec<usize> {
     let mut order: Vec<_> = (0..candidates.len()).collect();
-    order.sort_by_key(|at| std::cmp::Reverse(candidates[*at].rank));
+    let by_strength = |one: &usize, other: &usize| {
+        let (one, other) = (&candidates[*one], &candidates[*other]);
+        other.capacity.total_cmp(&one.capacity).then(other.rank.cmp(&one.rank))
+    };
+    order.sort_by(by_strength);
     let mut capacity = 0.0;
     let mut chosen = Vec::new();
     for at in order {
--- a/chicoryloom_policy/tests/share.rs
+++ b/chicoryloom_policy/tests/share.rs
@@ -55,3 +55,33 @@
     let most = owned.values().max().copied().unwrap();
     assert!(most <= 3 * targets.len().div_ceil(hosts), "{most} of {} targets", targets.len());
 }
+
+fn candidates(strong: usize, weak: usize) -> Vec<entry::Candidate> {
+    let host = |n: usize| {
+        let name: id::Host = format!("host-{n}").parse().unwrap();
+        let capacity = if n < strong { 250.0 } else { 32.0 };
+        entry::Candidate { rank: entry::rank(&name), capacity }
+    };
+    (0..strong + weak).map(host).collect()
+}
+
+/// The number of entry hosts follows the demand and the strongest hosts, not the size of the data
+/// centre.
+#[rstest]
+#[case::strong_hosts_suffice(3, 70, 600.0, 4)]
+#[case::as_many_in_a_larger_data_centre(3, 700, 600.0, 4)]
+#[case::weak_hosts_add_to_them(3, 70, 800.0, 5)]
+#[case::strong_hosts_are_lost(0, 70, 600.0, 19)]
+#[case::equal_hosts(0, 10, 60.0, 4)]
+#[case::few_hosts(1, 1, 60.0, 2)]
+fn entry_hosts_are_as_few_as_the_demand_allows(
+    #[case] strong: usize,
+    #[case] weak: usize,
+    #[case] demand: f64,
+    #[case] expected: usize,
+) {
+    let candidates = candidates(strong, weak);
+    let chosen = entry::choose(&candidates, demand);
+    assert_eq!(chosen.len(), expected);
+    assert!(chosen.iter().take(strong).all(|at| *at < strong), "strong hosts come first");
+}
