Cut the calls and the work of hosts without callers

Among hundreds of targets one changes at almost any time, so that a watch ended every 200 ms. Idle hosts copied the list of members 20 times a second and worked through each change of a target.

Change: a host waits 0.6 s for others before it lists by itself. Watches of targets pause for 0.5 s after changes. A listing of targets is applied when a target is next chosen.

--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -70,7 +70,7 @@
 /// A target that the platform lists, with its connections.
 #[derive(Debug)]
 pub(super) struct Endpoint {
-    pub(super) target: Target,
+    pub(super) target: Arc<Target>,
     pub(super) backend: Arc<Backend>,
     /// When the target is expected to have warmed up after its start.
     warmup_end: Moment,
@@ -109,7 +109,9 @@
 
 struct State {
     services: HashMap<id::Service, Service>,
-    /// Data centre of each listed target.
+    /// Latest listing that is not yet applied to `services`.
+    listing: Option<Listing>,
+    /// Data centres of the targets with requests of this host.
     data_centres: HashMap<id::Instance, id::DataCentre>,
     in_flight: InFlight,
     estimator: Estimator,
@@ -132,6 +134,12 @@
     host_count: u32,
 }
 
+/// What the platform lists.
+struct Listing {
+    targets: Vec<Arc<Target>>,
+    catalog: Option<Arc<Catalog>>,
+}
+
 /// The targets of a service that take requests, and what to choose among them by.
 ///
 /// One board serves all requests that are assigned at a moment, since building it takes time for
@@ -268,6 +276,7 @@
             events,
             state: Mutex::new(State {
                 services: HashMap::new(),
+                listing: None,
                 data_centres: HashMap::new(),
                 in_flight: InFlight::default(),
                 estimator: Estimator::default(),
@@ -293,11 +302,22 @@
 
     /// Replaces the targets with those that the platform lists now.
     ///
+    /// The listing is applied before the next choice of a target, or with the next [`Self::sweep`].
+    /// So hosts without callers don't work through each change of a release.
+    pub(super) fn set_targets(&self, targets: Vec<Arc<Target>>, catalog: Option<Arc<Catalog>>) {
+        let mut state = self.lock();
+        state.listing = Some(Listing { targets, catalog });
+        if state.services.values().any(|service| !service.queue.is_empty()) {
+            self.apply_listing(&mut state);
+        }
+    }
+
+    /// Applies the latest listing if there is one.
+    ///
     /// A target whose entry changed keeps its connections, unless it is another process.
-    pub(super) fn set_targets(&self, targets: Vec<Target>, catalog: Option<&Catalog>) {
+    fn apply_listing(&self, state: &mut State) {
+        let Some(Listing { targets, catalog }) = state.listing.take() else { return };
         let now = self.clock.now();
-        let mut state = self.lock();
-        let state = &mut *state;
         let mut old: HashMap<id::Instance, Arc<Endpoint>> = HashMap::new();
         for service in state.services.values_mut() {
             for endpoint in service.targets.drain(..) {
@@ -324,20 +344,15 @@
         for service in state.services.values_mut() {
             service.targets.sort_by(|a, b| a.target.instance.cmp(&b.target.instance));
         }
-        let endpoints = state.services.values().flat_map(|service| &service.targets);
-        state.data_centres = endpoints
-            .map(|endpoint| &endpoint.target)
-            .map(|target| (target.instance.clone(), target.data_centre.clone()))
-            .collect();
         state.trial_targets = self.trial_targets(state);
-        self.set_connection_caps(state, catalog);
+        self.set_connection_caps(state, catalog.as_deref());
         let names: Vec<_> = state.services.keys().cloned().collect();
         for name in names {
             self.dispatch_locked(state, &name);
         }
     }
 
-    fn new_endpoint(&self, target: Target, now: Moment) -> Endpoint {
+    fn new_endpoint(&self, target: Arc<Target>, now: Moment) -> Endpoint {
         let address = id::Target(target.address);
         let backend = Backend::new(address, self.source, CONNECT_TIMEOUT, IDLE_TIMEOUT);
         let trial_key = entry::target_key(&target.instance);
@@ -385,6 +400,7 @@
         let (ticket, receiver, timeout) = {
             let mut state = self.lock();
             let state = &mut *state;
+            self.apply_listing(state);
             let is_first = state.services.get(&requirements.service).is_none_or(|service| {
                 let first = service.queue.tickets().next();
                 first.is_none_or(|first| first.is_behind(requirements.rank))
@@ -457,6 +473,10 @@
             candidate.standing = Standing::HeldBack;
         }
         state.in_flight.begin(&choice.target);
+        let data_centre = &endpoint.target.data_centre;
+        if !state.data_centres.contains_key(&choice.target) {
+            state.data_centres.insert(choice.target.clone(), data_centre.clone());
+        }
         self.changed.notify_one();
         let dispatcher = self.weak_self.upgrade()?;
         Some(Slot { endpoint, choice: Box::new(choice), dispatcher, is_released: false })
@@ -644,6 +664,10 @@
         let again: Vec<_> = state.reported_departures.iter().map(|(one, _)| one.clone()).collect();
         state.departures.extend(again);
         state.in_flight.expire(now);
+        let in_flight: HashSet<_> =
+            state.in_flight.own().map(|(target, _)| target.clone()).collect();
+        state.data_centres.retain(|target, _| in_flight.contains(target));
+        self.apply_listing(&mut state);
         for endpoint in state.services.values().flat_map(|service| &service.targets) {
             endpoint.backend.sweep();
         }
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -2,6 +2,7 @@
 //! and the health of targets.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -460,13 +461,12 @@
         let mut me = self.me.lock().expect("no holder of the lock panics");
         me.ready = catalog.is_some();
         me.fresh = mirror.age() < MAX_FRESH_AGE;
-        let mut centres: Vec<_> =
-            members.all_alive(now).map(|member| member.data_centre.clone()).collect();
-        centres.push(me.data_centre.clone());
-        centres.sort();
-        centres.dedup();
+        let mut centres: BTreeSet<_> =
+            members.all_alive(now).map(|member| &member.data_centre).collect();
+        centres.insert(&me.data_centre);
         let granted = catalog.and_then(|catalog| catalog.total_rate()).unwrap_or_default();
-        let demand = granted / centres.len().max(1) as f64;
+        let demand = granted / centres.len() as f64;
+        drop(centres);
         *self.demand.lock().expect("no holder of the lock panics") = demand;
         let capacity = f64::from(me.capacity);
         let own = members.entries(&me.data_centre, &me, demand, now);
@@ -495,13 +495,18 @@
     pub(super) async fn share(self: Arc<Self>) {
         let mut sent = LastSent::default();
         let own = self.me().data_centre;
+        let mut entries_at = Moment::ZERO;
+        let (mut entries, mut local) = (BTreeMap::new(), Vec::new());
         loop {
             // Wakes up without a change as well, for what is sent at longer intervals.
             let _ = tokio::time::timeout(MAINTENANCE_INTERVAL, self.dispatcher.changed.notified())
                 .await;
             let now = self.clock.now();
-            let mut entries = self.members().entries_by_data_centre(now);
-            let local = entries.remove(&own).unwrap_or_default();
+            if now.since(entries_at) >= ENTRIES_INTERVAL {
+                entries_at = now;
+                entries = self.members().entries_by_data_centre(now);
+                local = entries.remove(&own).unwrap_or_default();
+            }
             let remote: Vec<_> = entries.values().flatten().copied().collect();
             let all: Vec<_> = local.iter().chain(&remote).copied().collect();
             for Process { instance, born } in self.dispatcher.take_departures() {
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -49,6 +49,8 @@
     last_heartbeat: Option<Moment>,
     /// When another host first named it; its own heartbeats set this as well.
     discovered: Moment,
+    /// Whether it was alive at the latest call of [`Members::expire`].
+    was_alive: bool,
 }
 
 /// Change of a host's membership.
@@ -71,20 +73,12 @@
     /// centres.
     is_entry: bool,
     peers: HashMap<id::Host, Peer>,
-    /// Whether each host was alive at the last call of [`Members::expire`].
-    was_alive: HashMap<id::Host, bool>,
 }
 
 impl Members {
     pub(super) fn new(me: &Member) -> Self {
         let (data_centre, rank) = (me.data_centre.clone(), entry::rank(&me.host));
-        Self {
-            data_centre,
-            rank,
-            is_entry: false,
-            peers: HashMap::new(),
-            was_alive: HashMap::new(),
-        }
+        Self { data_centre, rank, is_entry: false, peers: HashMap::new() }
     }
 
     /// Sets whether this host is an entry host.
@@ -104,7 +98,9 @@
             Some(_) => None,
         };
         let rank = before.map_or_else(|| entry::rank(&host), |peer| peer.rank);
-        self.peers.insert(host, Peer { member, rank, last_heartbeat: Some(now), discovered: now });
+        let was_alive = self.peers.get(&host).is_some_and(|peer| peer.was_alive);
+        let peer = Peer { member, rank, last_heartbeat: Some(now), discovered: now, was_alive };
+        self.peers.insert(host, peer);
         change
     }
 
@@ -112,18 +108,17 @@
     pub(super) fn add(&mut self, member: Member, now: Moment) {
         let known = self.peers.entry(member.host.clone());
         let rank = entry::rank(&member.host);
-        known.or_insert(Peer { member, rank, last_heartbeat: None, discovered: now });
+        known.or_insert(Peer {
+            member,
+            rank,
+            last_heartbeat: None,
+            discovered: now,
+            was_alive: false,
+        });
     }
 
     fn is_alive(&self, peer: &Peer, now: Moment) -> bool {
-        let is_local = peer.member.data_centre == self.data_centre;
-        let timeout = match (is_local, self.is_entry) {
-            (true, _) if peer.member.entry => ENTRY_TIMEOUT,
-            (true, _) => LOCAL_TIMEOUT,
-            (false, true) => REMOTE_TIMEOUT,
-            (false, false) => FLEET_TIMEOUT,
-        };
-        peer.last_heartbeat.is_some_and(|at| now.since(at) < timeout)
+        is_alive(peer, &self.data_centre, self.is_entry, now)
     }
 
     /// Returns the hosts that were lost since the last call, and removes those silent for long.
@@ -131,15 +126,14 @@
         self.peers.retain(|_, peer| {
             now.since(peer.last_heartbeat.unwrap_or(peer.discovered)) < FORGET_AFTER
         });
-        let alive: HashMap<_, _> = self
-            .peers
-            .iter()
-            .map(|(host, peer)| (host.clone(), self.is_alive(peer, now)))
-            .collect();
-        let was_alive = |host: &id::Host| self.was_alive.get(host).copied().unwrap_or_default();
-        let lost = alive.iter().filter(|(host, alive)| !**alive && was_alive(host));
-        let lost = lost.map(|(host, _)| host.clone()).collect();
-        self.was_alive = alive;
+        let mut lost = Vec::new();
+        for (host, peer) in &mut self.peers {
+            let is_alive = is_alive(peer, &self.data_centre, self.is_entry, now);
+            if peer.was_alive && !is_alive {
+                lost.push(host.clone());
+            }
+            peer.was_alive = is_alive;
+        }
         lost
     }
 
@@ -236,3 +230,17 @@
         entries
     }
 }
+
+/// Returns whether a host was heard of lately, as an entry host or another one of `data_centre` sees
+/// it.
+fn is_alive(peer: &Peer, data_centre: &id::DataCentre, is_entry: bool, now: Moment) -> bool {
+    let Some(heartbeat) = peer.last_heartbeat else { return false };
+    let is_local = peer.member.data_centre == *data_centre;
+    let timeout = match (is_local, is_entry) {
+        (true, _) if peer.member.entry => ENTRY_TIMEOUT,
+        (true, _) => LOCAL_TIMEOUT,
+        (false, true) => REMOTE_TIMEOUT,
+        (false, false) => FLEET_TIMEOUT,
+    };
+    now.since(heartbeat) < timeout
+}
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -1,5 +1,6 @@
 //! This host's copy of the platform's objects, and the configuration and targets read from it.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,7 +52,7 @@
 #[derive(Debug, Default)]
 struct State {
     replica: Replica,
-    targets: std::collections::HashMap<SmolStr, Target>,
+    targets: HashMap<SmolStr, Arc<Target>>,
     /// When the copy of each kind was last confirmed to be the platform's state.
     confirmed: [Option<Moment>; Kind::ALL.len()],
     /// Origin of the latest update.
@@ -235,7 +236,7 @@
             self.read_target(state, name, source);
         }
         let targets = state.targets.values().cloned().collect();
-        self.dispatcher.set_targets(targets, self.catalog().as_deref());
+        self.dispatcher.set_targets(targets, self.catalog());
         let number = state.replica.latest_change();
         self.latest.send_modify(|(latest, _)| *latest = number);
     }
@@ -291,7 +292,7 @@
                     "from": source,
                 });
                 self.events.emit("target_listed", fields);
-                state.targets.insert(name.clone(), target);
+                state.targets.insert(name.clone(), Arc::new(target));
             }
             Err(error) => {
                 state.targets.remove(name);
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -35,10 +35,12 @@
 /// Longest time that the platform holds the response to a watch. Its end confirms the copy, so
 /// that it is shorter than [`MAX_FRESH_AGE`].
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Delay before the next watch after a response with changes, so that changes in quick succession
-/// arrive in one response. It delays the changes that come in the meantime, and is subtracted from
-/// the wait of that watch.
-const BATCH_DELAY: Duration = Duration::from_millis(200);
+/// Delay before the next watch after a response with changes of the configuration, so that changes in
+/// quick succession arrive in one response. It delays the changes that come in the meantime, and is
+/// subtracted from the wait of that watch.
+const CATALOG_BATCH_DELAY: Duration = Duration::from_millis(200);
+/// The same for targets: among hundreds of them, one changes at almost any time.
+const TARGET_BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Longest time that a follower lets its relay hold a response; the relay responds sooner when its
 /// copy is confirmed.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1100);
@@ -59,8 +61,9 @@
 /// Shortest and longest delay before a failed call to the platform is repeated.
 const RETRY_DELAY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time after its start in which a host that knows no other one waits for others before it calls
-/// the platform.
-const DISCOVERY_TIME: Duration = Duration::from_millis(300);
+/// the platform. Hosts that start together find each other within this time; if each of them listed
+/// all objects instead, the calls would grow with the fleet.
+const DISCOVERY_TIME: Duration = Duration::from_millis(600);
 /// Interval at which a host that follows no other one chooses its source anew.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Age of the copy above which an answer of the platform is its return after an outage.
@@ -242,8 +245,11 @@
             };
             match called {
                 Ok(update) => {
-                    batch_delay =
-                        if update.records.is_empty() { Duration::ZERO } else { BATCH_DELAY };
+                    batch_delay = match kind {
+                        _ if update.records.is_empty() => Duration::ZERO,
+                        Kind::Catalog => CATALOG_BATCH_DELAY,
+                        Kind::Target => TARGET_BATCH_DELAY,
+                    };
                     if is_lost {
                         is_lost = false;
                         self.events.emit("store_regained", json!({ "kind": format!("{kind:?}") }));
