--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -39,7 +39,8 @@
 /// quick succession arrive in one response. It delays the changes that come in the meantime, and is
 /// subtracted from the wait of that watch.
 const CATALOG_BATCH_DELAY: Duration = Duration::from_millis(200);
-/// The same for targets: among hundreds of them, one changes at almost any time.
+/// The same for targets. Among hundreds of them one changes at almost any time, and each response
+/// costs a call.
 const TARGET_BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Longest time that a follower lets its relay hold a response; the relay responds sooner when its
 /// copy is confirmed.
--- a/chicoryloom_policy/src/share.rs
+++ b/chicoryloom_policy/src/share.rs
@@ -6,8 +6,7 @@
 
 use std::time::Duration;
 
-/// Most messages of one kind that a host sends a second; their sending and receipt take a tenth of
-/// the processor time of the smallest hosts.
+/// Most messages of one kind that a host sends a second.
 pub const MAX_MESSAGES_PER_S: u32 = 400;
 
 /// Returns the shortest interval between two messages to each of `recipients` hosts.
