--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -2,6 +2,7 @@
 //! and the health of targets.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +19,8 @@
 use chicoryloom_policy::gray::Notice;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
+use chicoryloom_policy::share;
+use chicoryloom_policy::withdrawal::Process;
 use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -44,9 +47,6 @@
 use super::sync::Relay;
 use crate::clock::Clock;
 
-/// Shortest interval between two messages on requests in flight within the data centre, multiplied
-/// by the number of hosts that get them; a host then sends at most 200 of them a second.
-const LOADS_INTERVAL_PER_PEER: Duration = Duration::from_millis(5);
 /// Time after which unchanged requests in flight are sent again, as datagrams get lost.
 const LOADS_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest interval between two rounds of messages on requests and targets.
@@ -68,6 +68,12 @@
 const REGISTER_DELAY: Duration = Duration::from_millis(600);
 /// Interval at which the registered hosts are read from the platform.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
+/// Hosts of a data centre that register at the platform and look for unknown ones there.
+const CONTACT_HOSTS: usize = 8;
+/// Interval at which any other host checks whether it has become one of them.
+const CONTACT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest delay before a host registers again at a restored store; all hosts do so.
+const REGISTER_SPREAD: Duration = Duration::from_secs(1);
 /// Delay before a failed registration is repeated.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Silence of all hosts after which this one counts itself as cut off; four heartbeats of an entry
@@ -295,6 +301,10 @@
                 let notice = if recovered { Notice::Recovered } else { Notice::Failed };
                 self.dispatcher.apply_peer_target(&sender, &target, notice);
             }
+            Body::Leaving { target, born } => {
+                let process = Process { instance: target, born };
+                self.dispatcher.apply_peer_departure(&sender, process);
+            }
             Body::Crash { fingerprint, target, answered } => {
                 self.dispatcher.apply_crash(Fingerprint(fingerprint), target, answered);
             }
@@ -352,16 +362,39 @@
 
     /// Registers this host at the platform, and introduces it to the hosts registered there that it
     /// does not know; runs until the task is aborted.
-    pub(super) async fn register(self: Arc<Self>, store: Arc<dyn Store>) {
+    ///
+    /// Some hosts of a data centre are enough for others to find the fleet by, so that the calls don't
+    /// grow with its size. A store that was restored from a copy may lack the registration, which is
+    /// therefore written in each era of the store.
+    pub(super) async fn register(self: Arc<Self>, store: Arc<dyn Store>, mirror: Arc<Mirror>) {
         tokio::time::sleep(REGISTER_DELAY).await;
         let me = self.me();
         let entry =
             Registration { host: me.host, data_centre: me.data_centre.clone(), peer: me.peer };
-        while let Err(error) = store.register(&entry).await {
-            log::info!("fleet: registration at the platform failed: {error}");
-            tokio::time::sleep(REGISTER_RETRY_DELAY).await;
-        }
+        let mut era = None;
         loop {
+            let is_contact = {
+                let members = self.members();
+                members.is_among_first(CONTACT_HOSTS, &self.me(), self.clock.now())
+            };
+            let knows_others = self.peer_count() > 0;
+            if !is_contact && knows_others {
+                tokio::time::sleep(CONTACT_CHECK_INTERVAL).await;
+                continue;
+            }
+            let present = mirror.era();
+            if era != Some(present) {
+                if era.is_some() {
+                    let delay = REGISTER_SPREAD.mul_f64(rand::random());
+                    tokio::time::sleep(delay).await;
+                }
+                while let Err(error) = store.register(&entry).await {
+                    log::info!("fleet: registration at the platform failed: {error}");
+                    tokio::time::sleep(REGISTER_RETRY_DELAY).await;
+                }
+                log::debug!("fleet: registered at the platform in era {present} of its store");
+                era = Some(present);
+            }
             match store.hosts().await {
                 Ok(hosts) => {
                     let hosts = hosts.iter().filter(|host| host.host != self.name);
@@ -373,7 +406,8 @@
                 }
                 Err(error) => log::debug!("fleet: registered hosts can't be read: {error}"),
             }
-            tokio::time::sleep(DISCOVERY_INTERVAL).await;
+            // A new era needs the registration at once, and the interval is no error.
+            let _ = tokio::time::timeout(DISCOVERY_INTERVAL, mirror.later_era(present)).await;
         }
     }
 
@@ -427,14 +461,14 @@
         let mut me = self.me.lock().expect("no holder of the lock panics");
         me.ready = catalog.is_some();
         me.fresh = mirror.age() < MAX_FRESH_AGE;
-        let mut centres: Vec<_> =
-            members.all_alive(now).map(|member| member.data_centre.clone()).collect();
-        centres.push(me.data_centre.clone());
-        centres.sort();
-        centres.dedup();
+        let mut centres: BTreeSet<_> =
+            members.all_alive(now).map(|member| &member.data_centre).collect();
+        centres.insert(&me.data_centre);
         let granted = catalog.and_then(|catalog| catalog.total_rate()).unwrap_or_default();
-        let demand = granted / centres.len().max(1) as f64;
+        let demand = granted / centres.len() as f64;
+        drop(centres);
         *self.demand.lock().expect("no holder of the lock panics") = demand;
+        let capacity = f64::from(me.capacity);
         let own = members.entries(&me.data_centre, &me, demand, now);
         let is_entry = own.iter().any(|member| member.host == self.name);
         let mut entries: Vec<_> =
@@ -448,6 +482,11 @@
         drop(me);
         members.set_entry(is_entry);
         drop(members);
+        // A host that has just started knows few others, but can tell how many the grants need.
+        let needed = (granted / capacity.max(1.0)).ceil() as usize;
+        let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
+        allowance.set_hosts(entries.len().max(needed));
+        drop(allowance);
         self.dispatcher.set_fleet(entries, hosts);
     }
 
@@ -456,15 +495,23 @@
     pub(super) async fn share(self: Arc<Self>) {
         let mut sent = LastSent::default();
         let own = self.me().data_centre;
+        let mut entries_at = Moment::ZERO;
+        let (mut entries, mut local) = (BTreeMap::new(), Vec::new());
         loop {
             // Wakes up without a change as well, for what is sent at longer intervals.
             let _ = tokio::time::timeout(MAINTENANCE_INTERVAL, self.dispatcher.changed.notified())
                 .await;
             let now = self.clock.now();
-            let mut entries = self.members().entries_by_data_centre(now);
-            let local = entries.remove(&own).unwrap_or_default();
+            if now.since(entries_at) >= ENTRIES_INTERVAL {
+                entries_at = now;
+                entries = self.members().entries_by_data_centre(now);
+                local = entries.remove(&own).unwrap_or_default();
+            }
             let remote: Vec<_> = entries.values().flatten().copied().collect();
             let all: Vec<_> = local.iter().chain(&remote).copied().collect();
+            for Process { instance, born } in self.dispatcher.take_departures() {
+                self.send(&all, Body::Leaving { target: instance, born }).await;
+            }
             for (target, notice) in self.dispatcher.take_notices() {
                 let recovered = notice == Notice::Recovered;
                 self.send(&all, Body::Health { target, recovered }).await;
@@ -474,8 +521,8 @@
                 self.send(&all, crash).await;
             }
             let loads = self.dispatcher.loads();
-            let loads_interval =
-                LOADS_INTERVAL_PER_PEER * u32::try_from(local.len()).unwrap_or(u32::MAX);
+            // Loads change with each request, and take half of the messages that usages may.
+            let loads_interval = share::min_interval(2 * local.len());
             let is_old =
                 !loads.is_empty() && now.since(sent.local_loads_at) >= LOADS_REPEAT_INTERVAL;
             if (loads != sent.local_loads || is_old)
@@ -503,17 +550,23 @@
                 sent.remote_loads = loads;
             }
             let hosts = all.len() + 1;
-            let (usage, urgent) = self.usage(&sent.remote_usage, hosts);
-            if urgent || now.since(sent.remote_usage_at) >= REMOTE_SHARE_INTERVAL {
-                sent.remote_usage_at = now;
-                self.send_usage(&remote, &usage, &sent.remote_usage).await;
-                sent.remote_usage = usage.clone();
+            let remote_age = now.since(sent.remote_usage_at);
+            if !remote.is_empty() && remote_age >= share::min_interval(remote.len()) {
+                let (usage, urgent) = self.usage(&sent.remote_usage, hosts);
+                if urgent || remote_age >= REMOTE_SHARE_INTERVAL {
+                    sent.remote_usage_at = now;
+                    self.send_usage(&remote, &usage, &sent.remote_usage).await;
+                    sent.remote_usage = usage;
+                }
             }
-            let (_, urgent) = self.usage(&sent.local_usage, hosts);
-            if urgent || now.since(sent.local_usage_at) >= USAGE_INTERVAL {
-                sent.local_usage_at = now;
-                self.send_usage(&local, &usage, &sent.local_usage).await;
-                sent.local_usage = usage;
+            let local_age = now.since(sent.local_usage_at);
+            if !local.is_empty() && local_age >= share::min_interval(local.len()) {
+                let (usage, urgent) = self.usage(&sent.local_usage, hosts);
+                if urgent || local_age >= USAGE_INTERVAL {
+                    sent.local_usage_at = now;
+                    self.send_usage(&local, &usage, &sent.local_usage).await;
+                    sent.local_usage = usage;
+                }
             }
             tokio::time::sleep(MIN_SHARE_INTERVAL).await;
         }
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -35,10 +35,13 @@
 /// Longest time that the platform holds the response to a watch. Its end confirms the copy, so
 /// that it is shorter than [`MAX_FRESH_AGE`].
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Delay before the next watch after a response with changes, so that changes in quick succession
-/// arrive in one response. It delays the changes that come in the meantime, and is subtracted from
-/// the wait of that watch.
-const BATCH_DELAY: Duration = Duration::from_millis(200);
+/// Delay before the next watch after a response with changes of the configuration, so that changes in
+/// quick succession arrive in one response. It delays the changes that come in the meantime, and is
+/// subtracted from the wait of that watch.
+const CATALOG_BATCH_DELAY: Duration = Duration::from_millis(200);
+/// The same for targets. Among hundreds of them one changes at almost any time, and each response
+/// costs a call.
+const TARGET_BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Longest time that a follower lets its relay hold a response; the relay responds sooner when its
 /// copy is confirmed.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1100);
@@ -59,8 +62,9 @@
 /// Shortest and longest delay before a failed call to the platform is repeated.
 const RETRY_DELAY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time after its start in which a host that knows no other one waits for others before it calls
-/// the platform.
-const DISCOVERY_TIME: Duration = Duration::from_millis(300);
+/// the platform. Hosts that start together find each other within this time; if each of them listed
+/// all objects instead, the calls would grow with the fleet.
+const DISCOVERY_TIME: Duration = Duration::from_millis(600);
 /// Interval at which a host that follows no other one chooses its source anew.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Age of the copy above which an answer of the platform is its return after an outage.
@@ -222,17 +226,19 @@
         let mut retry_delay = RETRY_DELAY.0;
         let mut is_listed = false;
         let mut is_lost = false;
+        let mut was_compacted = false;
         let mut batch_delay = Duration::ZERO;
         loop {
             if !*should_watch.borrow_and_update() {
-                is_listed = self.mirror.revision(kind) > 0;
+                is_listed = !self.mirror.position(kind).is_start();
                 if should_watch.changed().await.is_err() {
                     return;
                 }
                 continue;
             }
-            let after = self.mirror.revision(kind);
-            let called = if is_listed && after > 0 {
+            let after = self.mirror.position(kind);
+            let is_watch = is_listed && !after.is_start();
+            let called = if is_watch {
                 tokio::time::sleep(batch_delay).await;
                 self.store.watch(kind, after, WATCH_WAIT - batch_delay).await
             } else {
@@ -240,8 +246,11 @@
             };
             match called {
                 Ok(update) => {
-                    batch_delay =
-                        if update.records.is_empty() { Duration::ZERO } else { BATCH_DELAY };
+                    batch_delay = match kind {
+                        _ if update.records.is_empty() => Duration::ZERO,
+                        Kind::Catalog => CATALOG_BATCH_DELAY,
+                        Kind::Target => TARGET_BATCH_DELAY,
+                    };
                     if is_lost {
                         is_lost = false;
                         self.events.emit("store_regained", json!({ "kind": format!("{kind:?}") }));
@@ -252,10 +261,26 @@
                         // The objects are listed next, unless this update is a listing.
                         is_listed = update.whole;
                     }
-                    retry_delay = RETRY_DELAY.0;
-                    self.mirror.apply(update, Duration::ZERO, Source::Platform);
+                    if is_watch {
+                        retry_delay = RETRY_DELAY.0;
+                    }
+                    // The changes of a store that was restored from a copy are incomplete, and an
+                    // answer from before the restoration may arrive after it.
+                    let is_accepted = self.mirror.apply(update, Duration::ZERO, Source::Platform);
+                    if !is_accepted {
+                        is_listed = false;
+                        retry_delay = self.back_off(retry_delay).await;
+                    }
+                }
+                Err(port::Error::Compacted) => {
+                    // Without a pause, a store that keeps no history would get one list after the
+                    // other.
+                    if std::mem::replace(&mut was_compacted, true) {
+                        retry_delay = self.back_off(retry_delay).await;
+                    }
+                    is_listed = false;
+                    continue;
                 }
-                Err(port::Error::Compacted) => is_listed = false,
                 Err(error) => {
                     if !is_lost {
                         is_lost = true;
@@ -263,11 +288,17 @@
                         let fields = json!({ "kind": format!("{kind:?}"), "error": error });
                         self.events.emit("store_lost", fields);
                     }
-                    let jitter = rand::rng().random_range(0.7..1.3);
-                    tokio::time::sleep(retry_delay.mul_f64(jitter)).await;
-                    retry_delay = (retry_delay * 2).min(RETRY_DELAY.1);
+                    retry_delay = self.back_off(retry_delay).await;
                 }
             }
+            was_compacted &= !is_watch;
         }
     }
+
+    /// Waits before a call to the platform is repeated; returns the delay of the next repetition.
+    async fn back_off(&self, delay: Duration) -> Duration {
+        let jitter = rand::rng().random_range(0.7..1.3);
+        tokio::time::sleep(delay.mul_f64(jitter)).await;
+        (delay * 2).min(RETRY_DELAY.1)
+    }
 }
