Log the limits that targets name, and count what is sent to them

Change: a host reads the header, writes target_limit when a limit begins, changes or ends, and has the gauges chicory_targets_limited and chicory_limited_sends. Which targets get requests does not change.

Answers overtake each other, so a higher limit or none counts only if its request was sent after the latest answer that named the present limit.

--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -1,6 +1,7 @@
 //! Assigns requests to targets, and queues requests while no target has a free slot.
 
 mod peers;
+mod throttle;
 mod withdrawal;
 
 use std::collections::BTreeMap;
@@ -35,6 +36,7 @@
 use chicoryloom_policy::id;
 use chicoryloom_policy::inflight::InFlight;
 use chicoryloom_policy::retry::Budget;
+use chicoryloom_policy::throttle::Limits;
 use chicoryloom_policy::withdrawal::Availability;
 use chicoryloom_policy::withdrawal::Process;
 use chicoryloom_policy::withdrawal::Withdrawals;
@@ -117,6 +119,9 @@
     estimator: Estimator,
     holdback: Holdback,
     withdrawals: Withdrawals,
+    limits: Limits,
+    /// Requests sent to targets that had named a limit.
+    limited_sends: u64,
     /// Leaving targets that are not yet reported to the other hosts.
     departures: Vec<Process>,
     /// Leaving targets that this host reports, and since when.
@@ -282,6 +287,8 @@
                 estimator: Estimator::default(),
                 holdback: Holdback::new(CRASH_LIMIT),
                 withdrawals: Withdrawals::default(),
+                limits: Limits::default(),
+                limited_sends: 0,
                 departures: Vec::new(),
                 reported_departures: Vec::new(),
                 entry_hosts: Vec::new(),
@@ -660,6 +667,7 @@
         let held = held.into_iter().map(|(request, target)| (request, target.0, false));
         state.crash_reports.extend(held);
         state.withdrawals.sweep(now);
+        state.limits.sweep(now);
         state.reported_departures.retain(|(_, at)| now.since(*at) < DEPARTURE_REPORT_TIME);
         let again: Vec<_> = state.reported_departures.iter().map(|(one, _)| one.clone()).collect();
         state.departures.extend(again);
--- a/chicoryloom/src/gateway/dispatcher/withdrawal.rs
+++ b/chicoryloom/src/gateway/dispatcher/withdrawal.rs
@@ -15,24 +15,26 @@
 use super::Endpoint;
 use super::Requirements;
 use super::State;
-use crate::target::Withdrawal;
+use crate::target::Terms;
 
 impl Endpoint {
     /// Returns the process that the endpoint reaches.
-    fn process(&self) -> Process {
+    pub(super) fn process(&self) -> Process {
         Process { instance: self.target.instance.clone(), born: self.target.born }
     }
 }
 
 impl Dispatcher {
-    /// Applies what a target said in an answer to this host.
+    /// Applies what a target said in an answer to this host, whose request was sent at `sent`.
     ///
-    /// All hosts stop using a leaving target. A pause concerns this host only.
-    pub(in crate::gateway) fn withdraw(&self, endpoint: &Endpoint, withdrawal: &Withdrawal) {
-        if withdrawal.is_leaving {
+    /// All hosts stop using a leaving target, and keep a limit together. A pause concerns this host
+    /// only.
+    pub(in crate::gateway) fn apply_terms(&self, endpoint: &Endpoint, terms: &Terms, sent: Moment) {
+        if terms.is_leaving {
             self.record_departure(endpoint.process(), "answer", true);
         }
-        match withdrawal.pause {
+        self.observe_limit(endpoint, terms.limit, sent);
+        match terms.pause {
             None => {}
             Some(Ok(pause)) => self.record_pause(endpoint, pause),
             Some(Err(error)) => log::warn!(
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -274,6 +274,18 @@
         "Targets that want no requests of this host for a while",
         move || read.withdrawal_counts().1 as u64,
     );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_targets_limited",
+        "Targets that named a limit on the requests of all hosts together",
+        move || read.limited_targets(),
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_limited_sends",
+        "Requests sent to targets that had named a limit",
+        move || read.limited_sends(),
+    );
 }
 
 fn member(settings: &Settings, incarnation: id::Incarnation, peer: SocketAddr) -> Member {
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -239,9 +239,10 @@
                 return Attempt::NoResponse(Failure::Unsent);
             }
             let endpoint = slot.endpoint.clone();
+            let begun = self.gateway.clock.now();
             match self.send(slot).await {
                 Err(failure) => {
-                    self.record_failure(&endpoint, &failure);
+                    self.record_failure(&endpoint, &failure, begun);
                     let is_unsent = matches!(
                         failure,
                         Failure::Cap | Failure::Connect(_) | Failure::Unsent | Failure::Withdrawn
@@ -319,6 +320,7 @@
         self.progress.may_have_run.store(true, Ordering::Relaxed);
         let protocol = self.gateway.dialect.protocol();
         let request = self.target_request(&endpoint).ok_or(Failure::Unsent)?;
+        self.gateway.dispatcher.count_send(&endpoint);
         let mut answer = self
             .await_response(exchange(lease, request, RESPONSE_IDLE_TIMEOUT, protocol), &endpoint)
             .await;
@@ -409,7 +411,7 @@
         let dispatcher = &self.gateway.dispatcher;
         let endpoint = slot.endpoint.clone();
         let protocol = self.gateway.dialect.protocol();
-        dispatcher.withdraw(&endpoint, &protocol.withdrawal(answer.status(), answer.headers()));
+        dispatcher.apply_terms(&endpoint, &protocol.terms(answer.status(), answer.headers()), sent);
         let is_failure = is_failure(answer.status());
         let outcome = if is_failure { Outcome::Failed } else { Outcome::Ok };
         if is_failure {
@@ -439,8 +441,9 @@
         Ok(if is_failure { Attempt::Failed(response) } else { Attempt::Response(response) })
     }
 
-    /// Records a failed attempt as an outcome for its target, and writes an event.
-    fn record_failure(&self, endpoint: &Endpoint, failure: &Failure) {
+    /// Records a failed attempt that began at `begun` as an outcome for its target, and writes an
+    /// event.
+    fn record_failure(&self, endpoint: &Endpoint, failure: &Failure, begun: Moment) {
         let now = self.gateway.clock.now();
         let outcome = match failure {
             Failure::Cap | Failure::Body(_) | Failure::Withdrawn => None,
@@ -448,8 +451,8 @@
                 endpoint.backend.close_idle();
                 Some(Outcome::Silent)
             }
-            Failure::Shed(withdrawal) => {
-                self.gateway.dispatcher.withdraw(endpoint, withdrawal);
+            Failure::Shed(terms) => {
+                self.gateway.dispatcher.apply_terms(endpoint, terms, begun);
                 Some(Outcome::Shed)
             }
             Failure::Lost(_)
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -206,9 +206,9 @@
             Failure::Cap | Failure::Body(_) | Failure::Withdrawn => return,
             Failure::Unsent if !fresh => return,
             Failure::Connect(_) | Failure::Unsent => Failed::Refused,
-            Failure::Shed(withdrawal) => {
+            Failure::Shed(terms) => {
                 member.backend.gauge().record_shed(now);
-                if withdrawal.is_leaving {
+                if terms.is_leaving {
                     self.service.mark_draining(member.target.id, now);
                 }
                 return;
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicoryloom_policy::throttle::InvalidLimit;
+use chicoryloom_policy::throttle::Limit;
 use chicoryloom_policy::withdrawal::InvalidPause;
 use chicoryloom_policy::withdrawal::Pause;
 use chicoryloom_wire::header;
@@ -39,6 +41,9 @@
     pub not_run: HeaderName,
     /// Set by a target that is draining, in all its answers; the value 0 means that it is not.
     pub draining: Option<HeaderName>,
+    /// Set by a target in need, in all its answers, to the requests per second that it takes from all
+    /// hosts together; `None` if targets don't name such limits.
+    pub limit: Option<HeaderName>,
     /// Set by a target on each whole answer and required on successful ones; `None` if targets
     /// don't set it.
     pub seal: Option<HeaderName>,
@@ -54,6 +59,7 @@
             allows_no_echo: true,
             not_run: HeaderName::from_static(header::NOT_RUN),
             draining: Some(HeaderName::from_static(header::DRAINING)),
+            limit: None,
             seal: None,
             allows_close_delimited: false,
         });
@@ -62,23 +68,28 @@
 }
 
 /// What a target says in an answer about further requests.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub(crate) struct Withdrawal {
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Terms {
     /// Whether the target is leaving.
     pub(crate) is_leaving: bool,
     /// Time for which it wants no requests, if it turned this one away.
     pub(crate) pause: Option<Result<Pause, InvalidPause>>,
+    /// Limit on the requests of all hosts together.
+    pub(crate) limit: Option<Result<Limit, InvalidLimit>>,
 }
 
 impl Protocol {
     /// Returns what the head of an answer says about further requests.
-    pub(crate) fn withdrawal(&self, status: StatusCode, headers: &HeaderMap) -> Withdrawal {
+    pub(crate) fn terms(&self, status: StatusCode, headers: &HeaderMap) -> Terms {
         let draining = self.draining.as_ref().and_then(|name| headers.get(name));
         let is_leaving = draining.is_some_and(|value| value.as_bytes().trim_ascii() != b"0");
         let pause = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-        let parse =
+        let parse_pause =
             |value: &HeaderValue| value.to_str().map_err(|_| InvalidPause::NotSeconds)?.parse();
-        Withdrawal { is_leaving, pause: pause.map(parse) }
+        let limit = self.limit.as_ref().and_then(|name| headers.get(name));
+        let parse_limit =
+            |value: &HeaderValue| value.to_str().map_err(|_| InvalidLimit::NotANumber)?.parse();
+        Terms { is_leaving, pause: pause.map(parse_pause), limit: limit.map(parse_limit) }
     }
 }
 
@@ -129,7 +140,7 @@
     /// No answer arrived before the deadline.
     Deadline,
     /// The target reports that it did not run the request.
-    Shed(Withdrawal),
+    Shed(Terms),
     /// The target asked for no more requests before this one was sent.
     Withdrawn,
     /// The address now belongs to another target, which did not run the request.
@@ -164,9 +175,7 @@
             Self::Mismatched => f.write_str("answer belongs to another request"),
             Self::CloseDelimited => f.write_str("answer without a length or chunks"),
             Self::Deadline => f.write_str("the target did not answer before the deadline"),
-            Self::Shed(Withdrawal { is_leaving: true, .. }) => {
-                f.write_str("shed by a draining target")
-            }
+            Self::Shed(Terms { is_leaving: true, .. }) => f.write_str("shed by a draining target"),
             Self::Shed(_) => f.write_str("shed by the target"),
             Self::Withdrawn => f.write_str("the target asked for no more requests"),
             Self::Misdirected => f.write_str("another target has the address"),
@@ -229,7 +238,7 @@
     // A target that sheds a request before it reads the head can't echo the identifier.
     let is_shed = headers.contains_key(&protocol.not_run) && echoed.is_none_or(|_| is_own);
     if is_shed {
-        return Err(Failure::Shed(protocol.withdrawal(response.status(), headers)));
+        return Err(Failure::Shed(protocol.terms(response.status(), headers)));
     }
     if !is_own {
         return Err(Failure::Mismatched);
--- a/chicoryloom/src/target/mod.rs
+++ b/chicoryloom/src/target/mod.rs
@@ -25,7 +25,7 @@
 pub(crate) use exchange::BodyError;
 pub(crate) use exchange::Failure;
 pub use exchange::Protocol;
-pub(crate) use exchange::Withdrawal;
+pub(crate) use exchange::Terms;
 pub(crate) use exchange::exchange;
 pub(crate) use monitor::Monitor;
 pub(crate) use monitor::Place;
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod run;
 pub mod share;
 pub mod split;
+pub mod throttle;
 pub mod unit;
 pub mod withdrawal;
 
