Keep the limit that a target names over all hosts together

Cause: no host applied the header, and no decision of the fleet bounds what a target gets from all hosts together: slots bound requests at a time, not a rate. The class is a bound of the whole fleet that hosts can't keep one by one. Evidence: in the failing test target_limit shows each host knowing the limit while arrivals stay at 57 to 60 in 4 s.

Change: chicoryloom_policy::throttle. A limit binds the process that named it and is reported to the other hosts. The host that is responsible for a target's trials gives out permits from one token bucket, in the order in which hosts began to ask, and no request goes to such a target without one. A permit ends one second after the ask on the asking host's own clock, so that a pause or a late message doesn't extend it. A new issuer begins empty, and one that sees only a part of the known hosts gives out that part, since the others may have an issuer too. Where all targets of a service have limits, a request whose turn can't come before its deadline is refused at once with the time of its turn.

Shares of the limit for each host were ruled out: 40 parts of 1.6 a second are less than one request each. Counting by reports between hosts was ruled out too: all hosts with a waiting request would send at the moment at which one is allowed again.

--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -1,7 +1,7 @@
 //! Assigns requests to targets, and queues requests while no target has a free slot.
 
 mod peers;
-mod throttle;
+pub(super) mod throttle;
 mod withdrawal;
 
 use std::collections::BTreeMap;
@@ -36,7 +36,6 @@
 use chicoryloom_policy::id;
 use chicoryloom_policy::inflight::InFlight;
 use chicoryloom_policy::retry::Budget;
-use chicoryloom_policy::throttle::Limits;
 use chicoryloom_policy::withdrawal::Availability;
 use chicoryloom_policy::withdrawal::Process;
 use chicoryloom_policy::withdrawal::Withdrawals;
@@ -45,6 +44,7 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use self::throttle::Throttle;
 use super::events::Events;
 use super::settings::Bounds;
 use crate::clock::Clock;
@@ -119,9 +119,9 @@
     estimator: Estimator,
     holdback: Holdback,
     withdrawals: Withdrawals,
-    limits: Limits,
-    /// Requests sent to targets that had named a limit.
-    limited_sends: u64,
+    throttle: Throttle,
+    /// Part of the known hosts that are alive, from 0 to 1.
+    visible_part: f64,
     /// Leaving targets that are not yet reported to the other hosts.
     departures: Vec<Process>,
     /// Leaving targets that this host reports, and since when.
@@ -177,6 +177,8 @@
 /// Assigns requests to targets.
 pub(super) struct Dispatcher {
     me: id::Host,
+    /// Key by which the order differs in which hosts ask for permits.
+    key: u64,
     data_centre: id::DataCentre,
     source: IpAddr,
     bounds: Bounds,
@@ -272,8 +274,10 @@
         clock: Arc<dyn Clock>,
         events: Events,
     ) -> Arc<Self> {
+        let key = entry::rank(&me);
         Arc::new_cyclic(|weak_self| Self {
             me,
+            key,
             data_centre,
             source,
             bounds,
@@ -287,8 +291,8 @@
                 estimator: Estimator::default(),
                 holdback: Holdback::new(CRASH_LIMIT),
                 withdrawals: Withdrawals::default(),
-                limits: Limits::default(),
-                limited_sends: 0,
+                throttle: Throttle::default(),
+                visible_part: 1.0,
                 departures: Vec::new(),
                 reported_departures: Vec::new(),
                 entry_hosts: Vec::new(),
@@ -352,6 +356,7 @@
             service.targets.sort_by(|a, b| a.target.instance.cmp(&b.target.instance));
         }
         state.trial_targets = self.trial_targets(state);
+        Self::drop_foreign_issuers(state);
         self.set_connection_caps(state, catalog.as_deref());
         let names: Vec<_> = state.services.keys().cloned().collect();
         for name in names {
@@ -379,13 +384,21 @@
         }
     }
 
-    /// Sets the hosts that callers are sent to, and the number of all hosts.
-    pub(super) fn set_fleet(&self, entry_hosts: Vec<(id::Host, id::DataCentre)>, hosts: usize) {
+    /// Sets the hosts that callers are sent to, the number of live hosts, and that of all known ones
+    /// that are not leaving.
+    pub(super) fn set_fleet(
+        &self,
+        entry_hosts: Vec<(id::Host, id::DataCentre)>,
+        hosts: usize,
+        known: usize,
+    ) {
         let mut state = self.lock();
         if state.entry_hosts != entry_hosts {
             state.entry_hosts = entry_hosts;
             state.trial_targets = self.trial_targets(&state);
+            Self::drop_foreign_issuers(&mut state);
         }
+        state.visible_part = (hosts as f64 / known.max(1) as f64).min(1.0);
         state.host_count = u32::try_from(hosts).unwrap_or(u32::MAX);
         let burst = self.retry_burst(&state);
         for service in state.services.values_mut() {
@@ -421,6 +434,10 @@
             let timeout = requirements.latest.since(now);
             let (sender, receiver) = oneshot::channel();
             service.waiters.insert(ticket, Waiter { requirements, sender });
+            if state.throttle.limits.is_any() {
+                self.dispatch_locked(state, &service_name);
+                self.refuse_unservable(state, now);
+            }
             (ticket, receiver, timeout)
         };
         let latest = now.after(timeout);
@@ -450,6 +467,7 @@
         requirements: &Requirements,
         now: Moment,
     ) -> Option<Slot> {
+        self.take_own_permits(state, &requirements.service, now);
         let mut board = self.board(state, &requirements.service, now)?;
         self.assign(state, &mut board, requirements, now)
     }
@@ -479,6 +497,11 @@
             state.estimator.begin_trial(&choice.target, now);
             candidate.standing = Standing::HeldBack;
         }
+        let process = endpoint.process();
+        state.throttle.take(&process, now);
+        if !state.throttle.allows(&process, now) {
+            candidate.standing = Standing::HeldBack;
+        }
         state.in_flight.begin(&choice.target);
         let data_centre = &endpoint.target.data_centre;
         if !state.data_centres.contains_key(&choice.target) {
@@ -494,6 +517,7 @@
         let service = state.services.get(service)?;
         let is_usable = |endpoint: &&Arc<Endpoint>| {
             Self::availability(state, endpoint, now) == Availability::Now
+                && state.throttle.allows(&endpoint.process(), now)
         };
         let endpoints: Vec<_> = service.targets.iter().filter(is_usable).cloned().collect();
         let counts: Vec<_> = endpoints
@@ -580,6 +604,7 @@
     /// Assigns free slots of all services' targets to queued requests.
     pub(super) fn dispatch_all(&self) {
         let mut state = self.lock();
+        self.poll_issuers(&mut state, self.clock.now());
         let waiting = state.services.iter().filter(|(_, service)| !service.queue.is_empty());
         let names: Vec<_> = waiting.map(|(name, _)| name.clone()).collect();
         for name in names {
@@ -592,6 +617,8 @@
             return;
         }
         let now = self.clock.now();
+        self.take_own_permits(state, name, now);
+        self.ask_for_permits(state, name, now);
         let Some(mut board) = self.board(state, name, now) else { return };
         while !board.is_full() {
             let Some(service) = state.services.get(name) else { return };
@@ -667,7 +694,7 @@
         let held = held.into_iter().map(|(request, target)| (request, target.0, false));
         state.crash_reports.extend(held);
         state.withdrawals.sweep(now);
-        state.limits.sweep(now);
+        state.throttle.sweep(now);
         state.reported_departures.retain(|(_, at)| now.since(*at) < DEPARTURE_REPORT_TIME);
         let again: Vec<_> = state.reported_departures.iter().map(|(one, _)| one.clone()).collect();
         state.departures.extend(again);
--- a/chicoryloom/src/gateway/dispatcher/throttle.rs
+++ b/chicoryloom/src/gateway/dispatcher/throttle.rs
@@ -1,12 +1,113 @@
 //! Limits that targets name on the requests of all hosts together.
+//!
+//! The host that is responsible for a target's trials also gives out the permits for its limit.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::entry::Owners;
+use chicoryloom_policy::id;
+use chicoryloom_policy::throttle;
+use chicoryloom_policy::throttle::Change;
+use chicoryloom_policy::throttle::Grant;
 use chicoryloom_policy::throttle::InvalidLimit;
+use chicoryloom_policy::throttle::Issuer;
 use chicoryloom_policy::throttle::Limit;
+use chicoryloom_policy::throttle::Limits;
+use chicoryloom_policy::throttle::Permits;
+use chicoryloom_policy::withdrawal::Process;
 use serde_json::json;
 
 use super::Dispatcher;
 use super::Endpoint;
+use super::State;
+
+/// Most targets of a service that a host asks for permits at a time. It bounds the messages where
+/// hundreds of targets name limits at once.
+const MAX_ASKS: usize = 8;
+/// Most permits that a host asks for at a time.
+const MAX_WANTED: u32 = 32;
+/// Time for which a change of a limit is reported to the other hosts once a second, as datagrams get
+/// lost.
+const REPORT_TIME: Duration = Duration::from_secs(3);
+
+/// Message about permits to another host.
+#[derive(Clone, Debug, PartialEq)]
+pub(in crate::gateway) enum Message {
+    /// Asks the responsible host for permits. It carries the limit, which that host may not know yet.
+    Ask { process: Process, change: Change, asked: Moment, wanted: u32 },
+    /// Answers an ask with permits.
+    Grant { process: Process, asked: Moment, count: u32 },
+    /// Answers an ask with the time after which a permit is expected.
+    Turn { process: Process, wait: Duration },
+}
+
+/// What this host knows of limits, and its permits.
+#[derive(Debug, Default)]
+pub(super) struct Throttle {
+    pub(super) limits: Limits,
+    pub(super) permits: Permits,
+    /// Issuers for the targets that this host is responsible for.
+    issuers: HashMap<Process, Issuer>,
+    /// Changes that this host reports to the others, and since when.
+    reported: Vec<(Process, Moment)>,
+    /// Processes whose latest change is to be reported now.
+    reports: Vec<Process>,
+    messages: Vec<(id::Host, Message)>,
+    /// Requests sent to targets that had named a limit.
+    sends: u64,
+}
+
+impl Throttle {
+    /// Returns whether a request may be sent to a target now, as far as its limit is concerned.
+    pub(super) fn allows(&self, process: &Process, now: Moment) -> bool {
+        self.limits.get(process).is_none() || self.permits.is_valid(process, now)
+    }
+
+    /// Uses a permit if the target has a limit.
+    pub(super) fn take(&mut self, process: &Process, now: Moment) {
+        if self.limits.get(process).is_some() {
+            self.permits.take(process, now);
+        }
+    }
+
+    /// Returns when a target with a limit is expected to take a request of this host.
+    pub(super) fn turn(&self, process: &Process) -> Option<Moment> {
+        self.limits.get(process)?;
+        self.permits.turn(process)
+    }
+
+    fn issuer(&mut self, process: &Process, part: f64, now: Moment) -> Option<&mut Issuer> {
+        let limit = self.limits.get(process)?;
+        let issuer =
+            self.issuers.entry(process.clone()).or_insert_with(|| Issuer::new(limit, part, now));
+        issuer.set_limit(limit, part, now);
+        Some(issuer)
+    }
+
+    /// Sends permits to the hosts whose turn it is, and keeps those of this host.
+    fn give_out(&mut self, me: &id::Host, process: &Process, grants: Vec<Grant>, now: Moment) {
+        for Grant { host, asked, count } in grants {
+            if host == *me {
+                self.permits.grant(process, asked, count, now);
+            } else {
+                let grant = Message::Grant { process: process.clone(), asked, count };
+                self.messages.push((host, grant));
+            }
+        }
+    }
+
+    pub(super) fn sweep(&mut self, now: Moment) {
+        self.limits.sweep(now);
+        self.permits.sweep(now);
+        let limits = &self.limits;
+        self.issuers.retain(|process, _| limits.get(process).is_some());
+        self.reported.retain(|(_, at)| now.since(*at) < REPORT_TIME);
+        self.reports.extend(self.reported.iter().map(|(process, _)| process.clone()));
+    }
+}
 
 impl Dispatcher {
     /// Records the limit that an answer names, or that it names none.
@@ -28,34 +129,254 @@
             }
         };
         let now = self.clock.now();
-        let change = self.lock().limits.observe(&endpoint.process(), limit, sent, now);
+        let process = endpoint.process();
+        let change = {
+            let mut state = self.lock();
+            let throttle = &mut state.throttle;
+            let change = throttle.limits.observe(&process, limit, sent, now);
+            if change.is_some() {
+                throttle.reported.retain(|(reported, _)| *reported != process);
+                throttle.reported.push((process.clone(), now));
+                throttle.reports.push(process.clone());
+                self.changed.notify_one();
+            }
+            change
+        };
         if let Some(change) = change {
-            self.events.emit(
-                "target_limit",
-                json!({
-                    "target": endpoint.target.instance.as_str(),
-                    "service": endpoint.target.service.as_str(),
-                    "per_second": change.limit.map(Limit::per_second), "by": "answer",
-                }),
-            );
+            self.log_limit(&process, change, "answer");
+        }
+    }
+
+    /// Applies another host's report of a limit.
+    pub(in crate::gateway) fn apply_peer_limit(
+        &self,
+        host: &id::Host,
+        process: &Process,
+        limit: Option<Limit>,
+        age: Duration,
+    ) {
+        let change = Change { limit, at: self.clock.now().before(age) };
+        if self.lock().throttle.limits.apply(process, change) {
+            self.log_limit(process, change, host.as_str());
+            self.dispatch_all();
+        }
+    }
+
+    fn log_limit(&self, process: &Process, change: Change, by: &str) {
+        self.events.emit(
+            "target_limit",
+            json!({
+                "target": process.instance.as_str(), "born": process.born,
+                "per_second": change.limit.map(Limit::per_second), "by": by,
+            }),
+        );
+    }
+
+    /// Takes the limits to report to the other hosts, with the age of each.
+    pub(in crate::gateway) fn take_limit_reports(&self) -> Vec<(Process, Option<Limit>, Duration)> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let throttle = &mut state.throttle;
+        let reports = std::mem::take(&mut throttle.reports);
+        let report = |process: Process| {
+            let latest = throttle.limits.latest(&process)?;
+            Some((process, latest.limit, now.since(latest.at)))
+        };
+        reports.into_iter().filter_map(report).collect()
+    }
+
+    /// Takes the messages about permits, with their receivers.
+    pub(in crate::gateway) fn take_permit_messages(&self) -> Vec<(id::Host, Message)> {
+        std::mem::take(&mut self.lock().throttle.messages)
+    }
+
+    /// Applies another host's message about permits.
+    pub(in crate::gateway) fn apply_permit_message(&self, host: &id::Host, message: Message) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        match message {
+            Message::Ask { process, change, asked, wanted } => {
+                self.apply_listing(&mut state);
+                if state.trial_targets.contains(&process.instance) {
+                    self.answer_ask(&mut state, host, process, change, (asked, wanted), now);
+                    self.changed.notify_one();
+                }
+            }
+            Message::Grant { process, asked, count } => {
+                if state.throttle.permits.grant(&process, asked, count, now) {
+                    drop(state);
+                    self.dispatch_all();
+                }
+            }
+            Message::Turn { process, wait } => {
+                state.throttle.permits.announce(&process, wait, now);
+                self.refuse_unservable(&mut state, now);
+            }
         }
     }
 
+    fn answer_ask(
+        &self,
+        state: &mut State,
+        host: &id::Host,
+        process: Process,
+        change: Change,
+        (asked, wanted): (Moment, u32),
+        now: Moment,
+    ) {
+        let part = state.visible_part;
+        let throttle = &mut state.throttle;
+        throttle.limits.apply(&process, change);
+        let Some(issuer) = throttle.issuer(&process, part, now) else {
+            // The limit has ended, which the asking host learns from the next answer.
+            let grant = Message::Grant { process, asked, count: 1 };
+            throttle.messages.push((host.clone(), grant));
+            return;
+        };
+        issuer.ask(host, asked, wanted, now);
+        let grants = issuer.poll(now);
+        match issuer.expected_wait(host) {
+            Some(wait) if *host == self.me => throttle.permits.announce(&process, wait, now),
+            Some(wait) => {
+                let turn = Message::Turn { process: process.clone(), wait };
+                throttle.messages.push((host.clone(), turn));
+            }
+            None => {}
+        }
+        throttle.give_out(&self.me, &process, grants, now);
+    }
+
+    /// Gives out what the limits allow by now to the hosts that wait for it.
+    pub(super) fn poll_issuers(&self, state: &mut State, now: Moment) {
+        let throttle = &mut state.throttle;
+        let mut all = Vec::new();
+        for (process, issuer) in &mut throttle.issuers {
+            let grants = issuer.poll(now);
+            if !grants.is_empty() {
+                all.push((process.clone(), grants));
+            }
+        }
+        for (process, grants) in all {
+            throttle.give_out(&self.me, &process, grants, now);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Drops the issuers for targets that another host is now responsible for. A host that becomes
+    /// responsible again begins with nothing to give out.
+    pub(super) fn drop_foreign_issuers(state: &mut State) {
+        let own = &state.trial_targets;
+        state.throttle.issuers.retain(|process, _| own.contains(&process.instance));
+    }
+
+    /// Takes permits for the targets of a service that this host is responsible for, as far as no
+    /// other host waits for them.
+    pub(super) fn take_own_permits(&self, state: &mut State, service: &id::Service, now: Moment) {
+        if !state.throttle.limits.is_any() {
+            return;
+        }
+        let Some(service) = state.services.get(service) else { return };
+        for endpoint in &service.targets {
+            let process = endpoint.process();
+            if !state.trial_targets.contains(&process.instance)
+                || state.throttle.limits.get(&process).is_none()
+                || state.throttle.permits.is_valid(&process, now)
+            {
+                continue;
+            }
+            let issuer = state.throttle.issuer(&process, state.visible_part, now);
+            if issuer.is_some_and(|issuer| issuer.take(now)) {
+                state.throttle.permits.add_own(&process, now);
+            }
+        }
+    }
+
+    /// Asks for permits for the requests of a service that wait.
+    pub(super) fn ask_for_permits(&self, state: &mut State, name: &id::Service, now: Moment) {
+        if !state.throttle.limits.is_any() {
+            return;
+        }
+        let Some(service) = state.services.get(name).filter(|service| !service.queue.is_empty())
+        else {
+            return;
+        };
+        let waiting = service.queue.len();
+        let limited = service.targets.iter().filter(|endpoint| {
+            !endpoint.target.leaving && state.throttle.limits.get(&endpoint.process()).is_some()
+        });
+        let (mut asked, mut rest): (Vec<_>, Vec<_>) = limited
+            .cloned()
+            .partition(|endpoint| state.throttle.permits.is_pending(&endpoint.process(), now));
+        // The order differs by host, so that not all hosts ask for the same targets.
+        rest.sort_by_key(|endpoint| {
+            let is_near = endpoint.target.data_centre == self.data_centre;
+            (!is_near, endpoint.trial_key ^ self.key)
+        });
+        let room = MAX_ASKS.min(waiting).saturating_sub(asked.len());
+        asked.extend(rest.into_iter().take(room));
+        let wanted = u32::try_from(waiting.div_ceil(asked.len().max(1))).unwrap_or(MAX_WANTED);
+        for endpoint in asked {
+            self.ask_for_permit(state, &endpoint, wanted.min(MAX_WANTED), now);
+        }
+        self.poll_issuers(state, now);
+    }
+
+    fn ask_for_permit(
+        &self,
+        state: &mut State,
+        endpoint: &Arc<Endpoint>,
+        wanted: u32,
+        now: Moment,
+    ) {
+        let process = endpoint.process();
+        let Some(change) = state.throttle.limits.latest(&process) else { return };
+        if !state.throttle.permits.ask(&process, now) {
+            return;
+        }
+        let Some(owner) = self.owner(state, endpoint) else {
+            return self.answer_ask(state, &self.me, process, change, (now, wanted), now);
+        };
+        let ask = Message::Ask { process, change, asked: now, wanted };
+        state.throttle.messages.push((owner, ask));
+        self.changed.notify_one();
+    }
+
+    /// Returns the shortest time in which the limits of a service's targets allow `ahead` requests.
+    pub(super) fn min_wait(&self, state: &State, name: &id::Service, ahead: usize) -> Duration {
+        if !state.throttle.limits.is_any() {
+            return Duration::ZERO;
+        }
+        let targets = state.services.get(name).map_or(&[][..], |service| &service.targets);
+        let in_use = targets.iter().filter(|endpoint| !endpoint.target.leaving);
+        let limit = |endpoint: &Arc<Endpoint>| state.throttle.limits.get(&endpoint.process());
+        throttle::min_wait(in_use.map(limit), ahead)
+    }
+
+    /// Returns the host that is responsible for a target, or `None` if it is this one.
+    fn owner(&self, state: &State, endpoint: &Endpoint) -> Option<id::Host> {
+        let centre = &endpoint.target.data_centre;
+        let near = state.entry_hosts.iter().filter(|(_, of)| of == centre);
+        let near = Owners::new(near.map(|(host, _)| host));
+        let all = Owners::new(state.entry_hosts.iter().map(|(host, _)| host));
+        let owners = if near.is_empty() { all } else { near };
+        owners.owner(endpoint.trial_key).filter(|host| **host != self.me).cloned()
+    }
+
     /// Counts a request that is sent to a target which had named a limit.
     pub(in crate::gateway) fn count_send(&self, endpoint: &Endpoint) {
         let mut state = self.lock();
-        if state.limits.get(&endpoint.process()).is_some() {
-            state.limited_sends += 1;
+        if state.throttle.limits.get(&endpoint.process()).is_some() {
+            state.throttle.sends += 1;
         }
     }
 
     /// Returns how many targets have a limit.
     pub(in crate::gateway) fn limited_targets(&self) -> u64 {
-        self.lock().limits.count() as u64
+        self.lock().throttle.limits.count() as u64
     }
 
     /// Returns how many requests were sent to targets that had named a limit.
     pub(in crate::gateway) fn limited_sends(&self) -> u64 {
-        self.lock().limited_sends
+        self.lock().throttle.sends
     }
 }
--- a/chicoryloom/src/gateway/dispatcher/withdrawal.rs
+++ b/chicoryloom/src/gateway/dispatcher/withdrawal.rs
@@ -112,7 +112,13 @@
         if endpoint.target.leaving {
             return Availability::Never;
         }
-        state.withdrawals.availability(&endpoint.process(), now)
+        let process = endpoint.process();
+        let available = state.withdrawals.availability(&process, now);
+        match (available, state.throttle.turn(&process)) {
+            (Availability::Now, Some(turn)) if turn > now => Availability::From(turn),
+            (Availability::From(until), Some(turn)) => Availability::From(until.max(turn)),
+            _ => available,
+        }
     }
 
     /// Returns when a service has a target that takes requests. One that is listed soon may take
@@ -137,27 +143,37 @@
         requirements: &Requirements,
         now: Moment,
     ) -> Result<(), Rejection> {
+        let queue = state.services.get(&requirements.service).map(|service| &service.queue);
+        let ahead = queue.map_or(0, |queue| queue.count_before(requirements.rank));
         let returns = Self::capacity_return(state, &requirements.service, now);
+        let returns = returns.after(self.min_wait(state, &requirements.service, ahead), now);
         if !returns.is_after(requirements.latest) {
             return Ok(());
         }
-        let queue = state.services.get(&requirements.service).map(|service| &service.queue);
         let retry_after = returns.retry_after(now, &mut rand::rng());
         Err(Rejection { retry_after, ahead: queue.map_or(0, Queue::len) })
     }
 
     /// Ends the wait of all requests that can't be served any more.
-    fn refuse_unservable(&self, state: &mut State, now: Moment) {
+    pub(super) fn refuse_unservable(&self, state: &mut State, now: Moment) {
         let names: Vec<_> = state.services.keys().cloned().collect();
         for name in names {
             let returns = Self::capacity_return(state, &name, now);
-            if returns == Availability::Now {
+            let step = self.min_wait(state, &name, 1);
+            if returns == Availability::Now && step.is_zero() {
                 continue;
             }
             let Some(service) = state.services.get_mut(&name) else { continue };
-            let waiters = service.waiters.iter();
-            let unservable = waiters.filter(|(_, one)| returns.is_after(one.requirements.latest));
-            let tickets: Vec<_> = unservable.map(|(ticket, _)| *ticket).collect();
+            let mut ahead = 0;
+            let mut tickets = Vec::new();
+            for (ticket, waiter) in &service.waiters {
+                let returns = returns.after(step.saturating_mul(ahead), now);
+                if returns.is_after(waiter.requirements.latest) {
+                    tickets.push(*ticket);
+                } else {
+                    ahead += 1;
+                }
+            }
             for ticket in tickets {
                 service.queue.remove(ticket);
                 // The request is woken as its sender is dropped.
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -1,6 +1,8 @@
 //! Messages between this host and the others: membership, requests in flight and admitted ones,
 //! and the health of targets.
 
+mod throttle;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -305,6 +307,10 @@
                 let process = Process { instance: target, born };
                 self.dispatcher.apply_peer_departure(&sender, process);
             }
+            Body::Limits(ceilings) => self.apply_limits(&sender, ceilings),
+            Body::Ask { .. } | Body::Grant { .. } | Body::Turn { .. } => {
+                self.apply_permit_body(&sender, body);
+            }
             Body::Crash { fingerprint, target, answered } => {
                 self.dispatcher.apply_crash(Fingerprint(fingerprint), target, answered);
             }
@@ -478,6 +484,7 @@
         entries.extend(others.map(|one| (one.host.clone(), one.data_centre.clone())));
         entries.sort();
         let hosts = members.all_alive(now).count() + 1;
+        let known = members.all().filter(|member| !member.leaving).count() + 1;
         me.entry = is_entry;
         drop(me);
         members.set_entry(is_entry);
@@ -487,7 +494,7 @@
         let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
         allowance.set_hosts(entries.len().max(needed));
         drop(allowance);
-        self.dispatcher.set_fleet(entries, hosts);
+        self.dispatcher.set_fleet(entries, hosts, known);
     }
 
     /// Sends the requests in flight, the admitted ones and changes in the health of targets to the
@@ -512,6 +519,7 @@
             for Process { instance, born } in self.dispatcher.take_departures() {
                 self.send(&all, Body::Leaving { target: instance, born }).await;
             }
+            self.send_limits(&all).await;
             for (target, notice) in self.dispatcher.take_notices() {
                 let recovered = notice == Notice::Recovered;
                 self.send(&all, Body::Health { target, recovered }).await;
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -6,6 +6,8 @@
 use chicoryloom_policy::id;
 use chicoryloom_policy::replica::Positions;
 use chicoryloom_policy::replica::Update;
+use chicoryloom_policy::throttle::Limit;
+use chicoryloom_policy::withdrawal::Process;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -65,6 +67,35 @@
     pub(super) level: Option<f32>,
 }
 
+/// One process of a target.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub(super) struct Instance {
+    target: id::Instance,
+    /// Start time of the process.
+    born: u64,
+}
+
+impl From<Process> for Instance {
+    fn from(process: Process) -> Self {
+        Self { target: process.instance, born: process.born }
+    }
+}
+
+impl From<Instance> for Process {
+    fn from(instance: Instance) -> Self {
+        Self { instance: instance.target, born: instance.born }
+    }
+}
+
+/// Limit that a target named, or that it names none any more.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub(super) struct Ceiling {
+    pub(super) process: Instance,
+    pub(super) limit: Option<Limit>,
+    /// Time since the answer that named the limit, or since the request whose answer named none.
+    pub(super) age_ms: u32,
+}
+
 /// Contents of a datagram.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub(super) enum Body {
@@ -101,6 +132,26 @@
         /// Start time of the target's process.
         born: u64,
     },
+    /// Limits that began, changed or ended.
+    Limits(Vec<Ceiling>),
+    /// Asks the host that is responsible for a target with a limit for permits.
+    Ask {
+        ceiling: Ceiling,
+        /// When the sender asks, in nanoseconds on its clock.
+        asked_ns: u64,
+        wanted: u32,
+    },
+    /// Answers [`Body::Ask`] with permits.
+    Grant {
+        process: Instance,
+        asked_ns: u64,
+        count: u32,
+    },
+    /// Answers [`Body::Ask`] with the time after which a permit is expected.
+    Turn {
+        process: Instance,
+        wait_ms: u32,
+    },
 }
 
 /// A datagram with its sender.
--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -196,8 +196,7 @@
         latest: Moment,
         now: Moment,
     ) -> Result<Ticket, Rejection> {
-        let end = Ticket { rank, number: u64::MAX };
-        let ahead = self.waiting.range(..end).count();
+        let ahead = self.count_before(rank);
         let wait = self.expected_wait(ahead, now);
         if now.after(wait) > latest || self.waiting.len() >= MAX_WAITING {
             return Err(Rejection { retry_after: self.drain_time(now), ahead });
@@ -211,6 +210,12 @@
         Ok(ticket)
     }
 
+    /// Returns how many waiting requests go before a new one of `rank`.
+    pub fn count_before(&self, rank: Rank) -> usize {
+        let end = Ticket { rank, number: u64::MAX };
+        self.waiting.range(..end).count()
+    }
+
     /// Returns the time after which a new request would get a target at once.
     pub fn drain_time(&self, now: Moment) -> Duration {
         self.expected_wait(self.waiting.len() + 1, now)
--- a/chicoryloom_policy/src/throttle/limits.rs
+++ b/chicoryloom_policy/src/throttle/limits.rs
@@ -40,6 +40,11 @@
         self.latest.get(process)?.limit
     }
 
+    /// Returns whether any target has a limit.
+    pub fn is_any(&self) -> bool {
+        self.latest.values().any(|latest| latest.limit.is_some())
+    }
+
     /// Returns the number of targets with a limit.
     pub fn count(&self) -> usize {
         self.latest.values().filter(|latest| latest.limit.is_some()).count()
@@ -71,6 +76,22 @@
         (present != limit).then_some(change)
     }
 
+    /// Applies another host's report of a change; returns whether it is news.
+    pub fn apply(&mut self, process: &Process, change: Change) -> bool {
+        let known = self.latest.get(process).copied();
+        if known.is_some_and(|known| change.at <= known.at) {
+            return false;
+        }
+        let present = known.and_then(|known| known.limit);
+        self.insert(process, change);
+        present != change.limit
+    }
+
+    /// Returns the latest change of a target's limit.
+    pub fn latest(&self, process: &Process) -> Option<Change> {
+        self.latest.get(process).copied()
+    }
+
     fn insert(&mut self, process: &Process, change: Change) {
         if self.latest.len() >= MAX_PROCESSES
             && !self.latest.contains_key(process)
--- a/chicoryloom_policy/src/throttle/mod.rs
+++ b/chicoryloom_policy/src/throttle/mod.rs
@@ -1,12 +1,22 @@
 //! Limits that targets in need name on the requests that they take from all hosts together.
+//!
+//! [`Limits`] is what a host knows of them. One host is responsible for each target and gives out
+//! permits for what its limit allows ([`Issuer`]); the others ask for them ([`Permits`]). No request
+//! goes to a target with a limit without a permit.
 
+mod issuer;
 mod limits;
+mod permits;
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
+pub use issuer::Grant;
+pub use issuer::Issuer;
 pub use limits::Change;
 pub use limits::Limits;
+pub use permits::Permits;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -55,6 +65,20 @@
     }
 }
 
+/// Returns the shortest time in which targets with these limits take `ahead` requests, or zero if one
+/// of the targets (`None`) takes any number.
+///
+/// Answers the load of more requests than a service's limits allow: those whose turn can't come before
+/// their deadline are refused at once.
+pub fn min_wait(limits: impl Iterator<Item = Option<Limit>>, ahead: usize) -> Duration {
+    let limits: Option<Vec<f64>> = limits.map(|limit| limit.map(Limit::per_second)).collect();
+    let Some(limits) = limits.filter(|limits| ahead > 0 && !limits.is_empty()) else {
+        return Duration::ZERO;
+    };
+    let total: f64 = limits.iter().sum();
+    Duration::try_from_secs_f64(ahead as f64 / total).unwrap_or(Duration::MAX)
+}
+
 /// Why a text is no limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InvalidLimit {
--- a/chicoryloom_policy/src/withdrawal.rs
+++ b/chicoryloom_policy/src/withdrawal.rs
@@ -122,6 +122,17 @@
         }
     }
 
+    /// Returns the availability for a request that waits for others, which take `time`.
+    #[must_use]
+    pub fn after(self, time: Duration, now: Moment) -> Self {
+        match self {
+            Self::Now if time.is_zero() => Self::Now,
+            Self::Now => Self::From(now.after(time)),
+            Self::From(moment) => Self::From(moment.after(time)),
+            Self::Never => Self::Never,
+        }
+    }
+
     /// Returns the time after which a refused caller may ask again.
     ///
     /// All callers of a service learn of the same moment. Their returns are spread over some time
