Log whether a host reaches targets at all

Change: chicoryloom_policy::reach keeps the time of the latest answer and the targets that were out of reach since. In doubt the host asks three targets, of different services first, for their health. It writes links_cut once three targets in a row are out of reach with no answer between, and links_up with the first answer; gauges chicory_links_cut, chicory_target_silence_ms and chicory_targets_unreached. No decision uses it yet.

--- /dev/null
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -0,0 +1,113 @@
+//! This host's links to targets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::reach::Links;
+use chicoryloom_policy::withdrawal::Availability;
+use serde_json::json;
+
+use super::Dispatcher;
+use super::Endpoint;
+use super::State;
+use crate::target::Failure;
+
+/// Time in which a target answers a check of the links.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+
+impl Dispatcher {
+    /// Records that a target answered, whatever it said.
+    pub(in crate::gateway) fn record_answer(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Links::Cut(since) = state.reach.links() else {
+            state.reach.record_answer(now);
+            return;
+        };
+        state.reach.record_answer(now);
+        drop(state);
+        let ms = now.since(since).as_millis() as u64;
+        self.events.emit("links_up", json!({ "silence_ms": ms }));
+        self.links_changed.notify_one();
+    }
+
+    /// Records that a target has been out of reach since a moment.
+    pub(in crate::gateway) fn record_unreached(&self, endpoint: &Endpoint, since: Moment) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let listed = state.services.values().map(|service| service.targets.len()).sum();
+        let instance = &endpoint.target.instance;
+        let is_news = state.reach.record_unreached(instance, listed, since, now);
+        self.links_changed.notify_one();
+        if !is_news {
+            return;
+        }
+        let silence_ms = state.reach.silence(now).as_millis() as u64;
+        let unreached = state.reach.unreached();
+        drop(state);
+        let fields = json!({ "silence_ms": silence_ms, "unreached": unreached, "listed": listed });
+        self.events.emit("links_cut", fields);
+    }
+
+    /// Returns whether this host is cut off from all targets.
+    pub(in crate::gateway) fn is_cut(&self) -> bool {
+        self.lock().reach.is_cut()
+    }
+
+    /// Returns the time since a target last answered, and how many were out of reach since.
+    pub(in crate::gateway) fn silence(&self) -> (Duration, usize) {
+        let (state, now) = (self.lock(), self.clock.now());
+        (state.reach.silence(now), state.reach.unreached())
+    }
+
+    /// Tries some targets if the links are in doubt.
+    pub(in crate::gateway) fn check_links(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if !state.reach.is_check_due(now) {
+            return;
+        }
+        self.apply_listing(&mut state);
+        let endpoints = Self::checked_endpoints(&state, now);
+        let targets: Vec<_> = endpoints
+            .iter()
+            .map(|endpoint| (&endpoint.target.instance, &endpoint.target.service))
+            .collect();
+        let chosen = state.reach.check(&targets, now, &mut rand::rng());
+        let Some(dispatcher) = self.weak_self.upgrade() else { return };
+        for endpoint in &endpoints {
+            if chosen.contains(&&endpoint.target.instance) {
+                let (dispatcher, endpoint) = (dispatcher.clone(), endpoint.clone());
+                tokio::spawn(async move { dispatcher.check_link(&endpoint).await });
+            }
+        }
+    }
+
+    /// Returns the targets that may be tried: those that take requests.
+    fn checked_endpoints(state: &State, now: Moment) -> Vec<Arc<Endpoint>> {
+        let all = state.services.values().flat_map(|service| &service.targets);
+        let takes_requests = |endpoint: &&Arc<Endpoint>| {
+            Self::availability(state, endpoint, now) == Availability::Now
+                && state.throttle.limits.get(&endpoint.process()).is_none()
+        };
+        all.filter(takes_requests).cloned().collect()
+    }
+
+    /// Asks a target for its health, since only an answer shows that the link works.
+    async fn check_link(&self, endpoint: &Endpoint) {
+        let begun = self.clock.now();
+        let path = {
+            let state = self.lock();
+            state.catalog.as_ref().and_then(|catalog| {
+                catalog.services.get(&endpoint.target.service)?.health_path.clone()
+            })
+        };
+        let check = endpoint.backend.check(path.as_deref().unwrap_or("/"));
+        match tokio::time::timeout(CHECK_TIMEOUT, check).await {
+            Ok(Ok(())) => self.record_answer(),
+            Ok(Err(Failure::Cap)) => {}
+            Ok(Err(_)) | Err(_) => self.record_unreached(endpoint, begun),
+        }
+    }
+}
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -1,5 +1,6 @@
 //! Assigns requests to targets, and queues requests while no target has a free slot.
 
+mod links;
 mod peers;
 pub(super) mod throttle;
 mod withdrawal;
@@ -35,6 +36,7 @@
 use chicoryloom_policy::holdback::Holdback;
 use chicoryloom_policy::id;
 use chicoryloom_policy::inflight::InFlight;
+use chicoryloom_policy::reach::Reach;
 use chicoryloom_policy::retry::Budget;
 use chicoryloom_policy::withdrawal::Availability;
 use chicoryloom_policy::withdrawal::Process;
@@ -120,6 +122,9 @@
     holdback: Holdback,
     withdrawals: Withdrawals,
     throttle: Throttle,
+    reach: Reach,
+    /// Configuration of the latest listing.
+    catalog: Option<Arc<Catalog>>,
     /// Part of the known hosts that are alive, from 0 to 1.
     visible_part: f64,
     /// Leaving targets that are not yet reported to the other hosts.
@@ -187,6 +192,8 @@
     state: Mutex<State>,
     /// Notified when there is something to send to the other hosts.
     pub(super) changed: Notify,
+    /// Notified when the links to targets may be in another state, or are to be checked.
+    pub(super) links_changed: Notify,
     weak_self: Weak<Self>,
 }
 
@@ -275,6 +282,7 @@
         events: Events,
     ) -> Arc<Self> {
         let key = entry::rank(&me);
+        let started = clock.now();
         Arc::new_cyclic(|weak_self| Self {
             me,
             key,
@@ -292,6 +300,8 @@
                 holdback: Holdback::new(CRASH_LIMIT),
                 withdrawals: Withdrawals::default(),
                 throttle: Throttle::default(),
+                reach: Reach::new(started),
+                catalog: None,
                 visible_part: 1.0,
                 departures: Vec::new(),
                 reported_departures: Vec::new(),
@@ -303,6 +313,7 @@
                 host_count: 1,
             }),
             changed: Notify::new(),
+            links_changed: Notify::new(),
             weak_self: weak_self.clone(),
         })
     }
@@ -358,6 +369,7 @@
         state.trial_targets = self.trial_targets(state);
         Self::drop_foreign_issuers(state);
         self.set_connection_caps(state, catalog.as_deref());
+        state.catalog = catalog;
         let names: Vec<_> = state.services.keys().cloned().collect();
         for name in names {
             self.dispatch_locked(state, &name);
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -453,6 +453,7 @@
                 self.dispatcher.sweep();
             }
             self.dispatcher.dispatch_all();
+            self.dispatcher.check_links();
         }
     }
 
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -275,6 +275,24 @@
         move || read.withdrawal_counts().1 as u64,
     );
     let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_links_cut",
+        "Whether no target can be reached from this host",
+        move || u64::from(read.is_cut()),
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_target_silence_ms",
+        "Time since a target last answered this host",
+        move || read.silence().0.as_millis() as u64,
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_targets_unreached",
+        "Targets that were out of reach since a target last answered",
+        move || read.silence().1 as u64,
+    );
+    let read = dispatcher.clone();
     metrics.register_gauge(
         "chicory_targets_limited",
         "Targets that named a limit on the requests of all hosts together",
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -372,10 +372,12 @@
         endpoint: &Endpoint,
     ) -> Result<Answer, Failure> {
         tokio::pin!(answer);
+        let begun = self.gateway.clock.now();
         if let Ok(answer) = tokio::time::timeout(self.late_threshold(), answer.as_mut()).await {
             return answer;
         }
         let now = self.gateway.clock.now();
+        self.gateway.dispatcher.record_unreached(endpoint, begun);
         self.gateway.dispatcher.observe(endpoint, Outcome::Silent, now);
         answer.await
     }
@@ -445,6 +447,14 @@
     /// event.
     fn record_failure(&self, endpoint: &Endpoint, failure: &Failure, begun: Moment) {
         let now = self.gateway.clock.now();
+        match failure {
+            Failure::Connect(_) => self.gateway.dispatcher.record_unreached(endpoint, begun),
+            Failure::Unsent | Failure::Lost(_) => {
+                self.gateway.dispatcher.record_unreached(endpoint, now);
+            }
+            Failure::Shed(_) | Failure::Misdirected => self.gateway.dispatcher.record_answer(),
+            _ => {}
+        }
         let outcome = match failure {
             Failure::Cap | Failure::Body(_) | Failure::Withdrawn => None,
             Failure::Connect(_) | Failure::Unsent | Failure::Misdirected | Failure::Deadline => {
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::LazyLock;
 use std::task::Context;
 use std::task::Poll;
@@ -19,8 +20,11 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::HOST;
 use http::header::RETRY_AFTER;
 use http::header::TRANSFER_ENCODING;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -28,6 +32,7 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use super::pool::Backend;
 use super::pool::Lease;
 
 /// Headers by which targets report the outcome of a request, and what an answer must carry.
@@ -212,6 +217,19 @@
     Ok(response.map(|body| AnswerBody::new(body, lease, idle)))
 }
 
+impl Backend {
+    /// Asks the target on a new connection whether it is well, and waits for the head of any answer.
+    pub(crate) async fn check(self: &Arc<Self>, path: &str) -> Result<(), Failure> {
+        let mut lease = self.lease_new().await?;
+        let request = Request::get(path).header(HOST, self.target().to_string());
+        let request = request.body(Empty::new().map_err(|never| match never {}).boxed_unsync());
+        let request = request.map_err(|error| Failure::Connect(error.to_string()))?;
+        let Some(sender) = lease.sender() else { return Err(Failure::Unsent) };
+        let answer = sender.send_request(request).await;
+        answer.map(drop).map_err(|error| Failure::Lost(error.to_string()))
+    }
+}
+
 /// Distinguishes a failed body of the caller from a broken connection to the target.
 fn classify_error(error: &hyper::Error) -> Failure {
     let source = std::error::Error::source(error);
--- a/chicoryloom/src/target/pool.rs
+++ b/chicoryloom/src/target/pool.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns the address of the target.
+    pub(super) fn target(&self) -> id::Target {
+        self.target
+    }
+
     /// Returns the target's load as measured by this host.
     pub(crate) fn gauge(&self) -> &Gauge {
         &self.gauge
--- a/chicoryloom_policy/src/catalog.rs
+++ b/chicoryloom_policy/src/catalog.rs
@@ -94,6 +94,8 @@
 pub struct Service {
     /// Maximum number of connections of all hosts together to each target.
     pub connections: Connections,
+    /// Path at which a target answers whether it is well.
+    pub health_path: Option<SmolStr>,
 }
 
 /// A checked configuration.
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod placement;
 pub mod position;
 pub mod queue;
+pub mod reach;
 pub mod replay;
 pub mod replica;
 pub mod retry;
--- /dev/null
+++ b/chicoryloom_policy/src/reach.rs
@@ -0,0 +1,167 @@
+//! Whether this host reaches targets at all.
+//!
+//! A host whose links to all targets are cut sees each of them fail, while the other hosts see all of
+//! them well. So a connection that fails says something about a target only where this host reaches
+//! others; where it reaches none, it says something about the host.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use crate::Moment;
+use crate::id;
+
+/// Targets that must be out of reach, without an answer of any other, for the host to be cut off; all
+/// targets if there are fewer. Two may well go down together.
+const MIN_UNREACHED: usize = 3;
+/// Time after the first target was out of reach from which the links are checked. Where requests are
+/// frequent, another target answers within it.
+const CHECK_DELAY: Duration = Duration::from_millis(100);
+/// Targets that are tried at a time to find out whether the host is cut off.
+const CHECK_TARGETS: usize = 3;
+/// Shortest time between two such checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Time without an answer after which a host checks its links when it hears that another one is cut
+/// off. The same fault often cuts many hosts, and those without callers have no other evidence.
+const UNPROVEN_AFTER: Duration = Duration::from_secs(1);
+
+/// Whether a host reaches targets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Links {
+    /// As far as is known.
+    Up,
+    /// No target was reached since this moment.
+    Cut(Moment),
+}
+
+/// Evidence on the links from this host to all targets.
+#[derive(Clone, Debug)]
+pub struct Reach {
+    links: Links,
+    /// When a target last answered.
+    answered: Moment,
+    /// Targets that were out of reach since then.
+    unreached: HashMap<id::Instance, Moment>,
+    checked: Option<Moment>,
+    /// Whether another host said that it is cut off since the last check.
+    is_questioned: bool,
+}
+
+impl Reach {
+    /// Returns the state of a host that starts at `now`.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            links: Links::Up,
+            answered: now,
+            unreached: HashMap::new(),
+            checked: None,
+            is_questioned: false,
+        }
+    }
+
+    /// Returns whether this host reaches targets.
+    pub fn links(&self) -> Links {
+        self.links
+    }
+
+    /// Returns whether this host is cut off from all targets.
+    pub fn is_cut(&self) -> bool {
+        matches!(self.links, Links::Cut(_))
+    }
+
+    /// Returns the number of targets that were out of reach since the latest answer.
+    pub fn unreached(&self) -> usize {
+        self.unreached.len()
+    }
+
+    /// Returns the time since the latest answer.
+    pub fn silence(&self, now: Moment) -> Duration {
+        now.since(self.answered)
+    }
+
+    /// Records that a target answered, whatever the answer; returns whether the host was cut off.
+    pub fn record_answer(&mut self, now: Moment) -> bool {
+        self.answered = now;
+        self.unreached.clear();
+        self.is_questioned = false;
+        std::mem::replace(&mut self.links, Links::Up) != Links::Up
+    }
+
+    /// Records that a target could not be reached or broke the connection without an answer; returns
+    /// whether the host is cut off as of now.
+    ///
+    /// `since` is the moment from which the target was out of reach: that of a broken connection, or
+    /// the beginning of a wait. `listed` is the number of targets that the platform lists.
+    pub fn record_unreached(
+        &mut self,
+        target: &id::Instance,
+        listed: usize,
+        since: Moment,
+        now: Moment,
+    ) -> bool {
+        if since < self.answered {
+            return false;
+        }
+        self.unreached.insert(target.clone(), now);
+        if self.is_cut() || self.unreached.len() < MIN_UNREACHED.min(listed.max(1)) {
+            return false;
+        }
+        self.links = Links::Cut(self.answered);
+        true
+    }
+
+    /// Records that another host said that it is cut off.
+    pub fn question(&mut self, now: Moment) {
+        self.is_questioned = self.silence(now) >= UNPROVEN_AFTER;
+    }
+
+    /// Returns whether the links are in doubt and should be checked now.
+    pub fn is_check_due(&self, now: Moment) -> bool {
+        let is_overdue = |at: &Moment| now.since(*at) >= CHECK_DELAY;
+        let is_doubtful = self.is_cut()
+            || self.is_questioned
+            || self.unreached.len() > 1
+            || self.unreached.values().any(is_overdue);
+        is_doubtful && self.checked.is_none_or(|at| now.since(at) >= CHECK_INTERVAL)
+    }
+
+    /// Returns the targets to try now, which is none unless a check is due. Targets of services of which none is known to be out of reach come first, since all targets of one service
+    /// may be down.
+    pub fn check<'a, R: Rng + ?Sized>(
+        &mut self,
+        targets: &[(&'a id::Instance, &'a id::Service)],
+        now: Moment,
+        rng: &mut R,
+    ) -> Vec<&'a id::Instance> {
+        if !self.is_check_due(now) {
+            return Vec::new();
+        }
+        self.checked = Some(now);
+        let mut failed: HashMap<&id::Service, usize> = HashMap::new();
+        for (target, service) in targets {
+            *failed.entry(*service).or_default() +=
+                usize::from(self.unreached.contains_key(*target));
+        }
+        let mut order: Vec<_> = targets.to_vec();
+        order.shuffle(rng);
+        order.sort_by_key(|(target, service)| {
+            (failed[service], self.unreached.contains_key(*target))
+        });
+        let mut chosen: Vec<&id::Instance> = Vec::new();
+        let mut services: Vec<&id::Service> = Vec::new();
+        // One target of each service before a second one of any.
+        for is_second in [false, true] {
+            for (target, service) in &order {
+                let is_known = services.contains(service);
+                if chosen.len() < CHECK_TARGETS && is_known == is_second && !chosen.contains(target)
+                {
+                    chosen.push(target);
+                    services.push(service);
+                }
+            }
+        }
+        chosen
+    }
+}
