Send callers to other hosts while a host reaches no target

Callers saw: while over half of the hosts were cut from all targets, callers of these were served 36 of 457 first tries, the others 214 of 231; each request was held for 1.7 s and refused.

Cause: a host concluded from each failed connection that the target was to blame, and never that it was cut off itself. It stayed among the hosts that the locator names, since the store and the other hosts saw it well. The class is a conclusion about a target that is one about the host's own link. Evidence: the failing test, in which cut hosts log links_cut and are named on.

Change: a host is cut off once three targets, of three services or of all if there are fewer, are out of reach with no answer between. A cut host counts as not ready, tells all hosts at once, repeats it for a second, refuses at once with a short Retry-After and closes connections with its refusals. Hosts of its data centre without a recent answer check their own links, so that callers aren't sent to another cut one. The first answer ends it. If all hosts are cut, the locator names all, and if a data centre has none left, the entry hosts of the others.

--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::catalog::Target;
 use chicoryloom_policy::reach::Links;
+use chicoryloom_policy::reach::Listed;
 use chicoryloom_policy::withdrawal::Availability;
 use serde_json::json;
 
@@ -13,6 +15,9 @@
 use super::State;
 use crate::target::Failure;
 
+/// `Retry-After` of a request that is refused by a host without links. Other hosts serve it now, and
+/// the locator names them once the news has reached it.
+pub(super) const CUT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time in which a target answers a check of the links.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -36,20 +41,36 @@
     pub(in crate::gateway) fn record_unreached(&self, endpoint: &Endpoint, since: Moment) {
         let now = self.clock.now();
         let mut state = self.lock();
-        let listed = state.services.values().map(|service| service.targets.len()).sum();
-        let instance = &endpoint.target.instance;
-        let is_news = state.reach.record_unreached(instance, listed, since, now);
+        let sizes = state.services.values().map(|service| service.targets.len());
+        let sizes: Vec<_> = sizes.filter(|size| *size > 0).collect();
+        let listed = Listed { targets: sizes.iter().sum(), services: sizes.len() };
+        let Target { instance, service, .. } = &*endpoint.target;
+        let is_news = state.reach.record_unreached(instance, service, listed, since, now);
         self.links_changed.notify_one();
         if !is_news {
             return;
         }
         let silence_ms = state.reach.silence(now).as_millis() as u64;
         let unreached = state.reach.unreached();
+        // Their requests can't be served, and are woken as the senders are dropped.
+        for service in state.services.values_mut() {
+            for ticket in std::mem::take(&mut service.waiters).into_keys() {
+                service.queue.remove(ticket);
+            }
+        }
         drop(state);
-        let fields = json!({ "silence_ms": silence_ms, "unreached": unreached, "listed": listed });
+        let fields =
+            json!({ "silence_ms": silence_ms, "unreached": unreached, "listed": listed.targets });
         self.events.emit("links_cut", fields);
     }
 
+    /// Checks the links, as a host of the data centre lost its own, unless a target answered lately.
+    pub(in crate::gateway) fn question_links(&self) {
+        let now = self.clock.now();
+        self.lock().reach.question(now);
+        self.links_changed.notify_one();
+    }
+
     /// Returns whether this host is cut off from all targets.
     pub(in crate::gateway) fn is_cut(&self) -> bool {
         self.lock().reach.is_cut()
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -432,6 +432,9 @@
         let (ticket, receiver, timeout) = {
             let mut state = self.lock();
             let state = &mut *state;
+            if state.reach.is_cut() {
+                return Err(Rejection { retry_after: links::CUT_RETRY_AFTER, ahead: 0 });
+            }
             self.apply_listing(state);
             let is_first = state.services.get(&requirements.service).is_none_or(|service| {
                 let first = service.queue.tickets().next();
@@ -462,7 +465,9 @@
                 let (state, now) = (self.lock(), self.clock.now());
                 let queue = state.services.get(&service_name).map(|service| &service.queue);
                 let returns = Self::capacity_return(&state, &service_name, now);
-                let wait = if returns.is_after(latest) {
+                let wait = if state.reach.is_cut() {
+                    links::CUT_RETRY_AFTER
+                } else if returns.is_after(latest) {
                     returns.retry_after(now, &mut rand::rng())
                 } else {
                     queue.map_or(Duration::ZERO, |queue| queue.drain_time(now))
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -78,6 +78,9 @@
 const REGISTER_SPREAD: Duration = Duration::from_secs(1);
 /// Delay before a failed registration is repeated.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Time for which a host tells all others that it lost its links to targets, or got them back, as
+/// datagrams get lost.
+const ANNOUNCE_TIME: Duration = Duration::from_secs(1);
 /// Silence of all hosts after which this one counts itself as cut off; four heartbeats of an entry
 /// host.
 const ISOLATION_TIMEOUT: Duration = Duration::from_secs(1);
@@ -175,8 +178,8 @@
 
     /// Returns the addresses that callers of a data centre should use.
     ///
-    /// If the data centre has no entry host, these are the entry hosts of this host's data centre,
-    /// else all ready hosts, else all hosts of this host's data centre. Hosts that are leaving are
+    /// If the data centre has no entry host, these are the entry hosts of this host's data centre, else
+    /// those of all others, else all ready hosts, else all hosts of this host's data centre. Hosts that are leaving are
     /// left out.
     pub(super) fn locate(&self, data_centre: Option<&id::DataCentre>) -> Vec<SocketAddr> {
         let now = self.clock.now();
@@ -188,8 +191,11 @@
         if found.is_empty() {
             found = members.entries(&own, &me, demand, now);
         }
+        let can_serve = |member: &&Member| member.ready && !member.leaving;
+        if found.is_empty() {
+            found = members.all_alive(now).filter(can_serve).filter(|one| one.entry).collect();
+        }
         if found.is_empty() {
-            let can_serve = |member: &&Member| member.ready && !member.leaving;
             found = members.all_alive(now).filter(can_serve).collect();
         }
         if found.is_empty() {
@@ -319,7 +325,15 @@
 
     fn update_member(&self, member: Member, now: Moment) {
         let host = member.host.clone();
-        let change = self.members().update(member, now);
+        let (is_ready, is_leaving) = (member.ready, member.leaving);
+        let is_local = member.data_centre == self.me().data_centre;
+        let (was_ready, change) = {
+            let mut members = self.members();
+            (members.is_ready(&host), members.update(member, now))
+        };
+        if is_local && was_ready && !is_ready && !is_leaving && change.is_none() {
+            self.dispatcher.question_links();
+        }
         if let Some(change) = change {
             self.apply_change(&host, change);
         }
@@ -424,17 +438,29 @@
         let (mut local_at, mut remote_at, mut fleet_at) =
             (Moment::ZERO, Moment::ZERO, Moment::ZERO);
         let (mut entries_at, mut swept_at) = (Moment::ZERO, Moment::ZERO);
-        let mut was_entry = false;
+        let (mut was_entry, mut was_cut) = (false, false);
+        let mut announce_until = Moment::ZERO;
         loop {
-            ticks.tick().await;
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = self.dispatcher.links_changed.notified() => {}
+            }
             let now = self.clock.now();
+            let is_cut = self.dispatcher.is_cut();
+            if is_cut != was_cut {
+                was_cut = is_cut;
+                announce_until = now.after(ANNOUNCE_TIME);
+                (entries_at, local_at) = (Moment::ZERO, Moment::ZERO);
+            }
+            let announces = now < announce_until;
             self.allowance.lock().expect("no holder of the lock panics").tick(now);
             if now.since(entries_at) >= ENTRIES_INTERVAL {
                 entries_at = now;
                 self.update_entries(&mirror, now);
             }
             let is_entry = self.me().entry;
-            let interval = if is_entry { ENTRY_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL };
+            let is_frequent = is_entry || announces;
+            let interval = if is_frequent { ENTRY_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL };
             // Others send admitted requests only to hosts that they know as entry hosts, so a new
             // one announces itself at once.
             let is_new = is_entry && !was_entry;
@@ -442,8 +468,8 @@
             if now.since(local_at) >= interval || is_new {
                 local_at = now;
                 let to_remote = is_entry && now.since(remote_at) >= REMOTE_HEARTBEAT_INTERVAL;
-                let to_fleet =
-                    is_entry && (is_new || now.since(fleet_at) >= FLEET_HEARTBEAT_INTERVAL);
+                let is_fleet_due = is_new || now.since(fleet_at) >= FLEET_HEARTBEAT_INTERVAL;
+                let to_fleet = announces || (is_entry && is_fleet_due);
                 remote_at = if to_remote { now } else { remote_at };
                 fleet_at = if to_fleet { now } else { fleet_at };
                 self.send_heartbeat(to_remote, to_fleet).await;
@@ -466,7 +492,7 @@
         }
         let mut members = self.members();
         let mut me = self.me.lock().expect("no holder of the lock panics");
-        me.ready = catalog.is_some();
+        me.ready = catalog.is_some() && !self.dispatcher.is_cut();
         me.fresh = mirror.age() < MAX_FRESH_AGE;
         let mut centres: BTreeSet<_> =
             members.all_alive(now).map(|member| &member.data_centre).collect();
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -278,7 +278,11 @@
             latest,
         };
         self.gateway.dispatcher.acquire(requirements).await.map_err(|rejection| {
-            let detail = format!("{} requests wait for {}", rejection.ahead, self.service);
+            let detail = if self.gateway.dispatcher.is_cut() {
+                "this host reaches no target".to_owned()
+            } else {
+                format!("{} requests wait for {}", rejection.ahead, self.service)
+            };
             Refusal::new(Reason::NoTargetInTime, detail).retry_after(rejection.retry_after)
         })
     }
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -104,6 +104,11 @@
         change
     }
 
+    /// Returns whether a host was ready for callers at its latest heartbeat.
+    pub(super) fn is_ready(&self, host: &id::Host) -> bool {
+        self.peers.get(host).is_some_and(|peer| peer.last_heartbeat.is_some() && peer.member.ready)
+    }
+
     /// Adds a host that another host named; what is known of the host already takes precedence.
     pub(super) fn add(&mut self, member: Member, now: Moment) {
         let known = self.peers.entry(member.host.clone());
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -30,7 +30,7 @@
     pub(super) caller: SocketAddr,
     /// Requests per second that the host can serve.
     pub(super) capacity: f32,
-    /// Whether it has a configuration.
+    /// Whether it has a configuration and reaches targets.
     pub(super) ready: bool,
     pub(super) leaving: bool,
     /// Whether callers of its data centre are directed to it.
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -151,7 +151,9 @@
         {
             response.headers_mut().insert(name, id.clone());
         }
-        if is_ambiguous || self.leaving.load(Ordering::Relaxed) {
+        // A host without links to targets frees its callers to connect to another one.
+        let is_unreachable = refusal.is_some() && self.dispatcher.is_cut();
+        if is_ambiguous || is_unreachable || self.leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         let took = started.elapsed();
--- a/chicoryloom_policy/src/reach.rs
+++ b/chicoryloom_policy/src/reach.rs
@@ -5,6 +5,7 @@
 //! others; where it reaches none, it says something about the host.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -16,6 +17,9 @@
 /// Targets that must be out of reach, without an answer of any other, for the host to be cut off; all
 /// targets if there are fewer. Two may well go down together.
 const MIN_UNREACHED: usize = 3;
+/// Services with such targets; all services if there are fewer. All targets of one service may well be
+/// down.
+const MIN_SERVICES: usize = 3;
 /// Time after the first target was out of reach from which the links are checked. Where requests are
 /// frequent, another target answers within it.
 const CHECK_DELAY: Duration = Duration::from_millis(100);
@@ -36,14 +40,21 @@
     Cut(Moment),
 }
 
+/// How many targets the platform lists, and of how many services.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Listed {
+    pub targets: usize,
+    pub services: usize,
+}
+
 /// Evidence on the links from this host to all targets.
 #[derive(Clone, Debug)]
 pub struct Reach {
     links: Links,
     /// When a target last answered.
     answered: Moment,
-    /// Targets that were out of reach since then.
-    unreached: HashMap<id::Instance, Moment>,
+    /// Targets that were out of reach since then, with their services and the latest time of each.
+    unreached: HashMap<id::Instance, (id::Service, Moment)>,
     checked: Option<Moment>,
     /// Whether another host said that it is cut off since the last check.
     is_questioned: bool,
@@ -93,19 +104,24 @@
     /// whether the host is cut off as of now.
     ///
     /// `since` is the moment from which the target was out of reach: that of a broken connection, or
-    /// the beginning of a wait. `listed` is the number of targets that the platform lists.
+    /// the beginning of a wait.
     pub fn record_unreached(
         &mut self,
         target: &id::Instance,
-        listed: usize,
+        service: &id::Service,
+        listed: Listed,
         since: Moment,
         now: Moment,
     ) -> bool {
         if since < self.answered {
             return false;
         }
-        self.unreached.insert(target.clone(), now);
-        if self.is_cut() || self.unreached.len() < MIN_UNREACHED.min(listed.max(1)) {
+        self.unreached.insert(target.clone(), (service.clone(), now));
+        let services: HashSet<_> = self.unreached.values().map(|(service, _)| service).collect();
+        if self.is_cut()
+            || services.len() < MIN_SERVICES.min(listed.services)
+            || self.unreached.len() < MIN_UNREACHED.min(listed.targets)
+        {
             return false;
         }
         self.links = Links::Cut(self.answered);
@@ -119,7 +135,7 @@
 
     /// Returns whether the links are in doubt and should be checked now.
     pub fn is_check_due(&self, now: Moment) -> bool {
-        let is_overdue = |at: &Moment| now.since(*at) >= CHECK_DELAY;
+        let is_overdue = |(_, at): &(id::Service, Moment)| now.since(*at) >= CHECK_DELAY;
         let is_doubtful = self.is_cut()
             || self.is_questioned
             || self.unreached.len() > 1
