Use old connections, and only these, while no new one can be opened

Cause: an answer on an old connection ended the cut, so that the host came back to the locator's answers, chose targets to which it had no connection, and left again; and while cut off it refused what its old connections could have carried. Answers to requests were not recorded at all, only those to checks.

Change: every answer is recorded, and only one on a connection that was opened after a cut was noticed ends it. Where three targets in a row can't be connected to, only those with an open connection are chosen. During a cut a request that may be repeated tries an old connection; if it is answered, others follow, else all are refused at once.

The policy's test of the end of a cut now asks for a new connection, where any answer was enough before, which is stricter.

--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -5,7 +5,7 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Target;
-use chicoryloom_policy::reach::Links;
+use chicoryloom_policy::id;
 use chicoryloom_policy::reach::Listed;
 use chicoryloom_policy::withdrawal::Availability;
 use serde_json::json;
@@ -25,34 +25,30 @@
     /// Records that a target answered, whatever it said.
     pub(in crate::gateway) fn record_answer(&self) {
         let now = self.clock.now();
-        let mut state = self.lock();
-        let Links::Cut(since) = state.reach.links() else {
-            state.reach.record_answer(now);
-            return;
-        };
-        state.reach.record_answer(now);
-        drop(state);
-        let ms = now.since(since).as_millis() as u64;
-        self.events.emit("links_up", json!({ "silence_ms": ms }));
-        self.links_changed.notify_one();
+        self.lock().reach.record_answer(now);
     }
 
     /// Records that a target has been out of reach since a moment.
-    pub(in crate::gateway) fn record_unreached(&self, endpoint: &Endpoint, since: Moment) {
+    pub(in crate::gateway) fn record_unreached(
+        &self,
+        endpoint: &Endpoint,
+        since: Moment,
+        is_new: bool,
+    ) {
         let now = self.clock.now();
         let mut state = self.lock();
         let sizes = state.services.values().map(|service| service.targets.len());
         let sizes: Vec<_> = sizes.filter(|size| *size > 0).collect();
         let listed = Listed { targets: sizes.iter().sum(), services: sizes.len() };
         let Target { instance, service, .. } = &*endpoint.target;
-        let is_news = state.reach.record_unreached(instance, service, listed, since, now);
+        let is_news = state.reach.record_unreached(instance, service, listed, since, is_new, now);
         self.links_changed.notify_one();
         if !is_news {
             return;
         }
         let silence_ms = state.reach.silence(now).as_millis() as u64;
         let unreached = state.reach.unreached();
-        // Their requests can't be served, and are woken as the senders are dropped.
+        // The waiting requests can't be served, and are woken as the senders are dropped.
         for service in state.services.values_mut() {
             for ticket in std::mem::take(&mut service.waiters).into_keys() {
                 service.queue.remove(ticket);
@@ -64,6 +60,50 @@
         self.events.emit("links_cut", fields);
     }
 
+    /// Returns whether a request for a service can't be served, as no connection can be opened to its
+    /// targets and none is open that may be used.
+    pub(super) fn is_unreachable(
+        state: &mut State,
+        service: &id::Service,
+        is_repeatable: bool,
+        now: Moment,
+    ) -> bool {
+        if state.reach.can_open() && !state.reach.is_cut() {
+            return false;
+        }
+        if !state.reach.admits(is_repeatable, now) {
+            return true;
+        }
+        let targets = state.services.get(service).map_or(&[][..], |service| &service.targets);
+        let has_connection = |endpoint: &Arc<Endpoint>| {
+            endpoint.backend.has_idle() || endpoint.backend.gauge().in_flight() > 0
+        };
+        !targets.is_empty() && !targets.iter().any(has_connection)
+    }
+
+    /// Records whether a target answered on a connection that was opened from `begun` on.
+    pub(in crate::gateway) fn record_opening(
+        &self,
+        endpoint: &Endpoint,
+        begun: Moment,
+        is_answered: bool,
+    ) {
+        let now = self.clock.now();
+        let ended = {
+            let mut state = self.lock();
+            if !is_answered {
+                state.reach.record_unopened(&endpoint.target.instance);
+                return;
+            }
+            state.reach.record_opened(begun, now)
+        };
+        if let Some(since) = ended {
+            let silence_ms = now.since(since).as_millis() as u64;
+            self.events.emit("links_up", json!({ "silence_ms": silence_ms }));
+            self.links_changed.notify_one();
+        }
+    }
+
     /// Checks the links, as a host of the data centre lost its own, unless a target answered lately.
     pub(in crate::gateway) fn question_links(&self) {
         let now = self.clock.now();
@@ -126,9 +166,15 @@
         };
         let check = endpoint.backend.check(path.as_deref().unwrap_or("/"));
         match tokio::time::timeout(CHECK_TIMEOUT, check).await {
-            Ok(Ok(())) => self.record_answer(),
+            Ok(Ok(())) => {
+                self.record_opening(endpoint, begun, true);
+                self.record_answer();
+            }
             Ok(Err(Failure::Cap)) => {}
-            Ok(Err(_)) | Err(_) => self.record_unreached(endpoint, begun),
+            Ok(Err(_)) | Err(_) => {
+                self.record_opening(endpoint, begun, false);
+                self.record_unreached(endpoint, begun, true);
+            }
         }
     }
 }
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -432,7 +432,7 @@
         let (ticket, receiver, timeout) = {
             let mut state = self.lock();
             let state = &mut *state;
-            if state.reach.is_cut() {
+            if Self::is_unreachable(state, &service_name, requirements.can_retry, now) {
                 return Err(Rejection { retry_after: links::CUT_RETRY_AFTER, ahead: 0 });
             }
             self.apply_listing(state);
@@ -532,9 +532,11 @@
     /// Returns the targets of a service that take requests; `None` if none has a free slot.
     fn board(&self, state: &State, service: &id::Service, now: Moment) -> Option<Board> {
         let service = state.services.get(service)?;
+        let can_open = state.reach.can_open() && !state.reach.is_cut();
         let is_usable = |endpoint: &&Arc<Endpoint>| {
             Self::availability(state, endpoint, now) == Availability::Now
                 && state.throttle.allows(&endpoint.process(), now)
+                && (can_open || endpoint.backend.has_idle())
         };
         let endpoints: Vec<_> = service.targets.iter().filter(is_usable).cloned().collect();
         let counts: Vec<_> = endpoints
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -25,8 +25,8 @@
 use http::Version;
 use http::request::Parts;
 use http_body_util::BodyExt;
-use serde_json::json;
 use http_body_util::Limited;
+use serde_json::json;
 use tokio::time::Instant;
 
 use super::Gateway;
@@ -314,13 +314,18 @@
     /// Sends the request over a connection to a target.
     async fn send(&self, slot: Slot) -> Result<Attempt, Failure> {
         let endpoint = slot.endpoint.clone();
+        let begun = self.gateway.clock.now();
         let lease = tokio::time::timeout_at(self.deadline, endpoint.backend.lease()).await;
-        let lease = lease.unwrap_or(Err(Failure::Connect("deadline".to_owned())))?;
+        let lease = lease.unwrap_or(Err(Failure::Connect("deadline".to_owned())));
+        if matches!(lease, Err(Failure::Connect(_))) {
+            self.gateway.dispatcher.record_opening(&endpoint, begun, false);
+        }
+        let lease = lease?;
         // The target may have withdrawn while the connection was opened.
         if self.gateway.dispatcher.is_withdrawn(&endpoint) {
             return Err(Failure::Withdrawn);
         }
-        let is_fresh = lease.is_new();
+        let mut is_fresh = lease.is_new();
         let sent = self.gateway.clock.now();
         let started = Instant::now();
         self.progress.may_have_run.store(true, Ordering::Relaxed);
@@ -339,6 +344,7 @@
                 return Err(Failure::Withdrawn);
             }
             let request = self.target_request(&endpoint).ok_or(Failure::Unsent)?;
+            is_fresh = true;
             answer = self
                 .await_response(
                     exchange(lease, request, RESPONSE_IDLE_TIMEOUT, protocol),
@@ -346,13 +352,16 @@
                 )
                 .await;
         }
+        if is_fresh && !matches!(answer, Err(Failure::Body(_))) {
+            let is_broken = matches!(answer, Err(Failure::Lost(_) | Failure::Unsent));
+            self.gateway.dispatcher.record_opening(&endpoint, begun, !is_broken);
+        }
         let answer = answer.inspect_err(|failure| {
             if failure.is_not_run() {
                 self.clear_may_have_run();
             } else {
                 self.progress.add_tried(&slot.choice);
-                let is_loss = matches!(failure, Failure::Lost(_));
-                if is_loss {
+                if matches!(failure, Failure::Lost(_)) {
                     let address = endpoint.target.address;
                     self.gateway.dispatcher.record_crash(self.fingerprint, address, false);
                 }
@@ -383,7 +392,7 @@
             return answer;
         }
         let now = self.gateway.clock.now();
-        self.gateway.dispatcher.record_unreached(endpoint, begun);
+        self.gateway.dispatcher.record_unreached(endpoint, begun, false);
         self.gateway.dispatcher.observe(endpoint, Outcome::Silent, now);
         answer.await
     }
@@ -419,6 +428,7 @@
         let dispatcher = &self.gateway.dispatcher;
         let endpoint = slot.endpoint.clone();
         let protocol = self.gateway.dialect.protocol();
+        dispatcher.record_answer();
         dispatcher.apply_terms(&endpoint, &protocol.terms(answer.status(), answer.headers()), sent);
         let is_failure = is_failure(answer.status());
         let outcome = if is_failure { Outcome::Failed } else { Outcome::Ok };
@@ -455,9 +465,11 @@
     fn record_failure(&self, endpoint: &Endpoint, failure: &Failure, begun: Moment) {
         let now = self.gateway.clock.now();
         match failure {
-            Failure::Connect(_) => self.gateway.dispatcher.record_unreached(endpoint, begun),
+            Failure::Connect(_) => {
+                self.gateway.dispatcher.record_unreached(endpoint, begun, true);
+            }
             Failure::Unsent | Failure::Lost(_) => {
-                self.gateway.dispatcher.record_unreached(endpoint, now);
+                self.gateway.dispatcher.record_unreached(endpoint, now, true);
             }
             Failure::Shed(_) | Failure::Misdirected => self.gateway.dispatcher.record_answer(),
             _ => {}
--- a/chicoryloom/src/target/pool.rs
+++ b/chicoryloom/src/target/pool.rs
@@ -115,6 +115,14 @@
         self.idle().clear();
     }
 
+    /// Returns whether an open connection waits for its next request.
+    pub(crate) fn has_idle(&self) -> bool {
+        let is_usable = |idle: &IdleConnection| {
+            idle.since.elapsed() < self.idle_timeout && !idle.connection.is_closed()
+        };
+        self.idle().iter().any(is_usable)
+    }
+
     fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().expect("no holder of the lock panics")
     }
--- a/chicoryloom_policy/src/reach.rs
+++ b/chicoryloom_policy/src/reach.rs
@@ -47,14 +47,31 @@
     pub services: usize,
 }
 
+/// What a host that is cut off knows of the connections that were open before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OldConnections {
+    /// Nothing; a request tries one at this moment, if any does.
+    Unknown(Option<Moment>),
+    /// A target answered on one.
+    Alive,
+    /// One did not answer or broke.
+    Dead,
+}
+
 /// Evidence on the links from this host to all targets.
 #[derive(Clone, Debug)]
 pub struct Reach {
     links: Links,
+    /// When the host noticed the latest cut.
+    cut_at: Moment,
+    /// Connections that were open then.
+    old: OldConnections,
     /// When a target last answered.
     answered: Moment,
     /// Targets that were out of reach since then, with their services and the latest time of each.
     unreached: HashMap<id::Instance, (id::Service, Moment)>,
+    /// Targets to which no connection could be opened since one was last opened to any.
+    unopened: HashSet<id::Instance>,
     checked: Option<Moment>,
     /// Whether another host said that it is cut off since the last check.
     is_questioned: bool,
@@ -65,8 +82,11 @@
     pub fn new(now: Moment) -> Self {
         Self {
             links: Links::Up,
+            cut_at: now,
+            old: OldConnections::Unknown(None),
             answered: now,
             unreached: HashMap::new(),
+            unopened: HashSet::new(),
             checked: None,
             is_questioned: false,
         }
@@ -82,6 +102,23 @@
         matches!(self.links, Links::Cut(_))
     }
 
+    /// Returns whether a request may go to targets now. While the host is cut off, it may do so on a
+    /// connection that was open before, if these are known to work on, or if it may be repeated and is
+    /// the only one to find out.
+    pub fn admits(&mut self, is_repeatable: bool, now: Moment) -> bool {
+        if !self.is_cut() {
+            return true;
+        }
+        match self.old {
+            OldConnections::Alive => true,
+            OldConnections::Unknown(None) if is_repeatable => {
+                self.old = OldConnections::Unknown(Some(now));
+                true
+            }
+            OldConnections::Unknown(_) | OldConnections::Dead => false,
+        }
+    }
+
     /// Returns the number of targets that were out of reach since the latest answer.
     pub fn unreached(&self) -> usize {
         self.unreached.len()
@@ -92,25 +129,60 @@
         now.since(self.answered)
     }
 
-    /// Records that a target answered, whatever the answer; returns whether the host was cut off.
-    pub fn record_answer(&mut self, now: Moment) -> bool {
+    /// Returns whether new connections to targets can be opened, as far as is known. Open ones may work
+    /// on where they can't.
+    pub fn can_open(&self) -> bool {
+        self.unopened.len() < MIN_UNREACHED
+    }
+
+    /// Records that a target answered on a connection that was opened at `opened`. If that was after a
+    /// cut was noticed, it ends the cut; returns since when the host was cut off then.
+    pub fn record_opened(&mut self, opened: Moment, now: Moment) -> Option<Moment> {
+        if self.is_cut() && opened < self.cut_at {
+            self.record_answer(now);
+            return None;
+        }
+        self.unopened.clear();
+        let before = std::mem::replace(&mut self.links, Links::Up);
+        self.record_answer(now);
+        match before {
+            Links::Up => None,
+            Links::Cut(since) => Some(since),
+        }
+    }
+
+    /// Records that a new connection to a target could not be opened, or broke without an answer.
+    pub fn record_unopened(&mut self, target: &id::Instance) {
+        if !self.unopened.contains(target) {
+            self.unopened.insert(target.clone());
+        }
+    }
+
+    /// Records that a target answered, whatever the answer.
+    ///
+    /// That does not end a cut: old connections may work on while no new one can be opened.
+    pub fn record_answer(&mut self, now: Moment) {
         self.answered = now;
+        if self.is_cut() {
+            self.old = OldConnections::Alive;
+            return;
+        }
         self.unreached.clear();
         self.is_questioned = false;
-        std::mem::replace(&mut self.links, Links::Up) != Links::Up
     }
 
     /// Records that a target could not be reached or broke the connection without an answer; returns
     /// whether the host is cut off as of now.
     ///
     /// `since` is the moment from which the target was out of reach: that of a broken connection, or
-    /// the beginning of a wait.
+    /// the beginning of a wait, and `is_new` whether the connection was new or could not be opened.
     pub fn record_unreached(
         &mut self,
         target: &id::Instance,
         service: &id::Service,
         listed: Listed,
         since: Moment,
+        is_new: bool,
         now: Moment,
     ) -> bool {
         if since < self.answered {
@@ -118,6 +190,9 @@
         }
         self.unreached.insert(target.clone(), (service.clone(), now));
         let services: HashSet<_> = self.unreached.values().map(|(service, _)| service).collect();
+        if self.is_cut() && since >= self.cut_at && !is_new {
+            self.old = OldConnections::Dead;
+        }
         if self.is_cut()
             || services.len() < MIN_SERVICES.min(listed.services)
             || self.unreached.len() < MIN_UNREACHED.min(listed.targets)
@@ -125,6 +200,8 @@
             return false;
         }
         self.links = Links::Cut(self.answered);
+        self.cut_at = now;
+        self.old = OldConnections::Unknown(None);
         true
     }
 
@@ -138,6 +215,7 @@
         let is_overdue = |(_, at): &(id::Service, Moment)| now.since(*at) >= CHECK_DELAY;
         let is_doubtful = self.is_cut()
             || self.is_questioned
+            || !self.can_open()
             || self.unreached.len() > 1
             || self.unreached.values().any(is_overdue);
         is_doubtful && self.checked.is_none_or(|at| now.since(at) >= CHECK_INTERVAL)
