End the wait of requests whose connections to targets are gone

Callers saw: in the test of hosts to which new connections are refused, 4 requests waited for over a second and were refused then.

Cause: while no connection could be opened, a request waited for one that was in use; once that was gone, nothing looked again before the request's deadline. Change: waiting requests are looked at again at each round of maintenance, and refused at once if no connection to their service is left.

--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -12,6 +12,7 @@
 
 use super::Dispatcher;
 use super::Endpoint;
+use super::Service;
 use super::State;
 use crate::target::Failure;
 
@@ -48,12 +49,7 @@
         }
         let silence_ms = state.reach.silence(now).as_millis() as u64;
         let unreached = state.reach.unreached();
-        // The waiting requests can't be served, and are woken as the senders are dropped.
-        for service in state.services.values_mut() {
-            for ticket in std::mem::take(&mut service.waiters).into_keys() {
-                service.queue.remove(ticket);
-            }
-        }
+        state.services.values_mut().for_each(Service::refuse_waiters);
         drop(state);
         let fields =
             json!({ "silence_ms": silence_ms, "unreached": unreached, "listed": listed.targets });
@@ -81,6 +77,22 @@
         !targets.is_empty() && !targets.iter().any(has_connection)
     }
 
+    /// Ends the wait of requests that can't be served as their connections are gone.
+    pub(super) fn refuse_unreachable(state: &mut State, now: Moment) {
+        if state.reach.can_open() && !state.reach.is_cut() {
+            return;
+        }
+        let waiting = state.services.iter().filter(|(_, service)| !service.queue.is_empty());
+        let names: Vec<_> = waiting.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            if Self::is_unreachable(state, &name, false, now)
+                && let Some(service) = state.services.get_mut(&name)
+            {
+                service.refuse_waiters();
+            }
+        }
+    }
+
     /// Records whether a target answered on a connection that was opened from `begun` on.
     pub(in crate::gateway) fn record_opening(
         &self,
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -111,6 +111,15 @@
     latencies: HashMap<id::Route, f64>,
 }
 
+impl Service {
+    /// Ends the wait of all requests, which are woken as their senders are dropped.
+    fn refuse_waiters(&mut self) {
+        for ticket in std::mem::take(&mut self.waiters).into_keys() {
+            self.queue.remove(ticket);
+        }
+    }
+}
+
 struct State {
     services: HashMap<id::Service, Service>,
     /// Latest listing that is not yet applied to `services`.
@@ -465,7 +474,7 @@
                 let (state, now) = (self.lock(), self.clock.now());
                 let queue = state.services.get(&service_name).map(|service| &service.queue);
                 let returns = Self::capacity_return(&state, &service_name, now);
-                let wait = if state.reach.is_cut() {
+                let wait = if state.reach.is_cut() || !state.reach.can_open() {
                     links::CUT_RETRY_AFTER
                 } else if returns.is_after(latest) {
                     returns.retry_after(now, &mut rand::rng())
@@ -623,7 +632,9 @@
     /// Assigns free slots of all services' targets to queued requests.
     pub(super) fn dispatch_all(&self) {
         let mut state = self.lock();
-        self.poll_issuers(&mut state, self.clock.now());
+        let now = self.clock.now();
+        self.poll_issuers(&mut state, now);
+        Self::refuse_unreachable(&mut state, now);
         let waiting = state.services.iter().filter(|(_, service)| !service.queue.is_empty());
         let names: Vec<_> = waiting.map(|(name, _)| name.clone()).collect();
         for name in names {
