Judge a broken connection before a request or a target is blamed for it

Each connection that broke counted at once as a target taken down by its request, and as a failure of the target, and was reported to all hosts, whosever link it was.

Change: chicoryloom_policy::loss. A loss counts once a target has answered this host after it. Losses without an answer between them are judged together: those of one target are its own, a request that is among the losses at each target is to blame for them, and others are the link's and are dropped, as are all at a host that is cut off. Connections that can't be opened, and idle ones that break, take part but blame nobody. A request that is answered clears itself. Until losses are judged they hold their request back at this host alone, so that a request that crashes targets is stopped as soon as before. held_back names the host and the addresses it came from.

Where evidence is short, callers are not held and the target isn't spared.

--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -5,7 +5,10 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Target;
+use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
+use chicoryloom_policy::loss::Loss;
+use chicoryloom_policy::loss::Stage;
 use chicoryloom_policy::reach::Listed;
 use chicoryloom_policy::withdrawal::Availability;
 use serde_json::json;
@@ -23,10 +26,31 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
 impl Dispatcher {
-    /// Records that a target answered, whatever it said.
-    pub(in crate::gateway) fn record_answer(&self) {
+    /// Records that a target answered, whatever it said, and which request if it was a caller's.
+    pub(in crate::gateway) fn record_answer(&self, request: Option<Fingerprint>) {
         let now = self.clock.now();
-        self.lock().reach.record_answer(now);
+        let mut state = self.lock();
+        state.reach.record_answer(now);
+        Self::add_broken_idle(&mut state, now);
+        let losses = state.losses.record_answer(request, now);
+        drop(state);
+        self.apply_losses(losses, now);
+    }
+
+    /// Adds connections that broke without a request to losses that are to be judged: a link that breaks
+    /// takes them along, a target or a request does not.
+    fn add_broken_idle(state: &mut State, now: Moment) {
+        if state.losses.is_empty() {
+            return;
+        }
+        for endpoint in state.services.values().flat_map(|service| &service.targets) {
+            if endpoint.backend.has_broken_idle() {
+                let target = endpoint.target.instance.clone();
+                let address = id::Target(endpoint.target.address);
+                let at = state.losses.latest().unwrap_or(now);
+                state.losses.add(Loss { target, address, stage: Stage::Empty, at });
+            }
+        }
     }
 
     /// Records that a target has been out of reach since a moment.
@@ -49,6 +73,7 @@
         }
         let silence_ms = state.reach.silence(now).as_millis() as u64;
         let unreached = state.reach.unreached();
+        state.losses.clear();
         state.services.values_mut().for_each(Service::refuse_waiters);
         drop(state);
         let fields =
@@ -116,6 +141,13 @@
         }
     }
 
+    /// Checks the links unless a target answers soon, as a connection broke that may have been the
+    /// target's or its request's fault.
+    pub(in crate::gateway) fn doubt_links(&self) {
+        let now = self.clock.now();
+        self.lock().reach.doubt(now);
+    }
+
     /// Checks the links, as a host of the data centre lost its own, unless a target answered lately.
     pub(in crate::gateway) fn question_links(&self) {
         let now = self.clock.now();
@@ -180,11 +212,12 @@
         match tokio::time::timeout(CHECK_TIMEOUT, check).await {
             Ok(Ok(())) => {
                 self.record_opening(endpoint, begun, true);
-                self.record_answer();
+                self.record_answer(None);
             }
             Ok(Err(Failure::Cap)) => {}
             Ok(Err(_)) | Err(_) => {
                 self.record_opening(endpoint, begun, false);
+                self.record_loss(endpoint, Stage::Empty, self.clock.now());
                 self.record_unreached(endpoint, begun, true);
             }
         }
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -36,6 +36,7 @@
 use chicoryloom_policy::holdback::Holdback;
 use chicoryloom_policy::id;
 use chicoryloom_policy::inflight::InFlight;
+use chicoryloom_policy::loss::Losses;
 use chicoryloom_policy::reach::Reach;
 use chicoryloom_policy::retry::Budget;
 use chicoryloom_policy::withdrawal::Availability;
@@ -132,6 +133,7 @@
     withdrawals: Withdrawals,
     throttle: Throttle,
     reach: Reach,
+    losses: Losses,
     /// Configuration of the latest listing.
     catalog: Option<Arc<Catalog>>,
     /// Part of the known hosts that are alive, from 0 to 1.
@@ -310,6 +312,7 @@
                 withdrawals: Withdrawals::default(),
                 throttle: Throttle::default(),
                 reach: Reach::new(started),
+                losses: Losses::default(),
                 catalog: None,
                 visible_part: 1.0,
                 departures: Vec::new(),
--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -9,6 +9,8 @@
 use chicoryloom_policy::gray::Outcome;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
+use chicoryloom_policy::loss::Loss;
+use chicoryloom_policy::loss::Stage;
 use serde_json::json;
 
 use super::Dispatcher;
@@ -16,6 +18,9 @@
 use crate::gateway::message::Load;
 use crate::gateway::message::Success;
 
+/// `Retry-After` of a request that is held back until losses are judged, for which the links are checked.
+const UNJUDGED_HOLD: Duration = Duration::from_millis(300);
+
 impl Dispatcher {
     /// Records the outcome of this host's request at a target.
     pub(in crate::gateway) fn observe(&self, endpoint: &Endpoint, outcome: Outcome, sent: Moment) {
@@ -140,25 +145,56 @@
     }
 
     /// Returns the time for which a request is still held back because equal ones crashed targets.
+    ///
+    /// While losses of this host are not judged yet, a request that they may speak against waits for
+    /// that at this host alone: sending it on could take another target down.
     pub(in crate::gateway) fn held_for(&self, request: Fingerprint) -> Option<Duration> {
-        self.lock().holdback.remaining_hold(request, self.clock.now())
+        let state = self.lock();
+        let hold = state.holdback.remaining_hold(request, self.clock.now());
+        let may_hold = || state.holdback.would_hold(request, state.losses.lost_on(request));
+        hold.or_else(|| may_hold().then_some(UNJUDGED_HOLD))
     }
 
-    /// Records that a target broke the connection on a request or responded to it, and queues a
-    /// report to the other hosts if that is new.
-    pub(in crate::gateway) fn record_crash(
-        &self,
-        request: Fingerprint,
-        address: SocketAddr,
-        answered: bool,
-    ) {
-        if self.apply_crash(request, address, answered) {
-            self.lock().crash_reports.push((request, address, answered));
+    /// Records that a connection to a target broke without a whole answer, to be judged later.
+    pub(in crate::gateway) fn record_loss(&self, endpoint: &Endpoint, stage: Stage, now: Moment) {
+        let target = endpoint.target.instance.clone();
+        let address = id::Target(endpoint.target.address);
+        self.lock().losses.add(Loss { target, address, stage, at: now });
+    }
+
+    /// Counts losses against their targets and requests, and queues reports to the other hosts.
+    pub(super) fn apply_losses(&self, losses: Vec<Loss>, now: Moment) {
+        for loss in losses {
+            let request = loss.request();
+            let Loss { target, address, at, .. } = loss;
+            let endpoint = {
+                let state = self.lock();
+                let all = state.services.values().flat_map(|service| &service.targets);
+                all.clone().find(|endpoint| endpoint.target.instance == target).cloned()
+            };
+            if let Some(endpoint) = endpoint {
+                self.observe(&endpoint, Outcome::Failed, at);
+            }
+            if let Some(request) = request
+                && self.apply_crash(request, address.0, false, None)
+            {
+                self.lock().crash_reports.push((request, address.0, false));
+                self.changed.notify_one();
+            }
+            log::debug!("target: {target}: a connection broke at {at}, counted at {now}");
+        }
+    }
+
+    /// Records that a target responded to a request, and queues a report to the other hosts if the
+    /// request was suspected of crashing targets.
+    pub(in crate::gateway) fn record_response(&self, request: Fingerprint, address: SocketAddr) {
+        if self.apply_crash(request, address, true, None) {
+            self.lock().crash_reports.push((request, address, true));
             self.changed.notify_one();
         }
     }
 
-    /// Applies such a record of this host or another one; returns whether it is new.
+    /// Applies such a record of this host, or of another one; returns whether it is new.
     ///
     /// A response is new if the request was suspected, a broken connection always.
     pub(in crate::gateway) fn apply_crash(
@@ -166,6 +202,7 @@
         request: Fingerprint,
         address: SocketAddr,
         answered: bool,
+        by: Option<&id::Host>,
     ) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
@@ -174,9 +211,13 @@
         }
         let held = state.holdback.record_loss(request, id::Target(address), now);
         drop(state);
-        if held.is_some() {
-            let request = format!("{:032x}", request.0);
-            self.events.emit("held_back", json!({ "fingerprint": request }));
+        if let Some(lost) = held {
+            let lost: Vec<_> = lost.iter().map(id::Target::to_string).collect();
+            let fields = json!({
+                "fingerprint": format!("{:032x}", request.0), "addresses": lost,
+                "by": by.map_or("own request", id::Host::as_str),
+            });
+            self.events.emit("held_back", fields);
         }
         true
     }
--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -318,7 +318,8 @@
                 self.apply_permit_body(&sender, body);
             }
             Body::Crash { fingerprint, target, answered } => {
-                self.dispatcher.apply_crash(Fingerprint(fingerprint), target, answered);
+                let request = Fingerprint(fingerprint);
+                self.dispatcher.apply_crash(request, target, answered, Some(&sender));
             }
         }
     }
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -14,6 +14,7 @@
 use chicoryloom_policy::gray::Outcome;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
+use chicoryloom_policy::loss::Stage;
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -362,8 +363,12 @@
             } else {
                 self.progress.add_tried(&slot.choice);
                 if matches!(failure, Failure::Lost(_)) {
-                    let address = endpoint.target.address;
-                    self.gateway.dispatcher.record_crash(self.fingerprint, address, false);
+                    let now = self.gateway.clock.now();
+                    self.gateway.dispatcher.record_loss(
+                        &endpoint,
+                        Stage::Request(self.fingerprint),
+                        now,
+                    );
                 }
             }
         })?;
@@ -428,7 +433,7 @@
         let dispatcher = &self.gateway.dispatcher;
         let endpoint = slot.endpoint.clone();
         let protocol = self.gateway.dialect.protocol();
-        dispatcher.record_answer();
+        dispatcher.record_answer(Some(self.fingerprint));
         dispatcher.apply_terms(&endpoint, &protocol.terms(answer.status(), answer.headers()), sent);
         let is_failure = is_failure(answer.status());
         let outcome = if is_failure { Outcome::Failed } else { Outcome::Ok };
@@ -437,7 +442,7 @@
         } else {
             dispatcher.record_latency(&self.service, &self.route.name, started.elapsed());
         }
-        dispatcher.record_crash(self.fingerprint, endpoint.target.address, true);
+        dispatcher.record_response(self.fingerprint, endpoint.target.address);
         let (mut parts, body) = answer.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
         parts.version = Version::HTTP_11;
@@ -452,7 +457,10 @@
         }
         let body = match Limited::new(body, MAX_BUFFERED_RESPONSE).collect().await {
             Ok(body) => body.to_bytes(),
-            Err(error) => return Err(Failure::Lost(error.to_string())),
+            Err(error) => {
+                dispatcher.record_loss(&endpoint, Stage::Answer, self.gateway.clock.now());
+                return Err(Failure::Lost(error.to_string()));
+            }
         };
         dispatcher.observe(&endpoint, outcome, sent);
         drop(slot);
@@ -465,13 +473,12 @@
     fn record_failure(&self, endpoint: &Endpoint, failure: &Failure, begun: Moment) {
         let now = self.gateway.clock.now();
         match failure {
-            Failure::Connect(_) => {
+            Failure::Connect(_) | Failure::Unsent => {
+                self.gateway.dispatcher.record_loss(endpoint, Stage::Empty, now);
                 self.gateway.dispatcher.record_unreached(endpoint, begun, true);
             }
-            Failure::Unsent | Failure::Lost(_) => {
-                self.gateway.dispatcher.record_unreached(endpoint, now, true);
-            }
-            Failure::Shed(_) | Failure::Misdirected => self.gateway.dispatcher.record_answer(),
+            Failure::Lost(_) => self.gateway.dispatcher.doubt_links(),
+            Failure::Shed(_) | Failure::Misdirected => self.gateway.dispatcher.record_answer(None),
             _ => {}
         }
         let outcome = match failure {
@@ -484,10 +491,12 @@
                 self.gateway.dispatcher.apply_terms(endpoint, terms, begun);
                 Some(Outcome::Shed)
             }
-            Failure::Lost(_)
-            | Failure::Mismatched
-            | Failure::CloseDelimited
-            | Failure::Unsealed => {
+            // Whether the target failed is judged once it is known that the link did not.
+            Failure::Lost(_) => {
+                endpoint.backend.close_idle();
+                Some(Outcome::Silent)
+            }
+            Failure::Mismatched | Failure::CloseDelimited | Failure::Unsealed => {
                 endpoint.backend.close_idle();
                 Some(Outcome::Failed)
             }
--- a/chicoryloom/src/target/pool.rs
+++ b/chicoryloom/src/target/pool.rs
@@ -123,6 +123,12 @@
         self.idle().iter().any(is_usable)
     }
 
+    /// Returns whether a connection broke while it waited for its next request, and was not removed
+    /// since.
+    pub(crate) fn has_broken_idle(&self) -> bool {
+        self.idle().iter().any(|idle| idle.connection.is_closed())
+    }
+
     fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().expect("no holder of the lock panics")
     }
--- a/chicoryloom_policy/src/holdback.rs
+++ b/chicoryloom_policy/src/holdback.rs
@@ -1,6 +1,7 @@
 //! Holds back requests that crash targets.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use crate::Moment;
@@ -81,6 +82,22 @@
         (now < until).then(|| until.since(now))
     }
 
+    /// Returns whether a request would be held back if targets that broke the connection on it are
+    /// counted which are not recorded yet.
+    pub fn would_hold(
+        &self,
+        request: Fingerprint,
+        unrecorded: impl Iterator<Item = id::Target>,
+    ) -> bool {
+        let mut lost: HashSet<_> = unrecorded.collect();
+        if lost.is_empty() {
+            return false;
+        }
+        let recorded = self.suspects.get(&request).map_or(&[][..], |suspect| &suspect.lost);
+        lost.extend(recorded.iter().map(|(target, _)| *target));
+        lost.len() >= self.loss_threshold
+    }
+
     /// Records that a target broke the connection on a request without an answer.
     ///
     /// If the request is held back from now on, returns the targets that were lost on it, since the
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod inflight;
 pub mod ledger;
 pub mod limit;
+pub mod loss;
 pub mod moment;
 pub mod pick;
 pub mod placement;
--- a/chicoryloom_policy/src/reach.rs
+++ b/chicoryloom_policy/src/reach.rs
@@ -73,6 +73,8 @@
     /// Targets to which no connection could be opened since one was last opened to any.
     unopened: HashSet<id::Instance>,
     checked: Option<Moment>,
+    /// When a connection first broke since then that may have been the fault of a request.
+    doubted: Option<Moment>,
     /// Whether another host said that it is cut off since the last check.
     is_questioned: bool,
 }
@@ -88,6 +90,7 @@
             unreached: HashMap::new(),
             unopened: HashSet::new(),
             checked: None,
+            doubted: None,
             is_questioned: false,
         }
     }
@@ -168,6 +171,7 @@
             return;
         }
         self.unreached.clear();
+        self.doubted = None;
         self.is_questioned = false;
     }
 
@@ -205,6 +209,11 @@
         true
     }
 
+    /// Records that a connection broke on a request, which may have been the fault of the request.
+    pub fn doubt(&mut self, now: Moment) {
+        self.doubted.get_or_insert(now);
+    }
+
     /// Records that another host said that it is cut off.
     pub fn question(&mut self, now: Moment) {
         self.is_questioned = self.silence(now) >= UNPROVEN_AFTER;
@@ -217,6 +226,7 @@
             || self.is_questioned
             || !self.can_open()
             || self.unreached.len() > 1
+            || self.doubted.is_some_and(|at| now.since(at) >= CHECK_DELAY)
             || self.unreached.values().any(is_overdue);
         is_doubtful && self.checked.is_none_or(|at| now.since(at) >= CHECK_INTERVAL)
     }
