--- a/chicoryloom_policy/src/reach.rs
+++ b/chicoryloom_policy/src/reach.rs
@@ -75,12 +75,14 @@
     checked: Option<Moment>,
     /// When a connection first broke since then that may have been the fault of a request.
     doubted: Option<Moment>,
-    /// Whether another host said that it is cut off since the last check.
+    /// Whether the links are to be checked until a target answers, as the host has just started or
+    /// another one said that it is cut off.
     is_questioned: bool,
 }
 
 impl Reach {
-    /// Returns the state of a host that starts at `now`.
+    /// Returns the state of a host that starts at `now`, which checks its links first: it may have
+    /// restarted during a cut.
     pub fn new(now: Moment) -> Self {
         Self {
             links: Links::Up,
@@ -91,7 +93,7 @@
             unopened: HashSet::new(),
             checked: None,
             doubted: None,
-            is_questioned: false,
+            is_questioned: true,
         }
     }
 
@@ -216,7 +218,7 @@
 
     /// Records that another host said that it is cut off.
     pub fn question(&mut self, now: Moment) {
-        self.is_questioned = self.silence(now) >= UNPROVEN_AFTER;
+        self.is_questioned |= self.silence(now) >= UNPROVEN_AFTER;
     }
 
     /// Returns whether the links are in doubt and should be checked now.
