Start over with an empty bucket when a host gets its links back

Cause: a cut host is no entry host, so that the others send it no reports of what they admit, and a host that admits nothing more sends none later either. On its return it admitted from a full bucket.

Change: a host that gets its links back treats its counts like one that was suspended: its buckets are empty, and it adopts the level of hosts that ran on. The policy's test passes with it.

--- a/chicoryloom/src/gateway/fleet.rs
+++ b/chicoryloom/src/gateway/fleet.rs
@@ -452,6 +452,10 @@
                 was_cut = is_cut;
                 announce_until = now.after(ANNOUNCE_TIME);
                 (entries_at, local_at) = (Moment::ZERO, Moment::ZERO);
+                if !is_cut {
+                    // Others sent no reports to this host while it was no entry host.
+                    self.allowance.lock().expect("no holder of the lock panics").restart(now);
+                }
             }
             let announces = now < announce_until;
             self.allowance.lock().expect("no holder of the lock panics").tick(now);
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -199,16 +199,22 @@
     /// a suspension.
     pub fn tick(&mut self, now: Moment) {
         if now.since(self.last_tick) > STALL_THRESHOLD {
-            self.started = now;
-            for meter in self.meters.values_mut() {
-                meter.level = meter.level.min(0.0);
-                meter.refilled = now;
-                meter.is_adopted = false;
-            }
+            self.restart(now);
         }
         self.last_tick = now;
     }
 
+    /// Starts over with empty buckets, as this host may have missed what others admitted: it was
+    /// suspended, or they sent it no reports as it had no callers.
+    pub fn restart(&mut self, now: Moment) {
+        self.started = now;
+        for meter in self.meters.values_mut() {
+            meter.level = meter.level.min(0.0);
+            meter.refilled = now;
+            meter.is_adopted = false;
+        }
+    }
+
     /// Returns whether this host has run for longer than a window.
     pub fn has_full_window(&self, now: Moment) -> bool {
         now.since(self.started) > self.window
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -50,6 +50,8 @@
     reported: [Vec<u64>; 2],
     /// Suspended hosts; messages to them are lost.
     paused: Vec<usize>,
+    /// Hosts that get no requests and no reports, since others don't send callers to them.
+    cut: Vec<usize>,
     /// Whether all messages are lost.
     drops_messages: bool,
     /// Until when the messages of each host to the others, and theirs to it, are lost.
@@ -68,6 +70,7 @@
             sent: Vec::new(),
             reported: [vec![0; hosts], vec![0; hosts]],
             paused: Vec::new(),
+            cut: Vec::new(),
             drops_messages: false,
             unknown_until: vec![now; hosts],
             admitted: Vec::new(),
@@ -127,6 +130,7 @@
                 let receivers = (0..self.hosts.len()).filter(|host| *host != sender);
                 let is_known = |host: &usize| self.now >= self.unknown_until[*host];
                 let receivers = receivers.filter(|host| !self.paused.contains(host));
+                let receivers = receivers.filter(|host| !self.cut.contains(host));
                 let receivers = receivers.filter(|host| is_known(host) && is_known(&sender));
                 for host in receivers.filter(|host| is_far(host) == far) {
                     let name = Self::name(sender);
@@ -142,7 +146,7 @@
                 due -= 1.0;
                 random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
                 let host = (random >> 33) as usize % self.hosts.len();
-                if self.paused.contains(&host) {
+                if self.paused.contains(&host) || self.cut.contains(&host) {
                     continue;
                 }
                 match self.hosts[host].admit(&workspace(), self.now) {
@@ -259,6 +263,26 @@
     assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
 }
 
+/// Hosts that lost their links to targets return, and don't know what was admitted meanwhile. The host
+/// that served alone stops as they return, so that it reports nothing more.
+#[test]
+fn grant_holds_when_hosts_return_that_got_no_reports() {
+    let mut fleet = Fleet::new(4);
+    fleet.run(800, 0.0, 10, Duration::from_millis(1), 1);
+    fleet.cut = vec![1, 2, 3];
+    fleet.run(250, RATE * 8.0, 10, Duration::from_millis(1), 5);
+    fleet.cut = vec![0];
+    fleet.sent.clear();
+    let (_, status) = fleet.hosts[0].statuses(fleet.now).next().unwrap();
+    let total = status.total;
+    fleet.reported.iter_mut().for_each(|reported| reported[0] = total);
+    for host in 1..4 {
+        fleet.hosts[host].restart(fleet.now);
+    }
+    fleet.run(600, RATE * 8.0, 10, Duration::from_millis(1), 7);
+    assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
+}
+
 /// After a restart of the whole fleet, hosts don't receive each other's reports for a while.
 #[rstest]
 #[case(7)]
