Leave time for the answer when a request waits for its turn

Cause: a waiting request may be sent until its usual latency before the deadline, a few milliseconds here, which a busy machine takes for less.

--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -269,7 +269,8 @@
         let now = self.gateway.clock.now();
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let latency = self.gateway.dispatcher.latency(&self.service, &self.route.name);
-        let latest = now.after(time_left.saturating_sub(latency.unwrap_or_default()));
+        let needed = latency.unwrap_or_default() + LATE_GRACE;
+        let latest = now.after(time_left.saturating_sub(needed));
         let tried: Vec<_> = self.progress.tried().into_iter().map(|choice| choice.target).collect();
         let attempts = usize::try_from(self.route.max_attempts).unwrap_or(usize::MAX);
         let requirements = Requirements {
