Check links at targets with limits if there are no others

A host whose targets all name limits would not notice a cut, and would stay cut off for good if it had noticed one before: checks of the links left such targets out, so that there was none to try. Found by reading; the new test failed before (the host does not notice) and passes now. Change: targets that take requests and have no limit are tried first, and all that are not leaving if there is none.

--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -189,14 +189,22 @@
         }
     }
 
-    /// Returns the targets that may be tried: those that take requests.
+    /// Returns the targets that may be tried: those that take requests and have no limit, or all that
+    /// are not leaving if there is none, since a host that can't try any would stay cut off.
     fn checked_endpoints(state: &State, now: Moment) -> Vec<Arc<Endpoint>> {
         let all = state.services.values().flat_map(|service| &service.targets);
-        let takes_requests = |endpoint: &&Arc<Endpoint>| {
+        let is_free = |endpoint: &&Arc<Endpoint>| {
             Self::availability(state, endpoint, now) == Availability::Now
                 && state.throttle.limits.get(&endpoint.process()).is_none()
         };
-        all.filter(takes_requests).cloned().collect()
+        let free: Vec<_> = all.clone().filter(is_free).cloned().collect();
+        if !free.is_empty() {
+            return free;
+        }
+        let stays = |endpoint: &&Arc<Endpoint>| {
+            Self::availability(state, endpoint, now) != Availability::Never
+        };
+        all.filter(stays).cloned().collect()
     }
 
     /// Asks a target for its health, since only an answer shows that the link works.
--- a/chicoryloom_policy/src/reach.rs
+++ b/chicoryloom_policy/src/reach.rs
@@ -233,8 +233,8 @@
         is_doubtful && self.checked.is_none_or(|at| now.since(at) >= CHECK_INTERVAL)
     }
 
-    /// Returns the targets to try now, which is none unless a check is due. Targets of services of which none is known to be out of reach come first, since all targets of one service
-    /// may be down.
+    /// Returns the targets to try now, which is none unless a check is due. Those of services of which
+    /// none is known to be out of reach come first, since all targets of one service may be down.
     pub fn check<'a, R: Rng + ?Sized>(
         &mut self,
         targets: &[(&'a id::Instance, &'a id::Service)],
