Don't take a crashed request for a link that opens no connections

Cause: a new connection that broke on its first request counted as one that could not be opened, and after three of them only old connections were used, of which there was none. Change: only connections that were not opened, or that broke on a check of the links, count.

--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -354,9 +354,10 @@
                 )
                 .await;
         }
-        if is_fresh && !matches!(answer, Err(Failure::Body(_))) {
-            let is_broken = matches!(answer, Err(Failure::Lost(_) | Failure::Unsent));
-            self.gateway.dispatcher.record_opening(&endpoint, begun, !is_broken);
+        // A connection that breaks on a request was open: that may be the fault of the request.
+        if is_fresh && !matches!(answer, Err(Failure::Body(_) | Failure::Lost(_))) {
+            let is_answered = !matches!(answer, Err(Failure::Unsent));
+            self.gateway.dispatcher.record_opening(&endpoint, begun, is_answered);
         }
         let answer = answer.inspect_err(|failure| {
             if failure.is_not_run() {
--- a/chicoryloom_policy/src/reach.rs
+++ b/chicoryloom_policy/src/reach.rs
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Records that a new connection to a target could not be opened, or broke without an answer.
+    /// Records that a new connection to a target could not be opened, or broke on a check.
     pub fn record_unopened(&mut self, target: &id::Instance) {
         if !self.unopened.contains(target) {
             self.unopened.insert(target.clone());
