Take late answers for a doubt, not for a cut

Cause: answers count as late after three times the usual latency and 40 ms, 46 ms here. A machine that stood still for longer made answers of three targets late at once, and each late one counted as a target out of reach. Evidence: links_cut with silence_ms 94 and 81 on both hosts in the same 10 ms, links_up 60 ms later.

Change: a late answer only makes the host ask targets for their health, which decides by connections. During a cut it still shows that the old connections hang. New test in the policy; it fails to build before, as late answers had no record of their own. The cases with connections that hang pass as before.

--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -54,19 +54,14 @@
     }
 
     /// Records that a target has been out of reach since a moment.
-    pub(in crate::gateway) fn record_unreached(
-        &self,
-        endpoint: &Endpoint,
-        since: Moment,
-        is_new: bool,
-    ) {
+    pub(in crate::gateway) fn record_unreached(&self, endpoint: &Endpoint, since: Moment) {
         let now = self.clock.now();
         let mut state = self.lock();
         let sizes = state.services.values().map(|service| service.targets.len());
         let sizes: Vec<_> = sizes.filter(|size| *size > 0).collect();
         let listed = Listed { targets: sizes.iter().sum(), services: sizes.len() };
         let Target { instance, service, .. } = &*endpoint.target;
-        let is_news = state.reach.record_unreached(instance, service, listed, since, is_new, now);
+        let is_news = state.reach.record_unreached(instance, service, listed, since, now);
         self.links_changed.notify_one();
         if !is_news {
             return;
@@ -141,6 +136,12 @@
         }
     }
 
+    /// Records that an answer to a request which was sent at `sent` is late.
+    pub(in crate::gateway) fn record_late(&self, sent: Moment) {
+        let now = self.clock.now();
+        self.lock().reach.record_late(sent, now);
+    }
+
     /// Checks the links unless a target answers soon, as a connection broke that may have been the
     /// target's or its request's fault.
     pub(in crate::gateway) fn doubt_links(&self) {
@@ -226,7 +227,7 @@
             Ok(Err(_)) | Err(_) => {
                 self.record_opening(endpoint, begun, false);
                 self.record_loss(endpoint, Stage::Empty, self.clock.now());
-                self.record_unreached(endpoint, begun, true);
+                self.record_unreached(endpoint, begun);
             }
         }
     }
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -399,7 +399,7 @@
             return answer;
         }
         let now = self.gateway.clock.now();
-        self.gateway.dispatcher.record_unreached(endpoint, begun, false);
+        self.gateway.dispatcher.record_late(begun);
         self.gateway.dispatcher.observe(endpoint, Outcome::Silent, now);
         answer.await
     }
@@ -477,7 +477,7 @@
         match failure {
             Failure::Connect(_) | Failure::Unsent => {
                 self.gateway.dispatcher.record_loss(endpoint, Stage::Empty, now);
-                self.gateway.dispatcher.record_unreached(endpoint, begun, true);
+                self.gateway.dispatcher.record_unreached(endpoint, begun);
             }
             Failure::Lost(_) => self.gateway.dispatcher.doubt_links(),
             Failure::Shed(_) | Failure::Misdirected => self.gateway.dispatcher.record_answer(None),
--- a/chicoryloom_policy/src/reach.rs
+++ b/chicoryloom_policy/src/reach.rs
@@ -181,14 +181,13 @@
     /// whether the host is cut off as of now.
     ///
     /// `since` is the moment from which the target was out of reach: that of a broken connection, or
-    /// the beginning of a wait, and `is_new` whether the connection was new or could not be opened.
+    /// the beginning of a wait.
     pub fn record_unreached(
         &mut self,
         target: &id::Instance,
         service: &id::Service,
         listed: Listed,
         since: Moment,
-        is_new: bool,
         now: Moment,
     ) -> bool {
         if since < self.answered {
@@ -196,9 +195,6 @@
         }
         self.unreached.insert(target.clone(), (service.clone(), now));
         let services: HashSet<_> = self.unreached.values().map(|(service, _)| service).collect();
-        if self.is_cut() && since >= self.cut_at && !is_new {
-            self.old = OldConnections::Dead;
-        }
         if self.is_cut()
             || services.len() < MIN_SERVICES.min(listed.services)
             || self.unreached.len() < MIN_UNREACHED.min(listed.targets)
@@ -211,6 +207,17 @@
         true
     }
 
+    /// Records that an answer to a request which was sent at `sent` is late. A slow target or a busy
+    /// host may be the cause, so that the links are only checked; during a cut, the old connections are
+    /// given up.
+    pub fn record_late(&mut self, sent: Moment, now: Moment) {
+        if self.is_cut() && sent >= self.cut_at {
+            self.old = OldConnections::Dead;
+        } else if sent >= self.answered {
+            self.doubt(now);
+        }
+    }
+
     /// Records that a connection broke on a request, which may have been the fault of the request.
     pub fn doubt(&mut self, now: Moment) {
         self.doubted.get_or_insert(now);
--- a/chicoryloom_policy/tests/reach.rs
+++ b/chicoryloom_policy/tests/reach.rs
@@ -31,7 +31,7 @@
 
 fn unreach(reach: &mut Reach, number: usize, listed: Listed, since: u64, now: u64) -> bool {
     let (target, service) = (target(number), service(number));
-    reach.record_unreached(&target, &service, listed, after(since), true, after(now))
+    reach.record_unreached(&target, &service, listed, after(since), after(now))
 }
 
 #[test]
@@ -229,9 +229,19 @@
 fn old_connections_that_hang_are_not_used_during_a_cut() {
     let mut reach = cut_off();
     assert!(reach.admits(true, after(200)));
-    let (target, service) = (target(4), service(4));
-    reach.record_unreached(&target, &service, MANY, after(200), false, after(900));
+    reach.record_late(after(200), after(900));
     assert!(!reach.admits(true, after(1000)));
     reach.record_opened(after(1100), after(1100));
     assert!(reach.admits(false, after(1100)), "the cut is over");
 }
+
+#[test]
+fn late_answers_of_several_targets_are_no_cut() {
+    let mut reach = Reach::new(START);
+    reach.record_answer(after(0));
+    for sent in 10..20 {
+        reach.record_late(after(sent), after(sent + 50));
+    }
+    assert_eq!(reach.links(), Links::Up);
+    assert!(reach.is_check_due(after(400)), "targets are asked");
+}
