Split the dispatcher and the fleet by what they decide, and give messages an extension

Change: the dispatcher is split into targets, listing, the board of a choice, slots, services and waiting requests; the fleet into registration, maintenance and sharing. The queue of waiting requests is policy::waiting. Each message is followed by fields by number, which the landed builds ignore as they decode from the front; the first such field is the version of the messages. No decision changed.

--- /dev/null
+++ b/chicoryloom/src/gateway/dispatcher/service.rs
@@ -0,0 +1,86 @@
+//! What is kept for each service: its targets, waiting requests, retries and latencies.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicoryloom_policy::id;
+use chicoryloom_policy::retry::Budget;
+use chicoryloom_policy::waiting::Queue;
+use chicoryloom_policy::waiting::Ticket;
+
+use super::Dispatcher;
+use super::Endpoint;
+use super::State;
+use super::waiter::Waiter;
+
+/// Weight of the newest sample in the smoothed latency of a route.
+const LATENCY_WEIGHT: f64 = 0.05;
+
+#[derive(Default)]
+pub(super) struct Service {
+    pub(super) targets: Vec<Arc<Endpoint>>,
+    pub(super) queue: Queue,
+    pub(super) waiters: BTreeMap<Ticket, Waiter>,
+    pub(super) budget: Option<Budget>,
+    /// Smoothed time from sending a request to the head of its response, in seconds, by route.
+    pub(super) latencies: HashMap<id::Route, f64>,
+}
+
+impl Service {
+    /// Ends the wait of all requests, which are woken as their senders are dropped.
+    pub(super) fn refuse_waiters(&mut self) {
+        for ticket in std::mem::take(&mut self.waiters).into_keys() {
+            self.queue.remove(ticket);
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Returns this host's share of the burst of retries that all hosts may send together.
+    pub(super) fn retry_burst(&self, state: &State) -> f64 {
+        (self.bounds.retry_burst / state.entry_hosts.len().max(1) as f64).max(1.0)
+    }
+
+    /// Adds the share of a first attempt to the retry budget of its service.
+    pub(in crate::gateway) fn deposit_retry(&self, service: &id::Service) {
+        let mut state = self.lock();
+        let burst = self.retry_burst(&state);
+        let share = self.bounds.retry_share;
+        let service = state.services.entry(service.clone()).or_default();
+        service.budget.get_or_insert_with(|| Budget::new(share, burst)).deposit();
+    }
+
+    /// Takes one retry from the budget of a service; returns whether there was one left.
+    pub(in crate::gateway) fn take_retry(&self, service: &id::Service) -> bool {
+        let mut state = self.lock();
+        let budget = state.services.get_mut(service).and_then(|service| service.budget.as_mut());
+        budget.is_some_and(Budget::take)
+    }
+
+    /// Records the time to the head of a successful response.
+    pub(in crate::gateway) fn record_latency(
+        &self,
+        service: &id::Service,
+        route: &id::Route,
+        took: Duration,
+    ) {
+        let mut state = self.lock();
+        let latency = &mut state.services.entry(service.clone()).or_default().latencies;
+        let took = took.as_secs_f64();
+        let known = latency.entry(route.clone()).or_insert(took);
+        *known += LATENCY_WEIGHT * (took - *known);
+    }
+
+    /// Returns the smoothed time to the head of a response, if any was recorded.
+    pub(in crate::gateway) fn latency(
+        &self,
+        service: &id::Service,
+        route: &id::Route,
+    ) -> Option<Duration> {
+        let state = self.lock();
+        let latency = state.services.get(service)?.latencies.get(route)?;
+        Some(Duration::from_secs_f64(*latency))
+    }
+}
--- a/chicoryloom/src/gateway/dispatcher/withdrawal.rs
+++ b/chicoryloom/src/gateway/dispatcher/withdrawal.rs
@@ -1,9 +1,9 @@
 //! Targets that ask for no more requests, and services that have no other ones.
 
 use chicoryloom_policy::Moment;
-use chicoryloom_policy::dispatch::Queue;
-use chicoryloom_policy::dispatch::Rejection;
 use chicoryloom_policy::id;
+use chicoryloom_policy::waiting::Queue;
+use chicoryloom_policy::waiting::Rejection;
 use chicoryloom_policy::withdrawal;
 use chicoryloom_policy::withdrawal::Availability;
 use chicoryloom_policy::withdrawal::MAX_PAUSE;
@@ -17,13 +17,6 @@
 use super::State;
 use crate::target::Terms;
 
-impl Endpoint {
-    /// Returns the process that the endpoint reaches.
-    pub(super) fn process(&self) -> Process {
-        Process { instance: self.target.instance.clone(), born: self.target.born }
-    }
-}
-
 impl Dispatcher {
     /// Applies what a target said in an answer to this host, whose request was sent at `sent`.
     ///
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug)]
 struct Peer {
     member: Member,
+    /// Version of the messages that it speaks, as of its latest heartbeat; 0 if it doesn't tell.
+    protocol: u16,
     /// Place in the order in which hosts become entry hosts.
     rank: u64,
     /// When the host's own latest heartbeat or hello arrived; `None` if it is known from others
@@ -53,6 +55,17 @@
     was_alive: bool,
 }
 
+/// A host that this one could follow.
+#[derive(Clone, Debug)]
+pub(super) struct Relay {
+    pub(super) host: id::Host,
+    pub(super) peer: SocketAddr,
+    /// Requests per second that it can serve.
+    pub(super) capacity: f32,
+    /// Whether it watches the platform and its copy is fresh.
+    pub(super) watches: bool,
+}
+
 /// Change of a host's membership.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Change {
@@ -87,7 +100,7 @@
     }
 
     /// Records what a host advertises about itself; returns how its membership changed.
-    pub(super) fn update(&mut self, member: Member, now: Moment) -> Option<Change> {
+    pub(super) fn update(&mut self, member: Member, protocol: u16, now: Moment) -> Option<Change> {
         let host = member.host.clone();
         let before = self.peers.get(&host).filter(|peer| peer.last_heartbeat.is_some());
         let change = match before {
@@ -99,7 +112,8 @@
         };
         let rank = before.map_or_else(|| entry::rank(&host), |peer| peer.rank);
         let was_alive = self.peers.get(&host).is_some_and(|peer| peer.was_alive);
-        let peer = Peer { member, rank, last_heartbeat: Some(now), discovered: now, was_alive };
+        let peer =
+            Peer { member, protocol, rank, last_heartbeat: Some(now), discovered: now, was_alive };
         self.peers.insert(host, peer);
         change
     }
@@ -109,12 +123,18 @@
         self.peers.get(host).is_some_and(|peer| peer.last_heartbeat.is_some() && peer.member.ready)
     }
 
+    /// Returns the version of the messages that a host speaks; 0 if it is unknown.
+    pub(super) fn protocol(&self, host: &id::Host) -> u16 {
+        self.peers.get(host).map_or(0, |peer| peer.protocol)
+    }
+
     /// Adds a host that another host named; what is known of the host already takes precedence.
     pub(super) fn add(&mut self, member: Member, now: Moment) {
         let known = self.peers.entry(member.host.clone());
         let rank = entry::rank(&member.host);
         known.or_insert(Peer {
             member,
+            protocol: 0,
             rank,
             last_heartbeat: None,
             discovered: now,
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -1,4 +1,7 @@
 //! Messages between gateway hosts, encoded with postcard.
+//!
+//! Hosts of different builds exchange them. So the layout of what is here stays as it is; fields are
+//! added in the [`Extension`] behind each message, and kinds of messages at the end of [`Body`].
 
 use std::net::SocketAddr;
 
@@ -12,6 +15,8 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use super::extension::Extension;
+
 /// Largest datagram, in bytes; it fits into one Ethernet frame.
 pub(super) const MAX_DATAGRAM: usize = 1400;
 /// Largest response of a relay, in bytes; more than all objects of the platform will take in two
@@ -188,16 +193,25 @@
     pub(super) updates: Vec<Update>,
 }
 
-/// Encodes a value. Only a fault in the types above can make this fail; an empty message is returned
-/// then, which the receiver rejects as malformed.
-pub(super) fn encode<T: Serialize>(value: &T) -> Bytes {
-    postcard::to_stdvec(value).map(Bytes::from).unwrap_or_else(|error| {
+/// Encodes a message. Only a fault in the types above can make this fail; an empty message is
+/// returned then, which the receiver rejects as malformed.
+pub(super) fn encode<T: Serialize>(value: &T, extension: &Extension) -> Bytes {
+    let encoded = postcard::to_stdvec(value)
+        .and_then(|bytes| postcard::to_extend(extension, bytes))
+        .map(Bytes::from);
+    encoded.unwrap_or_else(|error| {
         log::error!("message: the value can't be encoded: {error}");
         Bytes::new()
     })
 }
 
-/// Decodes a value.
-pub(super) fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, SmolStr> {
-    postcard::from_bytes(bytes).map_err(|error| SmolStr::from(error.to_string()))
+/// Decodes a message. One of a build that knows no extensions has an empty one.
+pub(super) fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<(T, Extension), SmolStr> {
+    let malformed = |error: postcard::Error| SmolStr::from(error.to_string());
+    let (value, rest) = postcard::take_from_bytes(bytes).map_err(malformed)?;
+    if rest.is_empty() {
+        return Ok((value, Extension::default()));
+    }
+    let extension = postcard::from_bytes(rest).map_err(malformed)?;
+    Ok((value, extension))
 }
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod dispatcher;
 mod edge;
 pub mod events;
+mod extension;
 mod fleet;
 mod head;
 mod host;
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use super::extension::Extension;
 use super::message;
 use super::message::MAX_RESPONSE;
 use super::message::SyncRequest;
@@ -62,7 +63,7 @@
         let Ok(received) = tokio::time::timeout(IDLE_TIMEOUT, received).await else {
             return Ok(());
         };
-        let request: SyncRequest = message::decode(&received?).map_err(malformed)?;
+        let (request, _): (SyncRequest, _) = message::decode(&received?).map_err(malformed)?;
         let after = if request.incarnation == incarnation { request.after } else { 0 };
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
         if after > 0 {
@@ -71,7 +72,7 @@
         let (latest, updates) = mirror.after(after, request.reached);
         let age_ms = u64::try_from(mirror.age().as_millis()).unwrap_or(u64::MAX);
         let response = SyncResponse { incarnation, latest, age_ms, updates };
-        write(&mut stream, &message::encode(&response)).await?;
+        write(&mut stream, &message::encode(&response, &Extension::new())).await?;
     }
 }
 
@@ -102,9 +103,9 @@
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         let request =
             SyncRequest { incarnation: self.incarnation, after: self.after, reached, wait_ms };
-        write(&mut self.stream, &message::encode(&request)).await?;
+        write(&mut self.stream, &message::encode(&request, &Extension::new())).await?;
         let bytes = read(&mut self.stream, MAX_RESPONSE).await?;
-        let response: SyncResponse = message::decode(&bytes).map_err(malformed)?;
+        let (response, _): (SyncResponse, _) = message::decode(&bytes).map_err(malformed)?;
         self.incarnation = response.incarnation;
         Ok(response)
     }
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -22,6 +22,7 @@
 
 use super::events::Events;
 use super::fleet::Fleet;
+use super::members::Relay;
 use super::mirror::MAX_FRESH_AGE;
 use super::mirror::Mirror;
 use super::mirror::Source;
@@ -70,17 +71,6 @@
 /// Age of the copy above which an answer of the platform is its return after an outage.
 const OUTAGE_AGE: Duration = Duration::from_millis(1500);
 
-/// A host that this one could follow.
-#[derive(Clone, Debug)]
-pub(super) struct Relay {
-    pub(super) host: id::Host,
-    pub(super) peer: SocketAddr,
-    /// Requests per second that it can serve.
-    pub(super) capacity: f32,
-    /// Whether it watches the platform and its copy is fresh.
-    pub(super) watches: bool,
-}
-
 /// Replicates the platform's objects into the mirror.
 #[derive(Clone, Debug)]
 pub(super) struct Replicator {
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod split;
 pub mod throttle;
 pub mod unit;
+pub mod waiting;
 pub mod withdrawal;
 
 pub use moment::Moment;
