Count a broken connection only with a proof that the link did not break

Cause: losses were judged by what lies between two answers. An answer over a new connection says nothing about the moment of the loss, so one lost request and its repetition, or equal requests at three targets, counted after a link had blinked; and a crash just before a reset was taken for part of it. Broken idle connections were to tell the two apart, but are noticed late or removed meanwhile.

Change: a loss counts if a connection that is older than it answers after it, and one that was opened later than the lost one, too; or if the target can't be reached after it while others answer. If nothing could have proved it, it counts at this host alone and is told to no other. Hosts ask for the proof if ordinary answers don't bring it within 50 ms. The event connection_lost names the proof.

--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -7,10 +7,10 @@
 use chicoryloom_policy::catalog::Target;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
-use chicoryloom_policy::loss::Loss;
-use chicoryloom_policy::loss::Stage;
+use chicoryloom_policy::loss::Answer;
 use chicoryloom_policy::reach::Listed;
 use chicoryloom_policy::withdrawal::Availability;
+use rand::seq::IteratorRandom;
 use serde_json::json;
 
 use super::Dispatcher;
@@ -25,32 +25,36 @@
 /// Time in which a target answers a check of the links.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Targets with losses that are tried at a time.
+const MAX_SUSPECTS: usize = 3;
+/// Other targets that are tried then, over old connections and over new ones.
+const PROOF_TARGETS: usize = 2;
+
+/// The connection over which a target is tried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Over {
+    New,
+    /// One that is open already, if there is any.
+    Idle,
+}
+
 impl Dispatcher {
-    /// Records that a target answered, whatever it said, and which request if it was a caller's.
-    pub(in crate::gateway) fn record_answer(&self, request: Option<Fingerprint>) {
+    /// Records that a target answered, whatever it said, over a connection that was opened at
+    /// `opened` if that is known, and which request if it was a caller's.
+    pub(in crate::gateway) fn record_answer(
+        &self,
+        endpoint: &Endpoint,
+        opened: Option<Moment>,
+        request: Option<Fingerprint>,
+    ) {
         let now = self.clock.now();
-        let mut state = self.lock();
-        state.reach.record_answer(now);
-        Self::add_broken_idle(&mut state, now);
-        let losses = state.losses.record_answer(request, now);
-        drop(state);
-        self.apply_losses(losses, now);
-    }
-
-    /// Adds connections that broke without a request to losses that are to be judged: a link that breaks
-    /// takes them along, a target or a request does not.
-    fn add_broken_idle(state: &mut State, now: Moment) {
-        if state.losses.is_empty() {
-            return;
-        }
-        for endpoint in state.services.values().flat_map(|service| &service.targets) {
-            if endpoint.backend.has_broken_idle() {
-                let target = endpoint.target.instance.clone();
-                let address = id::Target(endpoint.target.address);
-                let at = state.losses.latest().unwrap_or(now);
-                state.losses.add(Loss { target, address, stage: Stage::Empty, at });
-            }
-        }
+        let answer = Answer { target: &endpoint.target.instance, opened, request };
+        let verdicts = {
+            let mut state = self.lock();
+            state.reach.record_answer(now);
+            state.losses.record_answer(answer, now)
+        };
+        self.apply_verdicts(verdicts, now);
     }
 
     /// Records that a target has been out of reach since a moment.
@@ -68,7 +72,7 @@
         }
         let silence_ms = state.reach.silence(now).as_millis() as u64;
         let unreached = state.reach.unreached();
-        state.losses.clear();
+        state.losses.dismiss();
         state.services.values_mut().for_each(Service::refuse_waiters);
         drop(state);
         let fields =
@@ -125,6 +129,7 @@
             let mut state = self.lock();
             if !is_answered {
                 state.reach.record_unopened(&endpoint.target.instance);
+                state.losses.record_unopened(&endpoint.target.instance, begun);
                 return;
             }
             state.reach.record_opened(begun, now)
@@ -167,11 +172,12 @@
         (state.reach.silence(now), state.reach.unreached())
     }
 
-    /// Tries some targets if the links are in doubt.
+    /// Tries some targets if the links are in doubt, or if it is to be shown why connections broke.
     pub(in crate::gateway) fn check_links(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
-        if !state.reach.is_check_due(now) {
+        let suspects = state.losses.check(now);
+        if suspects.is_empty() && !state.reach.is_check_due(now) {
             return;
         }
         self.apply_listing(&mut state);
@@ -182,10 +188,23 @@
             .collect();
         let chosen = state.reach.check(&targets, now, &mut rand::rng());
         let Some(dispatcher) = self.weak_self.upgrade() else { return };
-        for endpoint in &endpoints {
-            if chosen.contains(&&endpoint.target.instance) {
-                let (dispatcher, endpoint) = (dispatcher.clone(), endpoint.clone());
-                tokio::spawn(async move { dispatcher.check_link(&endpoint).await });
+        let spawn = |endpoint: &Arc<Endpoint>, over: Over| {
+            let (dispatcher, endpoint) = (dispatcher.clone(), endpoint.clone());
+            tokio::spawn(async move { dispatcher.check_link(&endpoint, over).await });
+        };
+        let is_suspect = |endpoint: &&Arc<Endpoint>| suspects.contains(&endpoint.target.instance);
+        let is_chosen = |endpoint: &&Arc<Endpoint>| chosen.contains(&&endpoint.target.instance);
+        for endpoint in endpoints.iter().filter(is_chosen) {
+            spawn(endpoint, Over::New);
+        }
+        for endpoint in endpoints.iter().filter(is_suspect).take(MAX_SUSPECTS) {
+            spawn(endpoint, Over::New);
+        }
+        if !suspects.is_empty() {
+            let others = endpoints.iter().filter(|endpoint| !is_suspect(endpoint));
+            for endpoint in others.choose_multiple(&mut rand::rng(), PROOF_TARGETS) {
+                spawn(endpoint, Over::Idle);
+                spawn(endpoint, Over::New);
             }
         }
     }
@@ -209,7 +228,7 @@
     }
 
     /// Asks a target for its health, since only an answer shows that the link works.
-    async fn check_link(&self, endpoint: &Endpoint) {
+    async fn check_link(&self, endpoint: &Endpoint, over: Over) {
         let begun = self.clock.now();
         let path = {
             let state = self.lock();
@@ -217,16 +236,23 @@
                 catalog.services.get(&endpoint.target.service)?.health_path.clone()
             })
         };
-        let check = endpoint.backend.check(path.as_deref().unwrap_or("/"));
+        let path = path.as_deref().unwrap_or("/");
+        if over == Over::Idle {
+            let check = endpoint.backend.check_idle(path);
+            if let Ok(Some(Ok(age))) = tokio::time::timeout(CHECK_TIMEOUT, check).await {
+                self.record_answer(endpoint, Some(self.clock.now().before(age)), None);
+            }
+            return;
+        }
+        let check = endpoint.backend.check(path);
         match tokio::time::timeout(CHECK_TIMEOUT, check).await {
             Ok(Ok(())) => {
                 self.record_opening(endpoint, begun, true);
-                self.record_answer(None);
+                self.record_answer(endpoint, Some(begun), None);
             }
             Ok(Err(Failure::Cap)) => {}
             Ok(Err(_)) | Err(_) => {
                 self.record_opening(endpoint, begun, false);
-                self.record_loss(endpoint, Stage::Empty, self.clock.now());
                 self.record_unreached(endpoint, begun);
             }
         }
--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -10,7 +10,9 @@
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
 use chicoryloom_policy::loss::Loss;
+use chicoryloom_policy::loss::Proof;
 use chicoryloom_policy::loss::Stage;
+use chicoryloom_policy::loss::Verdict;
 use serde_json::json;
 
 use super::Dispatcher;
@@ -156,17 +158,38 @@
     }
 
     /// Records that a connection to a target broke without a whole answer, to be judged later.
-    pub(in crate::gateway) fn record_loss(&self, endpoint: &Endpoint, stage: Stage, now: Moment) {
+    pub(in crate::gateway) fn record_loss(
+        &self,
+        endpoint: &Endpoint,
+        stage: Stage,
+        opened: Moment,
+        now: Moment,
+    ) {
         let target = endpoint.target.instance.clone();
         let address = id::Target(endpoint.target.address);
-        self.lock().losses.add(Loss { target, address, stage, at: now });
+        self.lock().losses.add(Loss { target, address, stage, opened, at: now });
     }
 
-    /// Counts losses against their targets and requests, and queues reports to the other hosts.
-    pub(super) fn apply_losses(&self, losses: Vec<Loss>, now: Moment) {
-        for loss in losses {
+    /// Counts losses against their targets and requests, and queues reports to the other hosts of those
+    /// that are proved.
+    pub(super) fn apply_verdicts(&self, verdicts: Vec<Verdict>, now: Moment) {
+        for Verdict { loss, proof } in verdicts {
             let request = loss.request();
             let Loss { target, address, at, .. } = loss;
+            self.events.emit(
+                "connection_lost",
+                json!({
+                    "target": target.as_str(), "age_ms": now.since(at).as_millis() as u64,
+                    "fingerprint": request.map(|one| format!("{:032x}", one.0)),
+                    "proof": proof_name(proof),
+                }),
+            );
+            if proof == Proof::Missing {
+                if let Some(request) = request {
+                    self.apply_crash(request, address.0, false, None);
+                }
+                continue;
+            }
             let endpoint = {
                 let state = self.lock();
                 let all = state.services.values().flat_map(|service| &service.targets);
@@ -181,7 +204,6 @@
                 self.lock().crash_reports.push((request, address.0, false));
                 self.changed.notify_one();
             }
-            log::debug!("target: {target}: a connection broke at {at}, counted at {now}");
         }
     }
 
@@ -230,3 +252,12 @@
         Notice::Recovered => "in use",
     }
 }
+
+/// Returns the name, in events, of the reason why a loss counts.
+const fn proof_name(proof: Proof) -> &'static str {
+    match proof {
+        Proof::Link => "older connections work",
+        Proof::Absence => "target is gone",
+        Proof::Missing => "none, counts here only",
+    }
+}
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -329,6 +329,7 @@
         }
         let mut is_fresh = lease.is_new();
         let sent = self.gateway.clock.now();
+        let mut opened = sent.before(lease.age());
         let started = Instant::now();
         self.progress.may_have_run.store(true, Ordering::Relaxed);
         let protocol = self.gateway.dialect.protocol();
@@ -347,6 +348,7 @@
             }
             let request = self.target_request(&endpoint).ok_or(Failure::Unsent)?;
             is_fresh = true;
+            opened = self.gateway.clock.now();
             answer = self
                 .await_response(
                     exchange(lease, request, RESPONSE_IDLE_TIMEOUT, protocol),
@@ -369,13 +371,14 @@
                     self.gateway.dispatcher.record_loss(
                         &endpoint,
                         Stage::Request(self.fingerprint),
+                        opened,
                         now,
                     );
                 }
             }
         })?;
         self.progress.add_tried(&slot.choice);
-        self.handle_response(answer, slot, sent, started).await
+        self.handle_response(answer, slot, opened, sent, started).await
     }
 
     /// Clears the mark that the request may have run, unless another attempt may have run.
@@ -429,13 +432,14 @@
         &self,
         answer: Answer,
         slot: Slot,
+        opened: Moment,
         sent: Moment,
         started: Instant,
     ) -> Result<Attempt, Failure> {
         let dispatcher = &self.gateway.dispatcher;
         let endpoint = slot.endpoint.clone();
         let protocol = self.gateway.dialect.protocol();
-        dispatcher.record_answer(Some(self.fingerprint));
+        dispatcher.record_answer(&endpoint, Some(opened), Some(self.fingerprint));
         dispatcher.apply_terms(&endpoint, &protocol.terms(answer.status(), answer.headers()), sent);
         let is_failure = is_failure(answer.status());
         let outcome = if is_failure { Outcome::Failed } else { Outcome::Ok };
@@ -460,7 +464,8 @@
         let body = match Limited::new(body, MAX_BUFFERED_RESPONSE).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
-                dispatcher.record_loss(&endpoint, Stage::Answer, self.gateway.clock.now());
+                let now = self.gateway.clock.now();
+                dispatcher.record_loss(&endpoint, Stage::Answer, opened, now);
                 return Err(Failure::Lost(error.to_string()));
             }
         };
@@ -476,11 +481,12 @@
         let now = self.gateway.clock.now();
         match failure {
             Failure::Connect(_) | Failure::Unsent => {
-                self.gateway.dispatcher.record_loss(endpoint, Stage::Empty, now);
                 self.gateway.dispatcher.record_unreached(endpoint, begun);
             }
             Failure::Lost(_) => self.gateway.dispatcher.doubt_links(),
-            Failure::Shed(_) | Failure::Misdirected => self.gateway.dispatcher.record_answer(None),
+            Failure::Shed(_) | Failure::Misdirected => {
+                self.gateway.dispatcher.record_answer(endpoint, None, None);
+            }
             _ => {}
         }
         let outcome = match failure {
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -221,12 +221,31 @@
     /// Asks the target on a new connection whether it is well, and waits for the head of any answer.
     pub(crate) async fn check(self: &Arc<Self>, path: &str) -> Result<(), Failure> {
         let mut lease = self.lease_new().await?;
+        self.ask(&mut lease, path).await.map(drop)
+    }
+
+    /// Asks the target on an idle connection, if there is one, and closes it; returns the time since it
+    /// was opened.
+    pub(crate) async fn check_idle(
+        self: &Arc<Self>,
+        path: &str,
+    ) -> Option<Result<Duration, Failure>> {
+        let mut lease = self.lease_idle()?;
+        let answer = self.ask(&mut lease, path).await;
+        Some(answer.map(|_| lease.age()))
+    }
+
+    async fn ask(
+        self: &Arc<Self>,
+        lease: &mut Lease,
+        path: &str,
+    ) -> Result<Response<Incoming>, Failure> {
         let request = Request::get(path).header(HOST, self.target().to_string());
         let request = request.body(Empty::new().map_err(|never| match never {}).boxed_unsync());
         let request = request.map_err(|error| Failure::Connect(error.to_string()))?;
         let Some(sender) = lease.sender() else { return Err(Failure::Unsent) };
         let answer = sender.send_request(request).await;
-        answer.map(drop).map_err(|error| Failure::Lost(error.to_string()))
+        answer.map_err(|error| Failure::Lost(error.to_string()))
     }
 }
 
--- a/chicoryloom/src/target/pool.rs
+++ b/chicoryloom/src/target/pool.rs
@@ -123,12 +123,6 @@
         self.idle().iter().any(is_usable)
     }
 
-    /// Returns whether a connection broke while it waited for its next request, and was not removed
-    /// since.
-    pub(crate) fn has_broken_idle(&self) -> bool {
-        self.idle().iter().any(|idle| idle.connection.is_closed())
-    }
-
     fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().expect("no holder of the lock panics")
     }
@@ -148,6 +142,18 @@
         self.open(in_flight).await
     }
 
+    /// Leases an idle connection, if there is one.
+    pub(super) fn lease_idle(self: &Arc<Self>) -> Option<Lease> {
+        let in_flight = InFlight::new(self.clone());
+        let mut idle = self.idle();
+        let is_usable = |idle: &IdleConnection| {
+            idle.since.elapsed() < self.idle_timeout && !idle.connection.is_closed()
+        };
+        let at = idle.iter().rposition(is_usable)?;
+        let connection = Some(idle.remove(at).connection);
+        Some(Lease { connection, in_flight, is_new: false })
+    }
+
     /// Leases a newly opened connection, if the cap allows it.
     pub(crate) async fn lease_new(self: &Arc<Self>) -> Result<Lease, Failure> {
         self.open(InFlight::new(self.clone())).await
@@ -178,7 +184,7 @@
             }
             drop(open);
         });
-        Ok(Connection { sender, task })
+        Ok(Connection { sender, task, opened: Instant::now() })
     }
 }
 
@@ -199,6 +205,7 @@
 struct Connection {
     sender: SendRequest<Body>,
     task: JoinHandle<()>,
+    opened: Instant,
 }
 
 impl Connection {
@@ -269,6 +276,11 @@
         self.is_new
     }
 
+    /// Returns the time since the connection was opened.
+    pub(crate) fn age(&self) -> Duration {
+        self.connection.as_ref().map_or(Duration::ZERO, |one| one.opened.elapsed())
+    }
+
     pub(super) fn sender(&mut self) -> Option<&mut SendRequest<Body>> {
         self.connection.as_mut().map(|connection| &mut connection.sender)
     }
--- a/chicoryloom_policy/src/loss.rs
+++ b/chicoryloom_policy/src/loss.rs
@@ -2,9 +2,9 @@
 //!
 //! A broken connection may be the fault of the target, of the request that crashed it, or of this
 //! host's own link. A host can't tell at once, and what it tells the others binds all of them. So a loss
-//! counts only once a target has answered this host after it. Losses without an answer between them are
-//! judged together: a target that goes down breaks its own connections, a request that crashes targets is
-//! among those lost at each of them, and a link breaks what happens to be on it.
+//! counts only with a proof: either a connection that is older than the loss still answers, as a link
+//! that breaks takes all of them along, or the target can't be reached any more while others answer.
+//! Where nothing could have proved it, the loss counts at this host alone.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -13,20 +13,28 @@
 use crate::holdback::Fingerprint;
 use crate::id;
 
-/// Time in which losses with one cause become known, so that an answer within it does not separate
-/// them.
+/// Time in which losses with one cause become known, so that an answer within it proves nothing.
 const BURST_TIME: Duration = Duration::from_millis(10);
-/// Time after which a loss without any later answer is dropped.
+/// Time after which a loss without a proof is dropped.
 const MAX_AGE: Duration = Duration::from_secs(3);
+/// Time before a loss in which another target has answered if the link's other connections could
+/// prove the loss; targets keep idle connections for longer.
+const WITNESS_TIME: Duration = Duration::from_secs(2);
+/// Time after which a loss is no longer held against its request at this host, if the link could have
+/// proved it, did not, and the target answers again.
+const DOUBT_TIME: Duration = Duration::from_millis(300);
+/// Time after which a loss that nothing can prove counts at this host.
+const UNPROVEN_TIME: Duration = Duration::from_secs(1);
+/// Time after a loss from which targets are asked for a proof, unless one came meanwhile.
+const CHECK_DELAY: Duration = Duration::from_millis(50);
+/// Shortest time between two such checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of losses that wait for judgement; later ones are dropped.
 const MAX_PENDING: usize = 1024;
 
 /// What was on a connection when it broke.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
-    /// Nothing, as it could not be opened or was idle. That says something about other losses, but no
-    /// more.
-    Empty,
     /// A request that the target had not begun to answer.
     Request(Fingerprint),
     /// An answer.
@@ -39,6 +47,8 @@
     pub target: id::Instance,
     pub address: id::Target,
     pub stage: Stage,
+    /// When the connection was opened.
+    pub opened: Moment,
     pub at: Moment,
 }
 
@@ -47,39 +57,140 @@
     pub fn request(&self) -> Option<Fingerprint> {
         match self.stage {
             Stage::Request(request) => Some(request),
-            Stage::Empty | Stage::Answer => None,
+            Stage::Answer => None,
         }
     }
 }
 
-/// Losses of this host since a target last answered, oldest first.
+/// An answer of a target, whatever it said.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer<'a> {
+    pub target: &'a id::Instance,
+    /// When its connection was opened, if that is known.
+    pub opened: Option<Moment>,
+    /// The request, if it was one of a caller.
+    pub request: Option<Fingerprint>,
+}
+
+/// Why a loss counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Proof {
+    /// An older connection answered after it, and one that was opened later, too.
+    Link,
+    /// The target could not be reached after it, while others answered.
+    Absence,
+    /// Nothing could have shown whether the link broke; the loss counts at this host alone.
+    Missing,
+}
+
+/// A loss that is the fault of a target or its request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Verdict {
+    pub loss: Loss,
+    pub proof: Proof,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    loss: Loss,
+    /// Whether something could have proved it, as connections to other targets were in use shortly
+    /// before, or whether the link was down as far as can be told.
+    has_witness: bool,
+    /// Whether a connection answered after the loss that had been opened before it.
+    is_spanned: bool,
+    /// Whether a connection answered after the loss that was opened later than the lost one.
+    is_renewed: bool,
+    /// Whether the target could not be reached after the loss.
+    is_absent: bool,
+    /// Whether only the target's absence can still prove the loss.
+    is_dismissed: bool,
+}
+
+/// A target that failed since the latest answer.
+#[derive(Clone, Debug)]
+struct Failed {
+    target: id::Instance,
+    /// Whether no connection could be opened.
+    is_unopened: bool,
+    /// Whether that was tried after a loss there and after the latest answer of any target.
+    is_missed: bool,
+}
+
+impl Pending {
+    fn proof(&self, now: Moment) -> Option<Proof> {
+        if self.is_absent {
+            return Some(Proof::Absence);
+        }
+        if self.is_dismissed {
+            return None;
+        }
+        if self.is_spanned && self.is_renewed {
+            return Some(Proof::Link);
+        }
+        let is_old = now.since(self.loss.at) >= UNPROVEN_TIME;
+        (!self.has_witness && is_old).then_some(Proof::Missing)
+    }
+}
+
+/// Losses of this host that wait for judgement, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct Losses {
-    pending: Vec<Loss>,
+    pending: Vec<Pending>,
+    /// The two targets that answered last.
+    answered: Vec<(id::Instance, Moment)>,
+    /// Targets that failed since the latest answer.
+    failed: Vec<Failed>,
+    checked: Option<Moment>,
 }
 
 impl Losses {
     /// Records a loss.
     pub fn add(&mut self, loss: Loss) {
-        if self.pending.len() < MAX_PENDING {
-            self.pending.push(loss);
+        self.add_failed(&loss.target, false, false);
+        if self.pending.len() >= MAX_PENDING {
+            return;
         }
+        let is_witness = |(target, at): &(id::Instance, Moment)| {
+            *target != loss.target && loss.at.since(*at) < WITNESS_TIME
+        };
+        let is_out_of_reach = |one: &Failed| one.is_unopened && one.target != loss.target;
+        self.pending.push(Pending {
+            has_witness: self.answered.iter().any(is_witness)
+                || self.failed.iter().any(is_out_of_reach),
+            is_spanned: false,
+            is_renewed: false,
+            is_absent: false,
+            is_dismissed: false,
+            loss,
+        });
     }
 
-    /// Returns the targets that broke the connection on a request, as far as that is not judged yet.
-    pub fn lost_on(&self, request: Fingerprint) -> impl Iterator<Item = id::Target> {
-        let lost = self.pending.iter().filter(move |loss| loss.request() == Some(request));
-        lost.map(|loss| loss.address)
+    /// Records that a target could not be reached over a new connection, tried from `begun` on.
+    pub fn record_unopened(&mut self, target: &id::Instance, begun: Moment) {
+        let answered = self.answered.first().map(|(_, at)| *at);
+        let is_missed = answered.is_some_and(|at| begun >= at)
+            && self.pending.iter().any(|one| one.loss.target == *target && begun >= one.loss.at);
+        self.add_failed(target, true, is_missed);
+        // Another target that is out of reach at the same time speaks against the link.
+        for one in self.pending.iter_mut().filter(|one| one.loss.target != *target) {
+            one.has_witness |= answered.is_none_or(|at| at < one.loss.at);
+        }
     }
 
-    /// Returns when the latest loss that waits for judgement was recorded.
-    pub fn latest(&self) -> Option<Moment> {
-        self.pending.last().map(|loss| loss.at)
+    fn add_failed(&mut self, target: &id::Instance, is_unopened: bool, is_missed: bool) {
+        if let Some(known) = self.failed.iter_mut().find(|one| one.target == *target) {
+            known.is_unopened |= is_unopened;
+            known.is_missed |= is_missed;
+        } else if self.failed.len() < MAX_PENDING {
+            self.failed.push(Failed { target: target.clone(), is_unopened, is_missed });
+        }
     }
 
-    /// Returns the number of losses that wait for judgement.
-    pub fn len(&self) -> usize {
-        self.pending.len()
+    /// Returns the targets that broke the connection on a request, as far as that is not judged yet.
+    pub fn lost_on(&self, request: Fingerprint) -> impl Iterator<Item = id::Target> {
+        let waiting = self.pending.iter().filter(|one| !one.is_dismissed);
+        let lost = waiting.filter(move |one| one.loss.request() == Some(request));
+        lost.map(|one| one.loss.address)
     }
 
     /// Returns whether no loss waits for judgement.
@@ -87,36 +198,91 @@
         self.pending.is_empty()
     }
 
-    /// Records that a target answered, and the request if it was one of a caller; returns the losses
-    /// before it that are the fault of a target or of their request.
-    pub fn record_answer(&mut self, request: Option<Fingerprint>, now: Moment) -> Vec<Loss> {
-        if request.is_some() {
-            // A request that is answered crashes no targets.
-            for loss in self.pending.iter_mut().filter(|loss| loss.request() == request) {
-                loss.stage = Stage::Answer;
-            }
+    /// Returns the targets of losses to be proved if a check is due, and records the check. These
+    /// targets are to be tried over new connections, and others over old and over new ones.
+    pub fn check(&mut self, now: Moment) -> Vec<id::Instance> {
+        if self.pending.is_empty() {
+            return Vec::new();
         }
-        let Some(latest) = self.pending.last() else { return Vec::new() };
-        if now.since(latest.at) < BURST_TIME {
+        self.pending.retain(|one| now.since(one.loss.at) < MAX_AGE);
+        let is_due = self.pending.iter().any(|one| now.since(one.loss.at) >= CHECK_DELAY);
+        if !is_due || self.checked.is_some_and(|at| now.since(at) < CHECK_INTERVAL) {
             return Vec::new();
         }
-        let mut group = std::mem::take(&mut self.pending);
-        group.retain(|loss| now.since(loss.at) < MAX_AGE);
-        attribute(group)
+        self.checked = Some(now);
+        let targets: HashSet<_> = self.pending.iter().map(|one| &one.loss.target).collect();
+        targets.into_iter().cloned().collect()
+    }
+
+    /// Records that a target answered; returns the losses that it proves to be the fault of a target or
+    /// of their request.
+    pub fn record_answer(&mut self, answer: Answer<'_>, now: Moment) -> Vec<Verdict> {
+        self.record_evidence(answer, now);
+        let settled = |one: &&Pending| now.since(one.loss.at) >= BURST_TIME;
+        let is_open = |one: &&Pending| !one.is_dismissed && !one.is_absent;
+        // Losses with one cause are judged together, by what they have in common.
+        let open = self.pending.iter().filter(settled).filter(is_open);
+        let is_ready = open.clone().all(|one| one.proof(now).is_some());
+        let group: Vec<_> = open.map(|one| one.loss.clone()).collect();
+        let blamed = if is_ready { attribute(&group) } else { Vec::new() };
+        let mut verdicts = Vec::new();
+        self.pending.retain_mut(|one| {
+            if now.since(one.loss.at) < BURST_TIME {
+                return true;
+            }
+            let Some(proof) = one.proof(now) else { return true };
+            if proof == Proof::Absence || blamed.contains(&one.loss) {
+                verdicts.push(Verdict { loss: one.loss.clone(), proof });
+                return false;
+            }
+            one.is_dismissed |= is_ready;
+            true
+        });
+        verdicts
+    }
+
+    /// Records what an answer says of the losses.
+    fn record_evidence(&mut self, answer: Answer<'_>, now: Moment) {
+        let absent = match &self.failed[..] {
+            [one] if one.is_missed && one.target != *answer.target => Some(one.target.clone()),
+            _ => None,
+        };
+        self.failed.clear();
+        self.answered.retain(|(target, _)| target != answer.target);
+        self.answered.insert(0, (answer.target.clone(), now));
+        self.answered.truncate(2);
+        self.pending.retain(|one| now.since(one.loss.at) < MAX_AGE);
+        for one in &mut self.pending {
+            let Loss { target, opened, at, .. } = &one.loss;
+            if answer.request.is_some() && one.loss.request() == answer.request {
+                // A request that is answered crashes no targets.
+                one.loss.stage = Stage::Answer;
+                continue;
+            }
+            if now.since(*at) < BURST_TIME {
+                continue;
+            }
+            one.is_spanned |= answer.opened.is_some_and(|before| before < *at);
+            one.is_renewed |= answer.opened.is_some_and(|after| after >= *opened);
+            one.is_absent |= absent.as_ref() == Some(target);
+            let is_back = target == answer.target && answer.opened.is_some_and(|new| new >= *at);
+            let is_late = now.since(*at) >= DOUBT_TIME;
+            one.is_dismissed |= is_back && is_late && one.has_witness && !one.is_spanned;
+        }
     }
 
-    /// Drops all losses, as the host is cut off from all targets.
-    pub fn clear(&mut self) {
-        self.pending.clear();
+    /// Holds no loss so far against a request unless its target is gone, as the host is cut off from all
+    /// targets.
+    pub fn dismiss(&mut self) {
+        self.pending.iter_mut().for_each(|one| one.is_dismissed = true);
     }
 }
 
 /// Returns the losses of a group that are the fault of a target or a request.
-fn attribute(mut group: Vec<Loss>) -> Vec<Loss> {
-    let targets: HashSet<_> = group.iter().map(|loss| loss.target.clone()).collect();
+fn attribute(group: &[Loss]) -> Vec<Loss> {
+    let targets: HashSet<_> = group.iter().map(|loss| &loss.target).collect();
     if targets.len() <= 1 {
-        group.retain(|loss| loss.stage != Stage::Empty);
-        return group;
+        return group.to_vec();
     }
     let requests: HashSet<_> = group.iter().filter_map(Loss::request).collect();
     let is_common = |request: &Fingerprint| {
@@ -124,6 +290,6 @@
         lost.map(|loss| &loss.target).collect::<HashSet<_>>().len() == targets.len()
     };
     let common = requests.iter().find(|request| is_common(request)).copied();
-    group.retain(|loss| common.is_some() && loss.request() == common);
-    group
+    let blamed = group.iter().filter(|loss| common.is_some() && loss.request() == common);
+    blamed.cloned().collect()
 }
