Wait until all threads are stopped before a stopped host is asked

The stop signal takes effect on each thread a little later, so a 200 of a request that was sent at once could be right, as the key was still in force, or a fault. The test could not tell. It now asks once all threads are stopped and is otherwise unchanged: from then on each 200 and each run is a fault.

--- a/chicoryloom_harness/src/process.rs
+++ b/chicoryloom_harness/src/process.rs
@@ -97,10 +97,27 @@
     }
 
     /// Stops the process in its tracks.
+    ///
+    /// The signal takes effect on each thread a little later.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
     }
 
+    /// Returns whether all threads of the process are stopped.
+    pub fn is_paused(&self) -> bool {
+        let Some(pid) = self.pid() else { return false };
+        let Ok(threads) = std::fs::read_dir(format!("/proc/{pid}/task")) else { return false };
+        let is_stopped = |thread: io::Result<std::fs::DirEntry>| {
+            let stat =
+                thread.and_then(|thread| std::fs::read_to_string(thread.path().join("stat")));
+            // The state follows the name, which stands in parentheses.
+            stat.is_ok_and(|stat| {
+                stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+            })
+        };
+        threads.map(is_stopped).all(|is_stopped| is_stopped)
+    }
+
     /// Lets a stopped process go on.
     pub fn resume(&self) {
         self.signal(Signal::CONT);
--- a/chicoryloom_harness/tests/state/pause.rs
+++ b/chicoryloom_harness/tests/state/pause.rs
@@ -18,6 +18,8 @@
     let case = Case::start(4).await;
     let stopped = &case.fleet.hosts[3];
     stopped.process.pause();
+    // Until then, the host may answer rightly, as the key is still in force.
+    until("all threads are stopped", async || stopped.process.is_paused()).await;
     let mut waiting = JoinSet::new();
     for _ in 0..WAITING {
         let url = format!("http://{}/calendar/waiting", stopped.caller);
