Add a red test of a grant when an idle workspace begins at many hosts

The test plays the interval between messages that share::min_interval asks for (Fleet::message_steps; other tests keep the interval of before). The cause is that admissions between two messages have no bound but the demand.

--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -8,6 +8,7 @@
 use chicoryloom_policy::allowance::Status;
 use chicoryloom_policy::catalog::Workspace;
 use chicoryloom_policy::id;
+use chicoryloom_policy::share::min_interval;
 use chicoryloom_policy::unit::Burst;
 use chicoryloom_policy::unit::Rate;
 use proptest::prelude::*;
@@ -54,6 +55,8 @@
     cut: Vec<usize>,
     /// Whether all messages are lost.
     drops_messages: bool,
+    /// Steps that must lie between two messages to the data centre of a host, and to the others.
+    message_steps: [usize; 2],
     /// Until when the messages of each host to the others, and theirs to it, are lost.
     unknown_until: Vec<Moment>,
     admitted: Vec<Moment>,
@@ -72,6 +75,7 @@
             paused: Vec::new(),
             cut: Vec::new(),
             drops_messages: false,
+            message_steps: [URGENT_CHECK_STEPS; 2],
             unknown_until: vec![now; hosts],
             admitted: Vec::new(),
             refused: 0,
@@ -137,9 +141,13 @@
                     self.hosts[host].apply_report(&name, &workspace().name, report, self.now);
                 }
             }
-            if step % URGENT_CHECK_STEPS == 0 && !self.drops_messages {
-                self.send_reports(false, step % NEAR_REPORT_STEPS == 0, delay);
-                self.send_reports(true, step % gap == 0, delay);
+            let [near_steps, far_steps] = self.message_steps;
+            if step % near_steps == 0 && !self.drops_messages {
+                let is_due = step % NEAR_REPORT_STEPS == 0 || near_steps > NEAR_REPORT_STEPS;
+                self.send_reports(false, is_due, delay);
+            }
+            if step % far_steps == 0 && !self.drops_messages {
+                self.send_reports(true, step % gap == 0 || far_steps > gap, delay);
             }
             due += per_second * STEP.as_secs_f64();
             while due >= 1.0 {
@@ -329,6 +337,27 @@
     assert!(fleet.admitted.len() as f64 >= RATE * 10.0 * 0.8, "{}", fleet.admitted.len());
 }
 
+/// A workspace that was idle asks for many times its rate at once, at all hosts of a large fleet, of
+/// which those of other data centres hear only twice a second unless a report is urgent.
+#[rstest]
+#[case::medium(30, 8.0)]
+#[case::large(110, 8.0)]
+#[case::pressed(110, 20.0)]
+#[case::hundreds(400, 8.0)]
+fn grant_holds_when_an_idle_workspace_begins(#[case] host_count: usize, #[case] times: f64) {
+    for seed in [3, 5, 9, 11] {
+        let mut fleet = Fleet::new(host_count);
+        fleet.hosts.iter_mut().for_each(|host| host.set_hosts(host_count));
+        let near = host_count / CENTRES;
+        let steps = |count| (min_interval(count).as_millis() / STEP.as_millis()) as usize;
+        fleet.message_steps = [near, host_count - near].map(|count| steps(count).max(2));
+        fleet.run(800, 0.0, 50, Duration::from_millis(1), 1);
+        fleet.run(600, RATE * times, 50, Duration::from_millis(1), seed);
+        let worst = fleet.worst();
+        assert!(worst as f64 <= allowed(), "seed {seed}: {worst} of {}", allowed());
+    }
+}
+
 /// A host that restarts adopts the bucket level of hosts that have run for a window, and refuses
 /// no request within the rate.
 #[test]
