Count messages that can't be read, and keep limits beside builds that know none

Cause: a datagram of an unknown kind was dropped without a trace, values that no host sends were applied, and an ask for permits to a host of a build without limits was never answered, so that requests to a target with a limit waited until their deadlines.

Change: the head of a datagram is read before its body; unreadable ones are counted by reason and logged with their sender, one event for each address in ten seconds. A heartbeat of another host than its sender, a capacity or a limit that is no number is not applied. An extension that makes a datagram too long is left out. Metrics show the versions in the fleet. A responsible host that leaves asks unanswered for two seconds and never spoke of limits counts as silent; entry hosts then use the limit divided by their number.

--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -112,7 +112,11 @@
 
     /// Drops the requests in flight of a host that was lost or restarted.
     pub(in crate::gateway) fn forget_host(&self, host: &id::Host) {
-        self.lock().in_flight.forget(host);
+        {
+            let mut state = self.lock();
+            state.in_flight.forget(host);
+            state.throttle.silence.forget(host);
+        }
         self.dispatch_all();
     }
 
--- a/chicoryloom/src/gateway/dispatcher/throttle.rs
+++ b/chicoryloom/src/gateway/dispatcher/throttle.rs
@@ -17,6 +17,8 @@
 use chicoryloom_policy::throttle::Limit;
 use chicoryloom_policy::throttle::Limits;
 use chicoryloom_policy::throttle::Permits;
+use chicoryloom_policy::throttle::Ration;
+use chicoryloom_policy::throttle::Silence;
 use chicoryloom_policy::withdrawal::Process;
 use serde_json::json;
 
@@ -49,6 +51,10 @@
 pub(super) struct Throttle {
     pub(super) limits: Limits,
     pub(super) permits: Permits,
+    /// Hosts that give out no permits, and this host's part of the limits that they are responsible
+    /// for.
+    pub(super) silence: Silence,
+    ration: Ration,
     /// Issuers for the targets that this host is responsible for.
     issuers: HashMap<Process, Issuer>,
     /// Changes that this host reports to the others, and since when.
@@ -104,6 +110,7 @@
         self.permits.sweep(now);
         let limits = &self.limits;
         self.issuers.retain(|process, _| limits.get(process).is_some());
+        self.ration.retain(|process| limits.get(process).is_some());
         self.reported.retain(|(_, at)| now.since(*at) < REPORT_TIME);
         self.reports.extend(self.reported.iter().map(|(process, _)| process.clone()));
     }
@@ -156,7 +163,12 @@
         age: Duration,
     ) {
         let change = Change { limit, at: self.clock.now().before(age) };
-        if self.lock().throttle.limits.apply(process, change) {
+        let is_news = {
+            let throttle = &mut self.lock().throttle;
+            throttle.silence.hear(host);
+            throttle.limits.apply(process, change)
+        };
+        if is_news {
             self.log_limit(process, change, host.as_str());
             self.dispatch_all();
         }
@@ -194,6 +206,7 @@
     pub(in crate::gateway) fn apply_permit_message(&self, host: &id::Host, message: Message) {
         let now = self.clock.now();
         let mut state = self.lock();
+        state.throttle.silence.hear(host);
         match message {
             Message::Ask { process, change, asked, wanted } => {
                 self.apply_listing(&mut state);
@@ -278,19 +291,47 @@
         let Some(service) = state.services.get(service) else { return };
         for endpoint in &service.targets {
             let process = endpoint.process();
-            if !state.trial_targets.contains(&process.instance)
-                || state.throttle.limits.get(&process).is_none()
-                || state.throttle.permits.is_valid(&process, now)
-            {
+            let Some(limit) = state.throttle.limits.get(&process) else { continue };
+            if state.throttle.permits.is_valid(&process, now) {
                 continue;
             }
-            let issuer = state.throttle.issuer(&process, state.visible_part, now);
-            if issuer.is_some_and(|issuer| issuer.take(now)) {
+            let is_own = state.trial_targets.contains(&process.instance);
+            let is_taken = if is_own {
+                let issuer = state.throttle.issuer(&process, state.visible_part, now);
+                issuer.is_some_and(|issuer| issuer.take(now))
+            } else if self.is_rationed(state, endpoint) {
+                let (hosts, part) = (state.entry_hosts.len(), state.visible_part);
+                state.throttle.ration.take(&process, limit, hosts, part, now)
+            } else {
+                false
+            };
+            if is_taken {
                 state.throttle.permits.add_own(&process, now);
             }
         }
     }
 
+    /// Returns whether this host uses its ration of a target's limit, as the responsible host gives out
+    /// no permits. Only entry hosts have rations, which are counted.
+    fn is_rationed(&self, state: &State, endpoint: &Endpoint) -> bool {
+        if state.throttle.silence.count() == 0 {
+            return false;
+        }
+        let is_entry = state.entry_hosts.iter().any(|(host, _)| *host == self.me);
+        let owner = self.owner(state, endpoint);
+        is_entry && owner.is_some_and(|owner| state.throttle.silence.is_silent(&owner))
+    }
+
+    /// Records that a host knows limits, as the version of its messages has them.
+    pub(in crate::gateway) fn note_limits_known(&self, host: &id::Host) {
+        self.lock().throttle.silence.hear(host);
+    }
+
+    /// Returns how many hosts count as ones that know no limits.
+    pub(in crate::gateway) fn silent_hosts(&self) -> u64 {
+        self.lock().throttle.silence.count() as u64
+    }
+
     /// Asks for permits for the requests of a service that wait.
     pub(super) fn ask_for_permits(&self, state: &mut State, name: &id::Service, now: Moment) {
         if !state.throttle.limits.is_any() {
@@ -336,6 +377,11 @@
         let Some(owner) = self.owner(state, endpoint) else {
             return self.answer_ask(state, &self.me, process, change, (now, wanted), now);
         };
+        let was_silent = state.throttle.silence.is_silent(&owner);
+        state.throttle.silence.ask(&owner, now);
+        if !was_silent && state.throttle.silence.is_silent(&owner) {
+            self.events.emit("duty_vacant", json!({ "peer": owner.as_str(), "duty": "permits" }));
+        }
         let ask = Message::Ask { process, change, asked: now, wanted };
         state.throttle.messages.push((owner, ask));
         self.changed.notify_one();
--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod registration;
 mod share;
 mod throttle;
+mod unreadable;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,10 +25,12 @@
 use serde_json::json;
 use tokio::net::UdpSocket;
 
+pub(super) use self::unreadable::Unreadable;
 use super::dispatcher::Dispatcher;
 use super::events::Events;
 use super::extension::Extension;
 use super::extension::Field;
+use super::extension::PROTOCOL;
 use super::members::Change;
 use super::members::Members;
 use super::members::Relay;
@@ -59,6 +62,7 @@
     allowance: Arc<Mutex<Limiter>>,
     clock: Arc<dyn Clock>,
     events: Events,
+    unreadable: Arc<Unreadable>,
     /// Share of one data centre in the requests per second that are granted to callers.
     demand: Mutex<f64>,
 }
@@ -87,6 +91,7 @@
             seeds,
             dispatcher,
             allowance,
+            unreadable: Arc::new(Unreadable::new(events.clone(), clock.clone())),
             clock,
             events,
             demand: Mutex::new(0.0),
@@ -105,6 +110,18 @@
         self.members.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns the count of messages that could not be read.
+    pub(super) fn unreadable(&self) -> &Arc<Unreadable> {
+        &self.unreadable
+    }
+
+    /// Returns how many live hosts, this one included, speak each version of the messages.
+    pub(super) fn protocols(&self) -> Vec<(String, u64)> {
+        let mut counts = self.members().protocols(self.clock.now());
+        *counts.entry(PROTOCOL).or_default() += 1;
+        counts.into_iter().map(|(protocol, hosts)| (protocol.to_string(), hosts)).collect()
+    }
+
     /// Returns the live hosts of this host's data centre that are not leaving.
     pub(super) fn relays(&self, now: Moment) -> Vec<Relay> {
         let me = self.me();
@@ -189,7 +206,10 @@
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             body,
         };
-        let bytes = message::encode(&envelope, &Extension::new());
+        let Some(bytes) = message::encode_datagram(&envelope, &Extension::new()) else {
+            log::error!("fleet: a message is too long for a datagram and is not sent");
+            return;
+        };
         for peer in peers {
             if let Err(error) = self.socket.send_to(&bytes, peer).await {
                 log::debug!("fleet: {peer}: send: {error}");
@@ -208,10 +228,13 @@
                     continue;
                 }
             };
-            match message::decode::<Envelope>(&buffer[..length]) {
+            match message::decode_datagram(&buffer[..length]) {
                 Ok((envelope, _)) if envelope.sender == self.name => {}
                 Ok((envelope, extension)) => self.handle(envelope, &extension, source).await,
-                Err(error) => log::debug!("fleet: {source}: malformed datagram: {error}"),
+                Err(message::Unreadable { head, fault }) => {
+                    let host = head.as_ref().map(|head| &head.sender);
+                    self.unreadable.record(source, host, fault);
+                }
             }
         }
     }
@@ -219,7 +242,12 @@
     async fn handle(&self, envelope: Envelope, extension: &Extension, source: SocketAddr) {
         let Envelope { sender, incarnation, sequence, body } = envelope;
         let now = self.clock.now();
-        let protocol = extension.get(Field::Protocol).ok().flatten().unwrap_or_default();
+        // A field that can't be read is as good as none.
+        let protocol = extension.get(Field::Protocol).unwrap_or_else(|_| {
+            self.unreadable.record(source, Some(&sender), message::Fault::Extension);
+            None
+        });
+        let protocol = protocol.unwrap_or_default();
         match body {
             Body::Hello { member, known } => {
                 self.update_member(member, protocol, now);
@@ -283,6 +311,9 @@
         if let Some(change) = change {
             self.apply_change(&host, change);
         }
+        if protocol > 0 {
+            self.dispatcher.note_limits_known(&host);
+        }
     }
 
     fn apply_change(&self, host: &id::Host, change: Change) {
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -154,6 +154,7 @@
             in_flight: AtomicUsize::new(0),
         });
         register_gauges(&gateway.metrics, &mirror, &dispatcher);
+        register_fleet_gauges(&gateway.metrics, &fleet, &dispatcher);
         let (closing, closed) = watch::channel(false);
         let server = Server::new(gateway.clone(), closed);
         let replicator = Replicator {
@@ -169,7 +170,12 @@
             tokio::spawn(fleet.clone().register(store, mirror.clone())),
             tokio::spawn(fleet.clone().maintain(mirror.clone())),
             tokio::spawn(fleet.clone().share()),
-            tokio::spawn(relay::serve(relay, incarnation, mirror.clone())),
+            tokio::spawn(relay::serve(
+                relay,
+                incarnation,
+                mirror.clone(),
+                fleet.unreadable().clone(),
+            )),
             tokio::spawn(replicator.run()),
             tokio::spawn(server.clone().accept(callers)),
             tokio::spawn(edge::serve_handler(locator, gateway.clone(), edge::locate)),
@@ -306,6 +312,29 @@
     );
 }
 
+fn register_fleet_gauges(metrics: &Metrics, fleet: &Arc<Fleet>, dispatcher: &Arc<Dispatcher>) {
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_hosts_without_limits",
+        "Hosts that left asks for permits unanswered since they were seen to start",
+        move || read.silent_hosts(),
+    );
+    let read = fleet.clone();
+    metrics.register_labelled_gauge(
+        "chicory_messages_unreadable",
+        "Messages of other hosts that could not be read, since the start",
+        "reason",
+        move || read.unreadable().counts(),
+    );
+    let read = fleet.clone();
+    metrics.register_labelled_gauge(
+        "chicory_hosts_by_protocol",
+        "Live hosts by the version of the messages that they speak; 0 if they don't tell",
+        "protocol",
+        move || read.protocols(),
+    );
+}
+
 fn member(settings: &Settings, incarnation: id::Incarnation, peer: SocketAddr) -> Member {
     let by_core = settings.cores * REQUESTS_PER_CORE;
     let by_link = settings.link_mbps * REQUESTS_PER_MBPS;
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -128,6 +128,15 @@
         self.peers.get(host).map_or(0, |peer| peer.protocol)
     }
 
+    /// Returns how many live hosts speak each version of the messages.
+    pub(super) fn protocols(&self, now: Moment) -> BTreeMap<u16, u64> {
+        let mut counts = BTreeMap::new();
+        for peer in self.peers.values().filter(|peer| self.is_alive(peer, now)) {
+            *counts.entry(peer.protocol).or_default() += 1;
+        }
+        counts
+    }
+
     /// Adds a host that another host named; what is known of the host already takes precedence.
     pub(super) fn add(&mut self, member: Member, now: Moment) {
         let known = self.peers.entry(member.host.clone());
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -3,6 +3,12 @@
 //! Hosts of different builds exchange them. So the layout of what is here stays as it is; fields are
 //! added in the [`Extension`] behind each message, and kinds of messages at the end of [`Body`].
 
+#[cfg(test)]
+mod landed;
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -23,6 +29,9 @@
 /// years.
 pub(super) const MAX_RESPONSE: u32 = 64 * 1024 * 1024;
 
+/// Number of kinds in [`Body`].
+const KINDS: u32 = 13;
+
 /// What a host advertises about itself.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub(super) struct Member {
@@ -169,6 +178,62 @@
     pub(super) body: Body,
 }
 
+/// The fields of an [`Envelope`] before its body; other builds have the same ones.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
+pub(super) struct Head {
+    pub(super) sender: id::Host,
+    pub(super) incarnation: id::Incarnation,
+    pub(super) sequence: u64,
+}
+
+/// Why a message can't be read.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Fault {
+    /// It is longer than a host may send.
+    Length,
+    /// It does not begin with a sender.
+    Head,
+    /// Its kind, by number, is not known to this build.
+    Kind(u32),
+    /// Its contents don't have the layout of their kind, or values that no host sends.
+    Body,
+    /// The extension is malformed.
+    Extension,
+    /// A request or response of the replication is malformed.
+    Sync,
+}
+
+impl Fault {
+    /// Returns the label in metrics and events.
+    pub(super) const fn label(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Head => "head",
+            Self::Kind(_) => "kind",
+            Self::Body => "body",
+            Self::Extension => "extension",
+            Self::Sync => "sync",
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Kind(number) => write!(f, "kind {number}"),
+            _ => f.write_str(self.label()),
+        }
+    }
+}
+
+/// A datagram that can't be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Unreadable {
+    /// Sender that the datagram names, if that much can be read.
+    pub(super) head: Option<Head>,
+    pub(super) fault: Fault,
+}
+
 /// A follower's request to its relay.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub(super) struct SyncRequest {
@@ -193,6 +258,74 @@
     pub(super) updates: Vec<Update>,
 }
 
+impl Envelope {
+    /// Returns whether the contents are such that a host of any build sends them.
+    fn is_sound(&self) -> bool {
+        let is_sound = |limit: &Option<Limit>| {
+            limit.is_none_or(|limit| Limit::try_from(limit.per_second()) == Ok(limit))
+        };
+        match &self.body {
+            Body::Hello { member, .. } | Body::Heartbeat(member) => {
+                member.host == self.sender
+                    && member.incarnation == self.incarnation
+                    && member.is_sound()
+            }
+            Body::Members(members) => members.iter().all(Member::is_sound),
+            Body::Usages(usages) => {
+                usages.iter().all(|usage| usage.level.is_none_or(f32::is_finite))
+            }
+            Body::Limits(ceilings) => ceilings.iter().all(|ceiling| is_sound(&ceiling.limit)),
+            Body::Ask { ceiling, .. } => is_sound(&ceiling.limit),
+            Body::Loads(_)
+            | Body::Successes(_)
+            | Body::Health { .. }
+            | Body::Crash { .. }
+            | Body::Leaving { .. }
+            | Body::Grant { .. }
+            | Body::Turn { .. } => true,
+        }
+    }
+}
+
+impl Member {
+    fn is_sound(&self) -> bool {
+        self.capacity.is_finite() && self.capacity >= 0.0
+    }
+}
+
+/// Encodes a datagram; returns `None` if it would be too long for its receivers to read.
+///
+/// The extension is left out where it alone makes the datagram too long: what it says is then
+/// unknown to the receivers, as with a sender of an earlier build.
+pub(super) fn encode_datagram(envelope: &Envelope, extension: &Extension) -> Option<Bytes> {
+    let with_extension = encode(envelope, extension);
+    if with_extension.len() <= MAX_DATAGRAM {
+        return Some(with_extension);
+    }
+    let bytes = postcard::to_stdvec(envelope).ok()?;
+    (bytes.len() <= MAX_DATAGRAM).then(|| Bytes::from(bytes))
+}
+
+/// Decodes a datagram. It is read as a whole before any of it is used.
+pub(super) fn decode_datagram(bytes: &[u8]) -> Result<(Envelope, Extension), Unreadable> {
+    if bytes.len() > MAX_DATAGRAM {
+        let head = postcard::take_from_bytes(bytes).ok().map(|(head, _)| head);
+        return Err(Unreadable { head, fault: Fault::Length });
+    }
+    let (head, body) = postcard::take_from_bytes::<Head>(bytes)
+        .map_err(|_| Unreadable { head: None, fault: Fault::Head })?;
+    let unreadable = |fault| Unreadable { head: Some(head.clone()), fault };
+    let (envelope, rest) = postcard::take_from_bytes::<Envelope>(bytes).map_err(|_| {
+        let kind = postcard::from_bytes(body).unwrap_or_default();
+        unreadable(if kind < KINDS { Fault::Body } else { Fault::Kind(kind) })
+    })?;
+    if !envelope.is_sound() {
+        return Err(unreadable(Fault::Body));
+    }
+    let extension = decode_extension(rest).map_err(|_| unreadable(Fault::Extension))?;
+    Ok((envelope, extension))
+}
+
 /// Encodes a message. Only a fault in the types above can make this fail; an empty message is
 /// returned then, which the receiver rejects as malformed.
 pub(super) fn encode<T: Serialize>(value: &T, extension: &Extension) -> Bytes {
@@ -209,9 +342,10 @@
 pub(super) fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<(T, Extension), SmolStr> {
     let malformed = |error: postcard::Error| SmolStr::from(error.to_string());
     let (value, rest) = postcard::take_from_bytes(bytes).map_err(malformed)?;
-    if rest.is_empty() {
-        return Ok((value, Extension::default()));
-    }
-    let extension = postcard::from_bytes(rest).map_err(malformed)?;
+    let extension = decode_extension(rest).map_err(malformed)?;
     Ok((value, extension))
 }
+
+fn decode_extension(bytes: &[u8]) -> Result<Extension, postcard::Error> {
+    if bytes.is_empty() { Ok(Extension::default()) } else { postcard::from_bytes(bytes) }
+}
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -17,7 +17,9 @@
 use tokio::net::TcpStream;
 
 use super::extension::Extension;
+use super::fleet::Unreadable;
 use super::message;
+use super::message::Fault;
 use super::message::MAX_RESPONSE;
 use super::message::SyncRequest;
 use super::message::SyncResponse;
@@ -37,15 +39,19 @@
     listener: TcpListener,
     incarnation: id::Incarnation,
     mirror: Arc<Mirror>,
+    unreadable: Arc<Unreadable>,
 ) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let mirror = mirror.clone();
+        let (mirror, unreadable) = (mirror.clone(), unreadable.clone());
         tokio::spawn(async move {
             if let Err(error) = serve_follower(stream, incarnation, &mirror).await {
+                if is_malformed(&error) {
+                    unreadable.record(peer, None, Fault::Sync);
+                }
                 log::debug!("relay: connection of follower {peer} ended: {error}");
             }
         });
@@ -135,6 +141,11 @@
     Ok(bytes)
 }
 
+/// Returns whether a connection failed as a message could not be read.
+pub(super) fn is_malformed(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::InvalidData
+}
+
 fn malformed(reason: smol_str::SmolStr) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, reason.as_str())
 }
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -23,11 +23,13 @@
 use super::events::Events;
 use super::fleet::Fleet;
 use super::members::Relay;
+use super::message::Fault;
 use super::mirror::MAX_FRESH_AGE;
 use super::mirror::Mirror;
 use super::mirror::Source;
 use super::port;
 use super::port::Store;
+use super::relay;
 use super::relay::Follower;
 use crate::clock::Clock;
 
@@ -176,8 +178,15 @@
         let sent = self.clock.now();
         let polled = connected.poll(self.mirror.reached(), wait);
         let polled = tokio::time::timeout(wait + FOLLOW_SLACK, polled);
-        let Ok(Ok(response)) = polled.await else {
-            return false;
+        let response = match polled.await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => {
+                if relay::is_malformed(&error) {
+                    self.fleet.unreadable().record(relay, None, Fault::Sync);
+                }
+                return false;
+            }
+            Err(_) => return false,
         };
         // The relay reports its age as of its response, which it sent after this request was sent;
         // time past the wait counts as transit.
--- a/chicoryloom/src/metrics.rs
+++ b/chicoryloom/src/metrics.rs
@@ -133,6 +133,27 @@
             .build();
     }
 
+    /// Registers a gauge with one value for each value of a label, read at each scrape.
+    pub(crate) fn register_labelled_gauge<F>(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        label: &'static str,
+        read: F,
+    ) where
+        F: Fn() -> Vec<(String, u64)> + Send + Sync + 'static,
+    {
+        self.meter
+            .u64_observable_gauge(name)
+            .with_description(description)
+            .with_callback(move |observer| {
+                for (of, value) in read() {
+                    observer.observe(value, &[KeyValue::new(label, of)]);
+                }
+            })
+            .build();
+    }
+
     /// Counts a request that was handed over to another holder of the grant.
     pub(crate) fn handed_over(&self) {
         self.handed_over.add(1, &[]);
--- a/chicoryloom_policy/src/throttle/issuer.rs
+++ b/chicoryloom_policy/src/throttle/issuer.rs
@@ -22,7 +22,7 @@
 /// one.
 const BURST_TIME: Duration = Duration::from_millis(250);
 /// Rate at which a target that takes no requests is tried, so that the end of its limit is noticed.
-const PROBE_RATE: f64 = 0.1;
+pub(super) const PROBE_RATE: f64 = 0.1;
 
 /// Requests for permits of one host.
 #[derive(Clone, Debug)]
--- a/chicoryloom_policy/src/throttle/mod.rs
+++ b/chicoryloom_policy/src/throttle/mod.rs
@@ -7,6 +7,7 @@
 mod issuer;
 mod limits;
 mod permits;
+mod silence;
 
 use std::fmt;
 use std::str::FromStr;
@@ -19,6 +20,8 @@
 pub use permits::Permits;
 use serde::Deserialize;
 use serde::Serialize;
+pub use silence::Ration;
+pub use silence::Silence;
 
 /// Largest limit; a target that names a higher one is not in need.
 const MAX_LIMIT: f64 = 1e6;
--- a/chicoryloom_policy/src/throttle/permits.rs
+++ b/chicoryloom_policy/src/throttle/permits.rs
@@ -10,7 +10,7 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after the ask for which a permit may be used. It is counted on the clock of the host that
 /// asked, so that neither a late message nor a pause of the host extends it.
-const PERMIT_TTL: Duration = Duration::from_secs(1);
+pub(super) const PERMIT_TTL: Duration = Duration::from_secs(1);
 /// Time after the latest news of a process after which it is dropped.
 const ENTRY_TTL: Duration = Duration::from_secs(10);
 
