--- a/chicoryloom_policy/src/run/key.rs
+++ b/chicoryloom_policy/src/run/key.rs
@@ -93,6 +93,16 @@
     use super::*;
     use crate::id;
 
+    /// Key as the builds 8dcadc6 and 82b259a write it.
+    #[test]
+    fn keys_of_other_builds_are_read() {
+        let text = "host-1.00000000000000ff.1a.42";
+        let key: Key = text.parse().unwrap();
+        assert_eq!((key.series.number, key.number), (26, 42));
+        assert_eq!(key.series.issuer.incarnation, id::Incarnation(255));
+        assert_eq!(key.to_string(), text);
+    }
+
     #[test]
     fn keys_round_trip_through_text() {
         let incarnation = id::Incarnation(255);
