--- a/chicoryloom/src/gateway/dispatcher/board.rs
+++ b/chicoryloom/src/gateway/dispatcher/board.rs
@@ -74,7 +74,8 @@
             in_flight,
             slots: endpoint.target.slots.0,
             near: endpoint.target.data_centre == self.data_centre,
-            cold: now < endpoint.warmup_end,
+            cold: now < endpoint.warmup_end
+                || state.throttle.warming.limit(&endpoint.process(), now).is_some(),
             standing: view.standing,
             owned: state.trial_targets.contains(&endpoint.target.instance),
             due: false,
--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -57,7 +57,9 @@
     pub(in crate::gateway) fn record_unreached(&self, endpoint: &Endpoint, since: Moment) {
         let now = self.clock.now();
         let mut state = self.lock();
-        let sizes = state.services.values().map(|service| service.targets.len());
+        let remains = |endpoint: &&Arc<Endpoint>| !Self::is_evacuated(&state, endpoint);
+        let size = |service: &Service| service.targets.iter().filter(remains).count();
+        let sizes = state.services.values().map(size);
         let sizes: Vec<_> = sizes.filter(|size| *size > 0).collect();
         let listed = Listed { targets: sizes.iter().sum(), services: sizes.len() };
         let Target { instance, service, .. } = &*endpoint.target;
@@ -196,7 +198,7 @@
         let all = state.services.values().flat_map(|service| &service.targets);
         let is_free = |endpoint: &&Arc<Endpoint>| {
             Self::availability(state, endpoint, now) == Availability::Now
-                && state.throttle.limits.get(&endpoint.process()).is_none()
+                && state.throttle.limit(&endpoint.process(), now).is_none()
         };
         let free: Vec<_> = all.clone().filter(is_free).cloned().collect();
         if !free.is_empty() {
@@ -217,9 +219,11 @@
                 catalog.services.get(&endpoint.target.service)?.health_path.clone()
             })
         };
-        let check = endpoint.backend.check(path.as_deref().unwrap_or("/"));
+        let check =
+            endpoint.backend.check(path.as_deref().unwrap_or("/"), self.warmup_header.as_ref());
         match tokio::time::timeout(CHECK_TIMEOUT, check).await {
-            Ok(Ok(())) => {
+            Ok(Ok(warmup)) => {
+                self.record_warmth(endpoint, warmup);
                 self.record_opening(endpoint, begun, true);
                 self.record_answer(None);
             }
--- a/chicoryloom/src/gateway/dispatcher/listing.rs
+++ b/chicoryloom/src/gateway/dispatcher/listing.rs
@@ -69,6 +69,7 @@
         Self::drop_foreign_issuers(state);
         self.set_connection_caps(state, catalog.as_deref());
         state.catalog = catalog;
+        self.list_warming(state, now);
         let names: Vec<_> = state.services.keys().cloned().collect();
         for name in names {
             self.dispatch_locked(state, &name);
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 
 mod board;
 mod endpoint;
+mod evacuation;
 mod links;
 mod listing;
 mod peers;
@@ -12,6 +13,7 @@
 mod slot;
 pub(super) mod throttle;
 mod waiter;
+mod warming;
 mod withdrawal;
 
 use std::collections::HashMap;
@@ -28,6 +30,7 @@
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Catalog;
 use chicoryloom_policy::entry;
+use chicoryloom_policy::evacuation::Evacuations;
 use chicoryloom_policy::gray::Estimator;
 use chicoryloom_policy::gray::Notice;
 use chicoryloom_policy::holdback::Fingerprint;
@@ -38,6 +41,7 @@
 use chicoryloom_policy::reach::Reach;
 use chicoryloom_policy::withdrawal::Process;
 use chicoryloom_policy::withdrawal::Withdrawals;
+use http::HeaderName;
 use tokio::sync::Notify;
 
 pub(super) use self::endpoint::Endpoint;
@@ -62,12 +66,15 @@
     services: HashMap<id::Service, Service>,
     /// Latest listing that is not yet applied to `services`.
     listing: Option<Listing>,
+    /// When the listing was last confirmed to be the platform's state.
+    listed: Option<Moment>,
     /// Data centres of the targets with requests of this host.
     data_centres: HashMap<id::Instance, id::DataCentre>,
     in_flight: InFlight,
     estimator: Estimator,
     holdback: Holdback,
     withdrawals: Withdrawals,
+    evacuations: Evacuations,
     throttle: Throttle,
     reach: Reach,
     losses: Losses,
@@ -100,6 +107,8 @@
     data_centre: id::DataCentre,
     source: IpAddr,
     bounds: Bounds,
+    /// Header in which targets say in answers to checks that they are cold.
+    warmup_header: Option<HeaderName>,
     clock: Arc<dyn Clock>,
     events: Events,
     state: Mutex<State>,
@@ -122,6 +131,7 @@
         data_centre: id::DataCentre,
         source: IpAddr,
         bounds: Bounds,
+        warmup_header: Option<HeaderName>,
         clock: Arc<dyn Clock>,
         events: Events,
     ) -> Arc<Self> {
@@ -133,16 +143,19 @@
             data_centre,
             source,
             bounds,
+            warmup_header,
             clock,
             events,
             state: Mutex::new(State {
                 services: HashMap::new(),
                 listing: None,
+                listed: None,
                 data_centres: HashMap::new(),
                 in_flight: InFlight::default(),
                 estimator: Estimator::default(),
                 holdback: Holdback::new(CRASH_LIMIT),
                 withdrawals: Withdrawals::default(),
+                evacuations: Evacuations::default(),
                 throttle: Throttle::default(),
                 reach: Reach::new(started),
                 losses: Losses::default(),
@@ -178,7 +191,9 @@
         let held = held.into_iter().map(|(request, target)| (request, target.0, false));
         state.crash_reports.extend(held);
         state.withdrawals.sweep(now);
-        state.throttle.sweep(now);
+        state.evacuations.sweep(now);
+        let listed = state.listed;
+        state.throttle.sweep(listed, now);
         state.reported_departures.retain(|(_, at)| now.since(*at) < DEPARTURE_REPORT_TIME);
         let again: Vec<_> = state.reported_departures.iter().map(|(one, _)| one.clone()).collect();
         state.departures.extend(again);
--- a/chicoryloom/src/gateway/dispatcher/throttle.rs
+++ b/chicoryloom/src/gateway/dispatcher/throttle.rs
@@ -17,6 +17,7 @@
 use chicoryloom_policy::throttle::Limit;
 use chicoryloom_policy::throttle::Limits;
 use chicoryloom_policy::throttle::Permits;
+use chicoryloom_policy::warming::Warming;
 use chicoryloom_policy::withdrawal::Process;
 use serde_json::json;
 
@@ -33,11 +34,18 @@
 /// lost.
 const REPORT_TIME: Duration = Duration::from_secs(3);
 
+/// That a target is cold: the rate that it takes, and for how much longer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(in crate::gateway) struct Cold {
+    pub(in crate::gateway) rate: Limit,
+    pub(in crate::gateway) remaining: Duration,
+}
+
 /// Message about permits to another host.
 #[derive(Clone, Debug, PartialEq)]
 pub(in crate::gateway) enum Message {
     /// Asks the responsible host for permits. It carries the limit, which that host may not know yet.
-    Ask { process: Process, change: Change, asked: Moment, wanted: u32 },
+    Ask { process: Process, change: Change, cold: Option<Cold>, asked: Moment, wanted: u32 },
     /// Answers an ask with permits.
     Grant { process: Process, asked: Moment, count: u32 },
     /// Answers an ask with the time after which a permit is expected.
@@ -48,6 +56,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Throttle {
     pub(super) limits: Limits,
+    /// Targets that warm up. What they take holds like a limit that they name; the lower one binds.
+    pub(super) warming: Warming,
     pub(super) permits: Permits,
     /// Issuers for the targets that this host is responsible for.
     issuers: HashMap<Process, Issuer>,
@@ -58,29 +68,46 @@
     messages: Vec<(id::Host, Message)>,
     /// Requests sent to targets that had named a limit.
     sends: u64,
+    /// Requests sent to targets that warmed up.
+    pub(super) warming_sends: u64,
 }
 
 impl Throttle {
+    /// Returns the limit of a target: the one that it names, or the rate that it takes while it is
+    /// cold.
+    pub(super) fn limit(&self, process: &Process, now: Moment) -> Option<Limit> {
+        let cold = self.warming.limit(process, now);
+        match (self.limits.get(process), cold) {
+            (Some(named), Some(cold)) if cold < named => Some(cold),
+            (named, cold) => named.or(cold),
+        }
+    }
+
+    /// Returns whether any target has a limit.
+    pub(super) fn is_any(&self, now: Moment) -> bool {
+        self.limits.is_any() || self.warming.is_any(now)
+    }
+
     /// Returns whether a request may be sent to a target now, as far as its limit is concerned.
     pub(super) fn allows(&self, process: &Process, now: Moment) -> bool {
-        self.limits.get(process).is_none() || self.permits.is_valid(process, now)
+        self.limit(process, now).is_none() || self.permits.is_valid(process, now)
     }
 
     /// Uses a permit if the target has a limit.
     pub(super) fn take(&mut self, process: &Process, now: Moment) {
-        if self.limits.get(process).is_some() {
+        if self.limit(process, now).is_some() {
             self.permits.take(process, now);
         }
     }
 
     /// Returns when a target with a limit is expected to take a request of this host.
-    pub(super) fn turn(&self, process: &Process) -> Option<Moment> {
-        self.limits.get(process)?;
+    pub(super) fn turn(&self, process: &Process, now: Moment) -> Option<Moment> {
+        self.limit(process, now)?;
         self.permits.turn(process)
     }
 
     fn issuer(&mut self, process: &Process, part: f64, now: Moment) -> Option<&mut Issuer> {
-        let limit = self.limits.get(process)?;
+        let limit = self.limit(process, now)?;
         let issuer =
             self.issuers.entry(process.clone()).or_insert_with(|| Issuer::new(limit, part, now));
         issuer.set_limit(limit, part, now);
@@ -99,11 +126,13 @@
         }
     }
 
-    pub(super) fn sweep(&mut self, now: Moment) {
+    pub(super) fn sweep(&mut self, listed: Option<Moment>, now: Moment) {
         self.limits.sweep(now);
+        self.warming.sweep(listed, now);
         self.permits.sweep(now);
-        let limits = &self.limits;
-        self.issuers.retain(|process, _| limits.get(process).is_some());
+        let mut issuers = std::mem::take(&mut self.issuers);
+        issuers.retain(|process, _| self.limit(process, now).is_some());
+        self.issuers = issuers;
         self.reported.retain(|(_, at)| now.since(*at) < REPORT_TIME);
         self.reports.extend(self.reported.iter().map(|(process, _)| process.clone()));
     }
@@ -195,8 +224,11 @@
         let now = self.clock.now();
         let mut state = self.lock();
         match message {
-            Message::Ask { process, change, asked, wanted } => {
+            Message::Ask { process, change, cold, asked, wanted } => {
                 self.apply_listing(&mut state);
+                if let Some(Cold { rate, remaining }) = cold {
+                    Self::assert_cold(&mut state, &process, rate, remaining, now);
+                }
                 if state.trial_targets.contains(&process.instance) {
                     self.answer_ask(&mut state, host, process, change, (asked, wanted), now);
                     self.changed.notify_one();
@@ -226,7 +258,9 @@
     ) {
         let part = state.visible_part;
         let throttle = &mut state.throttle;
-        throttle.limits.apply(&process, change);
+        if change.at > Moment::ZERO {
+            throttle.limits.apply(&process, change);
+        }
         let Some(issuer) = throttle.issuer(&process, part, now) else {
             // The limit has ended, which the asking host learns from the next answer.
             let grant = Message::Grant { process, asked, count: 1 };
@@ -272,14 +306,14 @@
     /// Takes permits for the targets of a service that this host is responsible for, as far as no
     /// other host waits for them.
     pub(super) fn take_own_permits(&self, state: &mut State, service: &id::Service, now: Moment) {
-        if !state.throttle.limits.is_any() {
+        if !state.throttle.is_any(now) {
             return;
         }
         let Some(service) = state.services.get(service) else { return };
         for endpoint in &service.targets {
             let process = endpoint.process();
             if !state.trial_targets.contains(&process.instance)
-                || state.throttle.limits.get(&process).is_none()
+                || state.throttle.limit(&process, now).is_none()
                 || state.throttle.permits.is_valid(&process, now)
             {
                 continue;
@@ -293,7 +327,7 @@
 
     /// Asks for permits for the requests of a service that wait.
     pub(super) fn ask_for_permits(&self, state: &mut State, name: &id::Service, now: Moment) {
-        if !state.throttle.limits.is_any() {
+        if !state.throttle.is_any(now) {
             return;
         }
         let Some(service) = state.services.get(name).filter(|service| !service.queue.is_empty())
@@ -302,7 +336,9 @@
         };
         let waiting = service.queue.len();
         let limited = service.targets.iter().filter(|endpoint| {
-            !endpoint.target.leaving && state.throttle.limits.get(&endpoint.process()).is_some()
+            !endpoint.target.leaving
+                && !Self::is_evacuated(state, endpoint)
+                && state.throttle.limit(&endpoint.process(), now).is_some()
         });
         let (mut asked, mut rest): (Vec<_>, Vec<_>) = limited
             .cloned()
@@ -329,26 +365,38 @@
         now: Moment,
     ) {
         let process = endpoint.process();
-        let Some(change) = state.throttle.limits.latest(&process) else { return };
+        let throttle = &state.throttle;
+        if throttle.limit(&process, now).is_none() {
+            return;
+        }
+        let none = Change { limit: None, at: Moment::ZERO };
+        let change = throttle.limits.latest(&process).unwrap_or(none);
+        let cold = throttle
+            .warming
+            .limit(&process, now)
+            .map(|rate| Cold { rate, remaining: throttle.warming.remaining(&process, now) });
         if !state.throttle.permits.ask(&process, now) {
             return;
         }
         let Some(owner) = self.owner(state, endpoint) else {
             return self.answer_ask(state, &self.me, process, change, (now, wanted), now);
         };
-        let ask = Message::Ask { process, change, asked: now, wanted };
+        let ask = Message::Ask { process, change, cold, asked: now, wanted };
         state.throttle.messages.push((owner, ask));
         self.changed.notify_one();
     }
 
     /// Returns the shortest time in which the limits of a service's targets allow `ahead` requests.
     pub(super) fn min_wait(&self, state: &State, name: &id::Service, ahead: usize) -> Duration {
-        if !state.throttle.limits.is_any() {
+        let now = self.clock.now();
+        if !state.throttle.is_any(now) {
             return Duration::ZERO;
         }
         let targets = state.services.get(name).map_or(&[][..], |service| &service.targets);
-        let in_use = targets.iter().filter(|endpoint| !endpoint.target.leaving);
-        let limit = |endpoint: &Arc<Endpoint>| state.throttle.limits.get(&endpoint.process());
+        let in_use = targets
+            .iter()
+            .filter(|endpoint| !endpoint.target.leaving && !Self::is_evacuated(state, endpoint));
+        let limit = |endpoint: &Arc<Endpoint>| state.throttle.limit(&endpoint.process(), now);
         throttle::min_wait(in_use.map(limit), ahead)
     }
 
@@ -362,12 +410,13 @@
         owners.owner(endpoint.trial_key).filter(|host| **host != self.me).cloned()
     }
 
-    /// Counts a request that is sent to a target which had named a limit.
+    /// Counts a request that is sent to a target which had named a limit or is cold.
     pub(in crate::gateway) fn count_send(&self, endpoint: &Endpoint) {
+        let now = self.clock.now();
         let mut state = self.lock();
-        if state.throttle.limits.get(&endpoint.process()).is_some() {
-            state.throttle.sends += 1;
-        }
+        let (throttle, process) = (&mut state.throttle, endpoint.process());
+        throttle.sends += u64::from(throttle.limits.get(&process).is_some());
+        throttle.warming_sends += u64::from(throttle.warming.limit(&process, now).is_some());
     }
 
     /// Returns how many targets have a limit.
--- a/chicoryloom/src/gateway/dispatcher/waiter.rs
+++ b/chicoryloom/src/gateway/dispatcher/waiter.rs
@@ -88,7 +88,7 @@
             let timeout = requirements.latest.since(now);
             let (sender, receiver) = oneshot::channel();
             service.waiters.insert(ticket, Waiter { requirements, sender });
-            if state.throttle.limits.is_any() {
+            if state.throttle.is_any(now) {
                 self.dispatch_locked(state, &service_name);
                 self.refuse_unservable(state, now);
             }
--- /dev/null
+++ b/chicoryloom/src/gateway/dispatcher/warming.rs
@@ -0,0 +1,78 @@
+//! Targets that warm up. What they take from all hosts together is kept like the limits that targets
+//! name.
+
+use std::time::Duration;
+
+use chicoryloom_policy::Moment;
+use chicoryloom_policy::catalog::Catalog;
+use chicoryloom_policy::id;
+use chicoryloom_policy::throttle::Limit;
+use chicoryloom_policy::warming::Warmup;
+use chicoryloom_policy::withdrawal::Process;
+
+use super::Dispatcher;
+use super::Endpoint;
+use super::State;
+
+impl Dispatcher {
+    /// Returns how targets of a service warm up, with the rate at which permits are given out; `None`
+    /// if they take any number of requests.
+    pub(super) fn warmup(
+        &self,
+        catalog: Option<&Catalog>,
+        service: &id::Service,
+    ) -> Option<Warmup> {
+        let tolerance = self.bounds.warmup?;
+        let Warmup { time, rate } = catalog?.services.get(service)?.warmup?;
+        Some(Warmup { time, rate: tolerance.issued(rate) })
+    }
+
+    /// Records which targets are listed as cold.
+    pub(super) fn list_warming(&self, state: &mut State, now: Moment) {
+        let State { services, throttle, catalog, .. } = state;
+        for (name, service) in services {
+            let Some(warmup) = self.warmup(catalog.as_deref(), name) else { continue };
+            for endpoint in &service.targets {
+                let remaining = endpoint.warmup_end.since(now);
+                throttle.warming.list(&endpoint.process(), warmup.rate, remaining, now);
+            }
+        }
+    }
+
+    /// Records until when the listing of targets is confirmed to be the platform's state.
+    pub(in crate::gateway) fn set_listed(&self, at: Option<Moment>) {
+        if self.bounds.warmup.is_some() {
+            self.lock().listed = at;
+        }
+    }
+
+    /// Records that a target said that it remains cold for a time, or that another host takes it for
+    /// cold.
+    pub(super) fn assert_cold(
+        state: &mut State,
+        process: &Process,
+        rate: Limit,
+        remaining: Duration,
+        now: Moment,
+    ) {
+        if !remaining.is_zero() {
+            state.throttle.warming.assert(process, rate, remaining, now);
+        }
+    }
+
+    /// Records what a target said in answer to a check of its health.
+    pub(super) fn record_warmth(&self, endpoint: &Endpoint, remaining: Duration) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let warmup = self.warmup(state.catalog.as_deref(), &endpoint.target.service);
+        if let Some(warmup) = warmup {
+            Self::assert_cold(&mut state, &endpoint.process(), warmup.rate, remaining, now);
+        }
+    }
+
+    /// Returns how many targets are cold, and how many requests this host has sent to such ones.
+    pub(in crate::gateway) fn warming_gauges(&self) -> (u64, u64) {
+        let (state, now) = (self.lock(), self.clock.now());
+        (state.throttle.warming.count(now) as u64, state.throttle.warming_sends)
+    }
+}
--- a/chicoryloom/src/gateway/dispatcher/withdrawal.rs
+++ b/chicoryloom/src/gateway/dispatcher/withdrawal.rs
@@ -1,4 +1,4 @@
-//! Targets that ask for no more requests, and services that have no other ones.
+//! Targets that take no more requests, and services that have no other ones.
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::id;
@@ -53,10 +53,12 @@
         self.lock().withdrawals.counts(self.clock.now())
     }
 
-    /// Returns whether a target asked for no more requests after it was chosen.
+    /// Returns whether a target asked for no more requests, or its data centre was evacuated, after it
+    /// was chosen.
     pub(in crate::gateway) fn is_withdrawn(&self, endpoint: &Endpoint) -> bool {
         let (state, now) = (self.lock(), self.clock.now());
-        state.withdrawals.availability(&endpoint.process(), now) != Availability::Now
+        Self::is_evacuated(&state, endpoint)
+            || state.withdrawals.availability(&endpoint.process(), now) != Availability::Now
     }
 
     fn record_departure(&self, process: Process, by: &str, is_own: bool) {
@@ -102,12 +104,12 @@
 
     /// Returns when a target takes requests.
     pub(super) fn availability(state: &State, endpoint: &Endpoint, now: Moment) -> Availability {
-        if endpoint.target.leaving {
+        if endpoint.target.leaving || Self::is_evacuated(state, endpoint) {
             return Availability::Never;
         }
         let process = endpoint.process();
         let available = state.withdrawals.availability(&process, now);
-        match (available, state.throttle.turn(&process)) {
+        match (available, state.throttle.turn(&process, now)) {
             (Availability::Now, Some(turn)) if turn > now => Availability::From(turn),
             (Availability::From(until), Some(turn)) => Availability::From(until.max(turn)),
             _ => available,
--- a/chicoryloom/src/gateway/extension.rs
+++ b/chicoryloom/src/gateway/extension.rs
@@ -19,6 +19,14 @@
 pub(super) enum Field {
     /// Version of the messages that the sender speaks.
     Protocol = 1,
+    /// In a [`SyncRequest`](super::message::SyncRequest): the position that the follower's copy of
+    /// the evacuations has reached.
+    EvacuationsReached = 2,
+    /// In a [`SyncResponse`](super::message::SyncResponse): all evacuations, as an update.
+    Evacuations = 3,
+    /// Behind [`Body::Ask`](super::message::Body::Ask): that the target is cold, as a
+    /// [`Cold`](super::message::Cold).
+    Cold = 4,
 }
 
 /// Fields behind a message, by number.
--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -183,13 +183,17 @@
     }
 
     async fn send(&self, peers: &[SocketAddr], body: Body) {
+        self.send_extended(peers, body, &Extension::new()).await;
+    }
+
+    async fn send_extended(&self, peers: &[SocketAddr], body: Body, extension: &Extension) {
         let envelope = Envelope {
             sender: self.name.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             body,
         };
-        let bytes = message::encode(&envelope, &Extension::new());
+        let bytes = message::encode(&envelope, extension);
         for peer in peers {
             if let Err(error) = self.socket.send_to(&bytes, peer).await {
                 log::debug!("fleet: {peer}: send: {error}");
@@ -260,7 +264,7 @@
             }
             Body::Limits(ceilings) => self.apply_limits(&sender, ceilings),
             Body::Ask { .. } | Body::Grant { .. } | Body::Turn { .. } => {
-                self.apply_permit_body(&sender, body);
+                self.apply_permit_body(&sender, body, extension);
             }
             Body::Crash { fingerprint, target, answered } => {
                 let request = Fingerprint(fingerprint);
--- a/chicoryloom/src/gateway/fleet/throttle.rs
+++ b/chicoryloom/src/gateway/fleet/throttle.rs
@@ -9,9 +9,13 @@
 use chicoryloom_policy::throttle::Change;
 
 use super::Fleet;
+use crate::gateway::dispatcher::throttle as dispatcher;
 use crate::gateway::dispatcher::throttle::Message;
+use crate::gateway::extension::Extension;
+use crate::gateway::extension::Field;
 use crate::gateway::message::Body;
 use crate::gateway::message::Ceiling;
+use crate::gateway::message::Cold;
 
 /// Most limits in one datagram; each takes about 35 bytes.
 const LIMITS_PER_DATAGRAM: usize = 30;
@@ -40,7 +44,8 @@
         };
         for (host, message) in messages {
             let Some(peer) = addresses.get(&host) else { continue };
-            self.send(&[*peer], encode(message, now)).await;
+            let (body, extension) = encode(message, now);
+            self.send_extended(&[*peer], body, &extension).await;
         }
     }
 
@@ -53,40 +58,47 @@
     }
 
     /// Applies another host's message about permits; ignores other messages.
-    pub(super) fn apply_permit_body(&self, sender: &id::Host, body: Body) {
-        if let Some(message) = decode(body, self.clock.now()) {
+    pub(super) fn apply_permit_body(&self, sender: &id::Host, body: Body, extension: &Extension) {
+        let cold = extension.get(Field::Cold).ok().flatten();
+        if let Some(message) = decode(body, cold, self.clock.now()) {
             self.dispatcher.apply_permit_message(sender, message);
         }
     }
 }
 
-fn encode(message: Message, now: Moment) -> Body {
-    match message {
-        Message::Ask { process, change, asked, wanted } => Body::Ask {
-            ceiling: Ceiling {
-                process: process.into(),
-                limit: change.limit,
-                age_ms: millis(now.since(change.at)),
-            },
-            asked_ns: nanos(asked),
-            wanted,
-        },
+fn encode(message: Message, now: Moment) -> (Body, Extension) {
+    let mut extension = Extension::new();
+    let body = match message {
+        Message::Ask { process, change, cold, asked, wanted } => {
+            if let Some(dispatcher::Cold { rate, remaining }) = cold {
+                let cold = Cold { rate, remaining_ms: millis(remaining) };
+                extension = extension.with(Field::Cold, &cold);
+            }
+            let age_ms = millis(now.since(change.at));
+            let ceiling = Ceiling { process: process.into(), limit: change.limit, age_ms };
+            Body::Ask { ceiling, asked_ns: nanos(asked), wanted }
+        }
         Message::Grant { process, asked, count } => {
             Body::Grant { process: process.into(), asked_ns: nanos(asked), count }
         }
         Message::Turn { process, wait } => {
             Body::Turn { process: process.into(), wait_ms: millis(wait) }
         }
-    }
+    };
+    (body, extension)
 }
 
-fn decode(body: Body, now: Moment) -> Option<Message> {
+fn decode(body: Body, cold: Option<Cold>, now: Moment) -> Option<Message> {
     Some(match body {
         Body::Ask { ceiling: Ceiling { process, limit, age_ms }, asked_ns, wanted } => {
             let at = now.before(Duration::from_millis(age_ms.into()));
             Message::Ask {
                 process: process.into(),
                 change: Change { limit, at },
+                cold: cold.map(|Cold { rate, remaining_ms }| dispatcher::Cold {
+                    rate,
+                    remaining: Duration::from_millis(remaining_ms.into()),
+                }),
                 asked: moment(asked_ns),
                 wanted,
             }
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -120,6 +120,7 @@
             settings.data_centre.clone(),
             settings.address,
             settings.bounds,
+            dialect.protocol().warmup_ms.clone(),
             clock.clone(),
             events.clone(),
         );
@@ -128,6 +129,7 @@
             dialect.clone(),
             clock.clone(),
             events.clone(),
+            settings.bounds.evacuation.is_some(),
         ));
         let fleet = Arc::new(Fleet::new(fleet::Setup {
             me: member(&settings, incarnation, peer),
@@ -299,6 +301,30 @@
         move || read.limited_targets(),
     );
     let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_data_centres_evacuated",
+        "Data centres whose targets get nothing from this host",
+        move || read.evacuation_gauges().0,
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_evacuation_age_ms",
+        "Time since the first of the evacuations in force began at this host",
+        move || read.evacuation_gauges().1,
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_targets_warming",
+        "Targets that are cold or may be",
+        move || read.warming_gauges().0,
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_warming_sends",
+        "Requests sent to targets that were cold or may have been",
+        move || read.warming_gauges().1,
+    );
+    let read = dispatcher.clone();
     metrics.register_gauge(
         "chicory_limited_sends",
         "Requests sent to targets that had named a limit",
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -101,6 +101,15 @@
     pub(super) age_ms: u32,
 }
 
+/// That a target is cold; the value of [`Field::Cold`](super::extension::Field::Cold).
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+pub(super) struct Cold {
+    /// Requests per second that it takes from all hosts together.
+    pub(super) rate: Limit,
+    /// Time for which it may remain cold.
+    pub(super) remaining_ms: u32,
+}
+
 /// Contents of a datagram.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub(super) enum Body {
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -1,11 +1,14 @@
 //! This host's copy of the platform's objects, and the configuration and targets read from it.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -32,6 +35,10 @@
 /// on already. A change must take effect within two seconds, and this leaves a margin.
 pub(super) const MAX_FRESH_AGE: Duration = Duration::from_millis(1400);
 
+/// Time for which a host that has just started waits for the evacuations before it uses its
+/// configuration without them: no other host may know them, and the platform may be down.
+const MAX_EVACUATIONS_WAIT: Duration = Duration::from_secs(3);
+
 /// Origin of an update.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Source {
@@ -55,13 +62,19 @@
     targets: HashMap<SmolStr, Arc<Target>>,
     /// When the copy of each kind was last confirmed to be the platform's state.
     confirmed: [Option<Moment>; Kind::ALL.len()],
-    /// Origin of the latest update.
+    /// Origin of the latest update of a common kind.
     source: Option<Source>,
+    /// When this host got its first configuration.
+    first_catalog: Option<Moment>,
 }
 
 /// Holds the copy, and the configuration and targets read from it.
 pub(super) struct Mirror {
     state: Mutex<State>,
+    /// Whether evacuations are replicated, which a deployment without them is spared.
+    has_evacuations: bool,
+    /// Whether this host has learnt which data centres are evacuated.
+    knows_evacuations: AtomicBool,
     catalog: ArcSwapOption<Catalog>,
     dispatcher: Arc<Dispatcher>,
     dialect: Arc<dyn Dialect>,
@@ -85,9 +98,12 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         events: Events,
+        has_evacuations: bool,
     ) -> Self {
         Self {
             state: Mutex::default(),
+            has_evacuations,
+            knows_evacuations: AtomicBool::new(false),
             catalog: ArcSwapOption::empty(),
             dispatcher,
             dialect,
@@ -102,9 +118,22 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
-    /// Returns the newest configuration that this host has.
+    /// Returns the newest configuration that this host has. A host that has just started does not use
+    /// it before it knows which data centres are evacuated, for some time.
     pub(super) fn catalog(&self) -> Option<Arc<Catalog>> {
-        self.catalog.load_full()
+        let catalog = self.catalog.load_full()?;
+        if self.has_evacuations && !self.knows_evacuations.load(Ordering::Relaxed) {
+            let known_for = self.lock().first_catalog.map(|at| self.clock.now().since(at));
+            if known_for.is_none_or(|time| time < MAX_EVACUATIONS_WAIT) {
+                return None;
+            }
+        }
+        Some(catalog)
+    }
+
+    /// Returns the kinds that this host replicates.
+    pub(super) fn kinds(&self) -> &'static [Kind] {
+        if self.has_evacuations { &Kind::ALL } else { &Kind::COMMON }
     }
 
     /// Returns the newest configuration as soon as there is one, or `None` after `wait`.
@@ -125,7 +154,7 @@
     /// Returns the time since the copies of all kinds were confirmed to be the platform's state.
     pub(super) fn age(&self) -> Duration {
         let confirmed = self.lock().confirmed;
-        let oldest = confirmed.iter().min().copied().flatten();
+        let oldest = self.kinds().iter().map(|kind| confirmed[*kind as usize]).min().flatten();
         oldest.map_or(Duration::MAX, |oldest| self.clock.now().since(oldest))
     }
 
@@ -151,6 +180,15 @@
         self.lock().replica.positions()
     }
 
+    /// Returns the update that brings a host up to this one's evacuations whose copy of them has
+    /// reached a position; `None` if this host does not know them.
+    pub(super) fn evacuations_after(&self, reached: Position) -> Option<Update> {
+        let state = self.lock();
+        let is_known = !state.replica.position(Kind::Evacuation).is_start();
+        (self.has_evacuations && is_known)
+            .then(|| state.replica.snapshot(Kind::Evacuation, reached))
+    }
+
     /// Waits until the platform's store is known to be in a later era than `known`.
     pub(super) async fn later_era(&self, known: Era) {
         let mut era = self.era.subscribe();
@@ -189,13 +227,17 @@
             Source::Platform => state.replica.accepts(&update),
             Source::Host(_) => state.replica.accepts_relayed(&update),
         };
-        state.source = Some(source);
         let (kind, before) = (update.kind, state.replica.position(update.kind));
+        if kind != Kind::Evacuation {
+            state.source = Some(source);
+        }
         let (listed, position) = (update.records.len(), update.position);
-        let index = usize::from(kind == Kind::Target);
         if accepted && position >= before {
-            let confirmed = now.before(age);
-            state.confirmed[index] = state.confirmed[index].max(Some(confirmed));
+            let confirmed = &mut state.confirmed[kind as usize];
+            *confirmed = (*confirmed).max(Some(now.before(age)));
+            if kind == Kind::Target {
+                self.dispatcher.set_listed(*confirmed);
+            }
             self.latest.send_modify(|(_, confirmed)| *confirmed += 1);
         }
         let changes = match source {
@@ -207,17 +249,20 @@
                 "kind": format!("{kind:?}"), "era": position.era.0, "before": before.era.0,
                 "revision": position.revision, "revision_before": before.revision,
                 "listed": listed, "changed": changes.len(),
-                "kept_until_grace_ends": state.replica.lapsed_count(), "from": source.to_string(),
+                "kept_until_grace_ends": state.replica.lapsed_count(kind), "from": source.to_string(),
             });
             self.events.emit("store_restored", fields);
         }
         let era = state.replica.era();
         self.era.send_if_modified(|known| std::mem::replace(known, era) != era);
         self.apply_changes(&mut state, &changes, &source.to_string());
+        if accepted && kind == Kind::Evacuation {
+            self.knows_evacuations.store(true, Ordering::Relaxed);
+        }
         accepted
     }
 
-    /// Removes targets whose entries lapsed and were not listed again within the grace period.
+    /// Removes objects whose entries lapsed and were not listed again within the grace period.
     pub(super) fn expire(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
@@ -232,16 +277,19 @@
         if changes.catalog {
             self.read_catalog(state, source);
         }
+        if changes.evacuations {
+            self.read_evacuations(state, source);
+        }
         for name in &changes.targets {
             self.read_target(state, name, source);
         }
         let targets = state.targets.values().cloned().collect();
-        self.dispatcher.set_targets(targets, self.catalog());
+        self.dispatcher.set_targets(targets, self.catalog.load_full());
         let number = state.replica.latest_change();
         self.latest.send_modify(|(latest, _)| *latest = number);
     }
 
-    fn read_catalog(&self, state: &State, source: &str) {
+    fn read_catalog(&self, state: &mut State, source: &str) {
         // The platform keeps one object of this kind. If others were written, the newest counts.
         let record = state.replica.records(Kind::Catalog).max_by_key(|record| record.generation);
         let Some((position, value)) =
@@ -251,7 +299,7 @@
         };
         match self.dialect.catalog(value) {
             Ok(catalog) => {
-                let known = self.catalog().map(|known| known.version);
+                let known = self.catalog.load_full().map(|known| known.version);
                 let fields = json!({
                     "version": catalog.version.0, "before": known.map(|version| version.0),
                     "revision": position.revision, "era": position.era.0, "from": source,
@@ -262,6 +310,7 @@
                 }
                 self.events.emit("configuration", fields);
                 self.catalog.store(Some(Arc::new(catalog)));
+                state.first_catalog.get_or_insert(self.clock.now());
             }
             Err(error) => {
                 let error = error.to_string();
@@ -274,6 +323,24 @@
         }
     }
 
+    fn read_evacuations(&self, state: &State, source: &str) {
+        let mut evacuated = BTreeSet::new();
+        for record in state.replica.records(Kind::Evacuation) {
+            match record.name.parse() {
+                Ok(centre) => {
+                    evacuated.insert(centre);
+                }
+                Err(error) => {
+                    let error = format!("{error}");
+                    let fields = json!({ "name": record.name.as_str(), "error": error });
+                    self.events.emit("evacuation_invalid", fields);
+                }
+            }
+        }
+        let revision = state.replica.position(Kind::Evacuation).revision;
+        self.dispatcher.set_evacuated(&evacuated, revision, source);
+    }
+
     fn read_target(&self, state: &mut State, name: &SmolStr, source: &str) {
         let record = state.replica.get(Kind::Target, name);
         let value = record.and_then(|record| Some((record.position, record.value.clone()?)));
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -10,13 +10,17 @@
 use std::time::Duration;
 
 use chicoryloom_policy::id;
+use chicoryloom_policy::position::Position;
+use chicoryloom_policy::replica::Kind;
 use chicoryloom_policy::replica::Positions;
+use chicoryloom_policy::replica::Update;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use super::extension::Extension;
+use super::extension::Field;
 use super::message;
 use super::message::MAX_RESPONSE;
 use super::message::SyncRequest;
@@ -63,7 +67,8 @@
         let Ok(received) = tokio::time::timeout(IDLE_TIMEOUT, received).await else {
             return Ok(());
         };
-        let (request, _): (SyncRequest, _) = message::decode(&received?).map_err(malformed)?;
+        let (request, fields): (SyncRequest, _) = message::decode(&received?).map_err(malformed)?;
+        let evacuations = fields.get::<Position>(Field::EvacuationsReached).map_err(malformed)?;
         let after = if request.incarnation == incarnation { request.after } else { 0 };
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
         if after > 0 {
@@ -72,7 +77,11 @@
         let (latest, updates) = mirror.after(after, request.reached);
         let age_ms = u64::try_from(mirror.age().as_millis()).unwrap_or(u64::MAX);
         let response = SyncResponse { incarnation, latest, age_ms, updates };
-        write(&mut stream, &message::encode(&response, &Extension::new())).await?;
+        let mut extension = Extension::new();
+        if let Some(update) = evacuations.and_then(|reached| mirror.evacuations_after(reached)) {
+            extension = extension.with(Field::Evacuations, &update);
+        }
+        write(&mut stream, &message::encode(&response, &extension)).await?;
     }
 }
 
@@ -94,20 +103,28 @@
         Ok(Self { relay, stream, incarnation: id::Incarnation::default(), after: 0 })
     }
 
-    /// Requests the changes since the acknowledged one; the relay may wait for one for `wait`.
+    /// Requests the changes since the acknowledged one; the relay may wait for one for `wait`. A
+    /// response has no evacuations if they aren't asked for, or the relay doesn't know them.
     pub(super) async fn poll(
         &mut self,
         reached: Positions,
+        evacuations: Option<Position>,
         wait: Duration,
-    ) -> io::Result<SyncResponse> {
+    ) -> io::Result<(SyncResponse, Option<Update>)> {
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         let request =
             SyncRequest { incarnation: self.incarnation, after: self.after, reached, wait_ms };
-        write(&mut self.stream, &message::encode(&request, &Extension::new())).await?;
+        let mut extension = Extension::new();
+        if let Some(reached) = evacuations {
+            extension = extension.with(Field::EvacuationsReached, &reached);
+        }
+        write(&mut self.stream, &message::encode(&request, &extension)).await?;
         let bytes = read(&mut self.stream, MAX_RESPONSE).await?;
-        let (response, _): (SyncResponse, _) = message::decode(&bytes).map_err(malformed)?;
+        let (response, fields): (SyncResponse, _) = message::decode(&bytes).map_err(malformed)?;
         self.incarnation = response.incarnation;
-        Ok(response)
+        let evacuations = fields.get::<Update>(Field::Evacuations).map_err(malformed)?;
+        // Another kind in this field would be applied without its place in the relay's changes.
+        Ok((response, evacuations.filter(|update| update.kind == Kind::Evacuation)))
     }
 
     /// Records that the copy has all changes up to `number`; after 0, the next poll requests all
--- a/chicoryloom/src/gateway/settings.rs
+++ b/chicoryloom/src/gateway/settings.rs
@@ -11,6 +11,7 @@
 
 use chicoryloom_policy::id;
 use chicoryloom_policy::unit::Share;
+use chicoryloom_policy::warming::Tolerance;
 use chicoryloom_wire::yaml;
 use serde::Deserialize;
 
@@ -59,6 +60,9 @@
     retry_burst: f64,
     rate_window_s: f64,
     floor: f64,
+    evacuation_ms: Option<f64>,
+    warmup_overage: Option<f64>,
+    warmup_slack: Option<f64>,
 }
 
 /// One core.
@@ -73,7 +77,16 @@
 
 impl Default for RawBounds {
     fn default() -> Self {
-        Self { grace_s: 6.0, retry_share: 0.2, retry_burst: 50.0, rate_window_s: 5.0, floor: 0.7 }
+        Self {
+            grace_s: 6.0,
+            retry_share: 0.2,
+            retry_burst: 50.0,
+            rate_window_s: 5.0,
+            floor: 0.7,
+            evacuation_ms: None,
+            warmup_overage: None,
+            warmup_slack: None,
+        }
     }
 }
 
@@ -118,6 +131,10 @@
     pub rate_window: Duration,
     /// Least share of a service's slots that stays in use when targets are held back.
     pub floor: Share,
+    /// Time within which an evacuation takes effect; `None` where no data centres are evacuated.
+    pub evacuation: Option<Duration>,
+    /// What targets tolerate while they warm up; `None` where they take any number of requests.
+    pub warmup: Option<Tolerance>,
 }
 
 /// Why settings failed to load.
@@ -184,12 +201,24 @@
 
     fn try_from(raw: RawBounds) -> Result<Self, Self::Error> {
         let floor = Share::new(raw.floor);
+        let evacuation = raw.evacuation_ms.map(|millis| millis / 1000.0);
+        let evacuation =
+            evacuation.map(|seconds| positive_duration("bounds.evacuation_ms", seconds));
+        let tolerance = |overage| -> Result<Tolerance, Self::Error> {
+            let slack = raw.warmup_slack.unwrap_or_default();
+            if !slack.is_finite() || slack < 0.0 {
+                return Err(("bounds.warmup_slack", "must be 0 or more".to_owned()));
+            }
+            Ok(Tolerance { overage: above_zero("bounds.warmup_overage", overage)?, slack })
+        };
         Ok(Self {
             grace: positive_duration("bounds.grace_s", raw.grace_s)?,
             retry_share: above_zero("bounds.retry_share", raw.retry_share)?,
             retry_burst: above_zero("bounds.retry_burst", raw.retry_burst)?,
             rate_window: positive_duration("bounds.rate_window_s", raw.rate_window_s)?,
             floor: floor.ok_or(("bounds.floor", "must be 0 to 1".to_owned()))?,
+            evacuation: evacuation.transpose()?,
+            warmup: raw.warmup_overage.map(tolerance).transpose()?,
         })
     }
 }
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -71,6 +71,28 @@
 /// Age of the copy above which an answer of the platform is its return after an outage.
 const OUTAGE_AGE: Duration = Duration::from_millis(1500);
 
+/// Whether this host watches the platform: for the kinds that all builds relay, and for evacuations.
+#[derive(Debug)]
+struct Sources {
+    common: watch::Sender<bool>,
+    evacuations: watch::Sender<bool>,
+}
+
+impl Default for Sources {
+    fn default() -> Self {
+        Self { common: watch::Sender::new(false), evacuations: watch::Sender::new(false) }
+    }
+}
+
+/// Outcome of polling a relay.
+#[derive(Clone, Copy, Debug, Default)]
+struct Followed {
+    /// Whether the relay's copy is fresh.
+    is_fresh: bool,
+    /// Whether the relay said nothing of evacuations, although they were asked for.
+    has_no_evacuations: bool,
+}
+
 /// Replicates the platform's objects into the mirror.
 #[derive(Clone, Debug)]
 pub(super) struct Replicator {
@@ -84,9 +106,13 @@
 impl Replicator {
     /// Runs until the task is aborted.
     pub(super) async fn run(self) {
-        let (watching, should_watch) = watch::channel(false);
-        for kind in Kind::ALL {
-            tokio::spawn(self.clone().watch(kind, should_watch.clone()));
+        let sources = Sources::default();
+        for kind in self.mirror.kinds() {
+            let should_watch = match kind {
+                Kind::Evacuation => &sources.evacuations,
+                Kind::Catalog | Kind::Target => &sources.common,
+            };
+            tokio::spawn(self.clone().watch(*kind, should_watch.subscribe()));
         }
         let started = self.clock.now();
         let mut avoided: HashMap<id::Host, Moment> = HashMap::new();
@@ -105,18 +131,19 @@
                 let takeover_age =
                     MAX_FRESH_AGE + TAKEOVER_STEP * u32::try_from(steps).unwrap_or_default();
                 let age = self.mirror.age().min(now.since(started));
-                self.set_watching(
-                    &watching,
-                    !is_discovering && (rank < PRIMARY_WATCHERS || age >= takeover_age),
-                );
+                let is_due = rank < PRIMARY_WATCHERS || age >= takeover_age;
+                let wanted = !is_discovering && is_due;
+                self.set_watching(&sources, wanted, wanted);
                 tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
                 continue;
             };
             // A silent relay must be detected before the copy is no longer fresh.
             let wait =
                 MAX_FRESH_AGE.saturating_sub(self.mirror.age()).clamp(MIN_FOLLOW_WAIT, FOLLOW_WAIT);
-            if self.follow(&mut follower, relay.peer, wait).await {
-                self.set_watching(&watching, false);
+            let followed = self.follow(&mut follower, relay.peer, wait).await;
+            if followed.is_fresh {
+                // Hosts of builds that know no evacuations relay none.
+                self.set_watching(&sources, false, followed.has_no_evacuations);
             } else {
                 follower = None;
                 avoided.insert(relay.host.clone(), self.clock.now().after(RELAY_BACKOFF));
@@ -124,12 +151,12 @@
         }
     }
 
-    fn set_watching(&self, watching: &watch::Sender<bool>, wanted: bool) {
-        let changed = watching.send_if_modified(|present| {
-            let differs = *present != wanted;
-            *present = wanted;
-            differs
-        });
+    fn set_watching(&self, sources: &Sources, wanted: bool, evacuations: bool) {
+        let set = |source: &watch::Sender<bool>, wanted| {
+            source.send_if_modified(|present| std::mem::replace(present, wanted) != wanted)
+        };
+        set(&sources.evacuations, evacuations);
+        let changed = set(&sources.common, wanted);
         self.fleet.set_watches(wanted);
         if changed {
             let source = if wanted { "platform" } else { "peer" };
@@ -154,19 +181,19 @@
         (near, rank, is_alone)
     }
 
-    /// Polls a relay once, and applies its updates; returns whether its copy is fresh.
+    /// Polls a relay once, and applies its updates.
     async fn follow(
         &self,
         follower: &mut Option<Follower>,
         relay: SocketAddr,
         wait: Duration,
-    ) -> bool {
+    ) -> Followed {
         if follower.as_ref().is_none_or(|follower| follower.relay != relay) {
             let connected = tokio::time::timeout(FOLLOW_SLACK, Follower::connect(relay)).await;
             *follower = connected.ok().and_then(Result::ok);
         }
         let Some(connected) = follower else {
-            return false;
+            return Followed::default();
         };
         // The relay's changes can be added only to a copy whose latest update came from it; any
         // other copy needs all objects.
@@ -174,10 +201,12 @@
             connected.acknowledge(0);
         }
         let sent = self.clock.now();
-        let polled = connected.poll(self.mirror.reached(), wait);
+        let wants_evacuations = self.mirror.kinds().contains(&Kind::Evacuation);
+        let evacuations = wants_evacuations.then(|| self.mirror.position(Kind::Evacuation));
+        let polled = connected.poll(self.mirror.reached(), evacuations, wait);
         let polled = tokio::time::timeout(wait + FOLLOW_SLACK, polled);
-        let Ok(Ok(response)) = polled.await else {
-            return false;
+        let Ok(Ok((response, evacuations))) = polled.await else {
+            return Followed::default();
         };
         // The relay reports its age as of its response, which it sent after this request was sent;
         // time past the wait counts as transit.
@@ -188,7 +217,11 @@
             accepted &= self.mirror.apply(update, age, Source::Host(relay));
         }
         connected.acknowledge(if accepted { response.latest } else { 0 });
-        age < MAX_FRESH_AGE
+        let has_no_evacuations = wants_evacuations && evacuations.is_none();
+        if let Some(update) = evacuations {
+            self.mirror.apply(update, age, Source::Host(relay));
+        }
+        Followed { is_fresh: age < MAX_FRESH_AGE, has_no_evacuations }
     }
 
     /// Repairs this host's copy after a gap in its updates: copies it from another host that had no
@@ -199,7 +232,7 @@
         self.events.emit("gap", json!({ "hosts_heard": is_in_touch, "fresh_hosts": fresh }));
         for peer in fresh {
             let mut follower = None;
-            if self.follow(&mut follower, peer, Duration::ZERO).await {
+            if self.follow(&mut follower, peer, Duration::ZERO).await.is_fresh {
                 return true;
             }
         }
@@ -239,6 +272,7 @@
                     batch_delay = match kind {
                         _ if update.records.is_empty() => Duration::ZERO,
                         Kind::Catalog => CATALOG_BATCH_DELAY,
+                        Kind::Evacuation => Duration::ZERO,
                         Kind::Target => TARGET_BATCH_DELAY,
                     };
                     if is_lost {
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -52,6 +52,9 @@
     /// Set by a target on each whole answer and required on successful ones; `None` if targets
     /// don't set it.
     pub seal: Option<HeaderName>,
+    /// Set by a target on answers to checks of its health to the milliseconds for which it remains
+    /// cold; `None` if targets don't set it.
+    pub warmup_ms: Option<HeaderName>,
     /// Whether an answer may end with the close of the connection.
     pub allows_close_delimited: bool,
 }
@@ -66,6 +69,7 @@
             draining: Some(HeaderName::from_static(header::DRAINING)),
             limit: None,
             seal: None,
+            warmup_ms: None,
             allows_close_delimited: false,
         });
         &OWN
@@ -219,14 +223,23 @@
 
 impl Backend {
     /// Asks the target on a new connection whether it is well, and waits for the head of any answer.
-    pub(crate) async fn check(self: &Arc<Self>, path: &str) -> Result<(), Failure> {
+    /// Returns how long the target says that it remains cold.
+    pub(crate) async fn check(
+        self: &Arc<Self>,
+        path: &str,
+        warmup: Option<&HeaderName>,
+    ) -> Result<Duration, Failure> {
         let mut lease = self.lease_new().await?;
         let request = Request::get(path).header(HOST, self.target().to_string());
         let request = request.body(Empty::new().map_err(|never| match never {}).boxed_unsync());
         let request = request.map_err(|error| Failure::Connect(error.to_string()))?;
         let Some(sender) = lease.sender() else { return Err(Failure::Unsent) };
         let answer = sender.send_request(request).await;
-        answer.map(drop).map_err(|error| Failure::Lost(error.to_string()))
+        let answer = answer.map_err(|error| Failure::Lost(error.to_string()))?;
+        let cold = warmup.and_then(|name| answer.headers().get(name));
+        let millis = cold.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+        let cold = millis.and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok());
+        Ok(cold.unwrap_or_default())
     }
 }
 
--- a/chicoryloom_policy/src/catalog.rs
+++ b/chicoryloom_policy/src/catalog.rs
@@ -15,6 +15,7 @@
 use crate::unit::Rate;
 use crate::unit::Slots;
 use crate::unit::Weight;
+use crate::warming::Warmup;
 
 /// Version of a configuration, set by the operator; a later one has a higher number.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -90,12 +91,14 @@
 }
 
 /// Settings shared by all targets of a service.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Maximum number of connections of all hosts together to each target.
     pub connections: Connections,
     /// Path at which a target answers whether it is well.
     pub health_path: Option<SmolStr>,
+    /// How targets warm up; `None` if they don't.
+    pub warmup: Option<Warmup>,
 }
 
 /// A checked configuration.
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod document;
 pub mod entry;
+pub mod evacuation;
 pub mod freshness;
 pub mod gray;
 pub mod health;
@@ -35,6 +36,7 @@
 pub mod throttle;
 pub mod unit;
 pub mod waiting;
+pub mod warming;
 pub mod withdrawal;
 
 pub use moment::Moment;
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -10,6 +10,9 @@
 //!   it. Only a higher generation, or a write after the listing, creates it again.
 //! - Targets that the restored copy lacks are kept for a grace period, in which those that are alive
 //!   are written again. A configuration is kept until a later version is written.
+//! - An evacuation is in force if the restored copy lists it, also if it had ended. One that the copy
+//!   lacks stays in force for a grace period, in which the operator can write it again: a data centre
+//!   without requests is a load that the others are planned for.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -29,6 +32,9 @@
 ///
 /// The platform guarantees that live targets are listed again about two seconds after its return.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+/// Time after the store was restored from a copy for which evacuations that the copy lacks stay in
+/// force. Unlike live targets, nobody writes them again by himself.
+pub const EVACUATION_GRACE: Duration = Duration::from_secs(60);
 /// Length of the log of changes; a host that lags further behind gets a whole copy.
 const MAX_LOG_ENTRIES: usize = 8192;
 /// Maximum number of remembered deletions, which keep an older copy from restoring an object.
@@ -43,11 +49,24 @@
     Catalog,
     /// A target.
     Target,
+    /// The evacuation of the data centre that the object is named after.
+    Evacuation,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 2] = [Self::Catalog, Self::Target];
+    pub const ALL: [Self; 3] = [Self::Catalog, Self::Target, Self::Evacuation];
+    /// The kinds that all deployments have and hosts of all builds replicate.
+    pub const COMMON: [Self; 2] = [Self::Catalog, Self::Target];
+
+    /// Returns how long objects that a restored store lacks are kept, unless for good.
+    const fn restoration_grace(self) -> Option<Duration> {
+        match self {
+            Self::Catalog => None,
+            Self::Target => Some(LAPSE_GRACE),
+            Self::Evacuation => Some(EVACUATION_GRACE),
+        }
+    }
 }
 
 /// One object as the platform holds it, or its deletion.
@@ -78,38 +97,30 @@
     pub position: Position,
 }
 
-/// The platform's positions that a host's copies are at.
+/// The platform's positions that a host's copies of the common kinds are at.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Positions {
     pub catalog: Position,
     pub targets: Position,
 }
 
-impl Positions {
-    fn get(self, kind: Kind) -> Position {
-        match kind {
-            Kind::Catalog => self.catalog,
-            Kind::Target => self.targets,
-        }
-    }
-}
-
 /// What an update changed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
     pub catalog: bool,
     pub targets: Vec<SmolStr>,
+    pub evacuations: bool,
 }
 
 impl Changes {
     /// Returns the number of changed objects.
     pub fn len(&self) -> usize {
-        usize::from(self.catalog) + self.targets.len()
+        usize::from(self.catalog) + self.targets.len() + usize::from(self.evacuations)
     }
 
     /// Returns whether nothing changed.
     pub fn is_empty(&self) -> bool {
-        !self.catalog && self.targets.is_empty()
+        !self.catalog && self.targets.is_empty() && !self.evacuations
     }
 }
 
@@ -129,6 +140,11 @@
     deleted: HashMap<SmolStr, Tombstone>,
     /// The platform's position that the table is at.
     position: Position,
+    /// Objects that are no longer listed, as the platform was down or restored, and until when they
+    /// are kept.
+    lapsed: HashMap<SmolStr, Moment>,
+    /// Until when objects that are no longer listed lapse instead of being deleted.
+    grace_until: Option<Moment>,
 }
 
 /// What happens to a listed or changed object.
@@ -148,11 +164,7 @@
 pub struct Replica {
     catalog: Table,
     targets: Table,
-    /// Targets that are no longer listed after an outage of the platform, and until when they are
-    /// kept.
-    lapsed: HashMap<SmolStr, Moment>,
-    /// Until when targets that are no longer listed lapse instead of being deleted.
-    grace_until: Option<Moment>,
+    evacuations: Table,
     /// Log of changes in order: number of the change, kind and name of the object.
     log: VecDeque<(u64, Kind, SmolStr)>,
     /// Number of the latest change.
@@ -164,6 +176,7 @@
         match kind {
             Kind::Catalog => &self.catalog,
             Kind::Target => &self.targets,
+            Kind::Evacuation => &self.evacuations,
         }
     }
 
@@ -171,6 +184,7 @@
         match kind {
             Kind::Catalog => &mut self.catalog,
             Kind::Target => &mut self.targets,
+            Kind::Evacuation => &mut self.evacuations,
         }
     }
 
@@ -179,19 +193,20 @@
         self.table(kind).position
     }
 
-    /// Returns the platform's positions that all copies are at.
+    /// Returns the platform's positions that the copies of the common kinds are at.
     pub fn positions(&self) -> Positions {
         Positions { catalog: self.catalog.position, targets: self.targets.position }
     }
 
     /// Returns the latest era of the platform's store that any copy has reached.
     pub fn era(&self) -> Era {
-        self.catalog.position.era.max(self.targets.position.era)
+        let eras = Kind::ALL.map(|kind| self.position(kind).era);
+        eras.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns how many targets are kept although the platform doesn't list them.
-    pub fn lapsed_count(&self) -> usize {
-        self.lapsed.len()
+    /// Returns how many objects of a kind are kept although the platform doesn't list them.
+    pub fn lapsed_count(&self, kind: Kind) -> usize {
+        self.table(kind).lapsed.len()
     }
 
     /// Returns the objects of a kind.
@@ -206,7 +221,7 @@
 
     /// Starts the grace period of missing targets, as the platform answers again after an outage.
     pub fn platform_returned(&mut self, now: Moment) {
-        self.grace_until = Some(now.after(LAPSE_GRACE));
+        self.targets.grace_until = Some(now.after(LAPSE_GRACE));
     }
 
     /// Returns a full update for a receiver whose copy is at a position.
@@ -225,8 +240,7 @@
     }
 
     fn lapsed_names(&self, kind: Kind) -> Vec<SmolStr> {
-        let names = self.lapsed.keys().filter(|_| kind == Kind::Target);
-        names.cloned().collect()
+        self.table(kind).lapsed.keys().cloned().collect()
     }
 
     /// Returns the number of the latest change of this copy.
@@ -234,17 +248,17 @@
         self.latest_change
     }
 
-    /// Returns what changed after a numbered change of this copy, or whole copies if the log does
-    /// not reach back that far. The receiver's copies are at `reached`.
+    /// Returns what changed of the common kinds after a numbered change of this copy, or whole copies
+    /// if the log does not reach back that far. The receiver's copies are at `reached`.
     pub fn updates_after(&self, number: u64, reached: Positions) -> Vec<Update> {
         let first = self.log.front().map_or(self.latest_change + 1, |(first, ..)| *first);
         if number == 0 || number + 1 < first || number > self.latest_change {
-            return Kind::ALL
-                .into_iter()
-                .map(|kind| self.snapshot(kind, reached.get(kind)))
-                .collect();
+            return vec![
+                self.snapshot(Kind::Catalog, reached.catalog),
+                self.snapshot(Kind::Target, reached.targets),
+            ];
         }
-        Kind::ALL.into_iter().map(|kind| self.delta(kind, number)).collect()
+        Kind::COMMON.into_iter().map(|kind| self.delta(kind, number)).collect()
     }
 
     /// Returns the objects of a kind that changed after a numbered change.
@@ -299,15 +313,16 @@
         if !self.accepts_relayed(&update) {
             return Changes::default();
         }
-        if update.kind == Kind::Target {
-            self.grace_until = None;
-        }
+        let kind = update.kind;
+        self.table_mut(kind).grace_until = None;
         let lapsed = update.lapsed.clone();
         let changes = self.merge(update, now);
         // This host may follow another one by the time they expire, so it expires them itself.
+        let grace = kind.restoration_grace().unwrap_or_default();
+        let table = self.table_mut(kind);
         for name in lapsed {
-            if self.targets.records.contains_key(&name) {
-                self.lapsed.entry(name).or_insert(now.after(LAPSE_GRACE));
+            if table.records.contains_key(&name) {
+                table.lapsed.entry(name).or_insert(now.after(grace));
             }
         }
         changes
@@ -325,12 +340,12 @@
         let Update { kind, records, kept, lapsed: _, whole, position } = update;
         let known = self.table(kind).position;
         let is_restored = !known.is_start() && position.era > known.era;
-        if is_restored && kind == Kind::Target {
-            self.grace_until = Some(now.after(LAPSE_GRACE));
+        if is_restored && let Some(grace) = kind.restoration_grace() {
+            self.table_mut(kind).grace_until = Some(now.after(grace));
         }
         let mut names: Vec<SmolStr> = Vec::new();
         let merges: Vec<_> = records.iter().map(|one| self.table(kind).merge(one)).collect();
-        let lapsed_before: HashSet<_> = self.lapsed.keys().cloned().collect();
+        let lapsed_before: HashSet<_> = self.table(kind).lapsed.keys().cloned().collect();
         if whole {
             let listed: HashSet<_> = records
                 .iter()
@@ -341,7 +356,10 @@
                 .collect();
             names = self.delete_unlisted(kind, &listed, position, now);
         }
-        let grace = self.grace_until.filter(|until| kind == Kind::Target && now < *until);
+        // Targets may be deleted as the platform heard nothing of them; other objects are deleted by
+        // the operator.
+        let grace = self.targets.grace_until;
+        let grace = grace.filter(|until| kind == Kind::Target && now < *until);
         for (record, merge) in records.into_iter().zip(merges) {
             let table = self.table_mut(kind);
             match merge {
@@ -354,7 +372,7 @@
                     }
                 }
                 Merge::Unchanged => {
-                    if kind == Kind::Target && lapsed_before.contains(&record.name) {
+                    if lapsed_before.contains(&record.name) {
                         // Followers must learn that it no longer lapses.
                         names.push(record.name.clone());
                     }
@@ -367,7 +385,7 @@
                 }
                 Merge::Changed => match grace {
                     Some(until) if table.records.contains_key(&record.name) => {
-                        self.lapsed.entry(record.name).or_insert(until);
+                        table.lapsed.entry(record.name).or_insert(until);
                     }
                     _ => {
                         table.delete(&record.name, record.position, record.generation);
@@ -379,12 +397,13 @@
         let table = self.table_mut(kind);
         table.position = table.position.max(position);
         for name in &names {
-            self.lapsed.remove(name);
+            table.lapsed.remove(name);
         }
         self.log_changes(kind, &names);
         match kind {
             Kind::Catalog => Changes { catalog: !names.is_empty(), ..Changes::default() },
-            Kind::Target => Changes { catalog: false, targets: names },
+            Kind::Target => Changes { targets: names, ..Changes::default() },
+            Kind::Evacuation => Changes { evacuations: !names.is_empty(), ..Changes::default() },
         }
     }
 
@@ -397,11 +416,9 @@
         position: Position,
         now: Moment,
     ) -> Vec<SmolStr> {
-        if kind == Kind::Target {
-            self.lapsed.retain(|name, _| !listed.contains(name));
-        }
-        let grace = self.grace_until.filter(|until| kind == Kind::Target && now < *until);
         let table = self.table_mut(kind);
+        table.lapsed.retain(|name, _| !listed.contains(name));
+        let grace = table.grace_until.filter(|until| now < *until);
         // A configuration of an earlier era stays in force until it is written again.
         let is_kept = |record: &Record| kind == Kind::Catalog && record.position.era < position.era;
         let unlisted: Vec<_> = table
@@ -412,7 +429,7 @@
             .collect();
         if let Some(until) = grace {
             for name in unlisted {
-                self.lapsed.entry(name).or_insert(until);
+                table.lapsed.entry(name).or_insert(until);
             }
             return Vec::new();
         }
@@ -422,21 +439,25 @@
         unlisted
     }
 
-    /// Deletes lapsed targets that were not listed again in time.
+    /// Deletes lapsed objects that were not listed again in time.
     pub fn expire(&mut self, now: Moment) -> Changes {
-        let due: Vec<_> = self
-            .lapsed
-            .iter()
-            .filter(|(_, until)| now >= **until)
-            .map(|(n, _)| n.clone())
-            .collect();
-        let position = self.targets.position;
+        let targets = self.expire_kind(Kind::Target, now);
+        let evacuations = !self.expire_kind(Kind::Evacuation, now).is_empty();
+        Changes { catalog: false, targets, evacuations }
+    }
+
+    fn expire_kind(&mut self, kind: Kind, now: Moment) -> Vec<SmolStr> {
+        let table = self.table_mut(kind);
+        let lapsed = table.lapsed.iter();
+        let due: Vec<_> =
+            lapsed.filter(|(_, until)| now >= **until).map(|(name, _)| name.clone()).collect();
+        let position = table.position;
         for name in &due {
-            self.lapsed.remove(name);
-            self.targets.delete_known(name, position);
+            table.lapsed.remove(name);
+            table.delete_known(name, position);
         }
-        self.log_changes(Kind::Target, &due);
-        Changes { catalog: false, targets: due }
+        self.log_changes(kind, &due);
+        due
     }
 }
 
@@ -454,9 +475,10 @@
             };
         }
         let is_newer = match (record.value.is_some(), known, deleted) {
-            // The object was deleted in an earlier era.
+            // The object was deleted in an earlier era. An evacuation that is listed is in force, also
+            // for hosts that know nothing of its deletion.
             (true, None, Some(deleted)) if deleted.position.era < record.position.era => {
-                record.generation > deleted.generation
+                record.kind == Kind::Evacuation || record.generation > deleted.generation
             }
             (true, ..) => {
                 known.is_none_or(|known| record.position > known.position)
