--- a/chicoryloom_policy/tests/evacuation.rs
+++ b/chicoryloom_policy/tests/evacuation.rs
@@ -192,7 +192,7 @@
     assert_eq!((change.begun.len(), change.ended.len()), (2, 0));
     assert!(evacuations.set(&all, Moment::from_millis(2)).is_empty());
     let change = evacuations.set(&BTreeSet::from([south.clone()]), Moment::from_millis(3));
-    assert_eq!(change.ended, [north.clone()]);
+    assert_eq!(change.ended, std::slice::from_ref(&north));
     assert!(!evacuations.is_in_force(&north) && evacuations.is_in_force(&south));
     assert_eq!(evacuations.ended(&north), Some(Moment::from_millis(3)));
     assert_eq!(evacuations.in_force().next(), Some((&south, Moment::from_millis(1))));
