Evacuations behind relays that know none

A host whose relay relays no evacuations, as one of an older build, watches the store for them. Requests that wait for the first configuration go on as soon as the evacuations are known, and not with the next confirmation.

--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -256,8 +256,12 @@
         let era = state.replica.era();
         self.era.send_if_modified(|known| std::mem::replace(known, era) != era);
         self.apply_changes(&mut state, &changes, &source.to_string());
-        if accepted && kind == Kind::Evacuation {
-            self.knows_evacuations.store(true, Ordering::Relaxed);
+        if accepted
+            && kind == Kind::Evacuation
+            && !self.knows_evacuations.swap(true, Ordering::Relaxed)
+        {
+            // Requests that wait for the first configuration can go on.
+            self.latest.send_modify(|_| {});
         }
         accepted
     }
