--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -200,13 +200,17 @@
     }
 
     async fn send(&self, peers: &[SocketAddr], body: Body) {
+        self.send_extended(peers, body, &Extension::new()).await;
+    }
+
+    async fn send_extended(&self, peers: &[SocketAddr], body: Body, extension: &Extension) {
         let envelope = Envelope {
             sender: self.name.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             body,
         };
-        let Some(bytes) = message::encode_datagram(&envelope, &Extension::new()) else {
+        let Some(bytes) = message::encode_datagram(&envelope, extension) else {
             log::error!("fleet: a message is too long for a datagram and is not sent");
             return;
         };
@@ -288,7 +292,7 @@
             }
             Body::Limits(ceilings) => self.apply_limits(&sender, ceilings),
             Body::Ask { .. } | Body::Grant { .. } | Body::Turn { .. } => {
-                self.apply_permit_body(&sender, body);
+                self.apply_permit_body(&sender, body, extension);
             }
             Body::Crash { fingerprint, target, answered } => {
                 let request = Fingerprint(fingerprint);
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -52,6 +52,9 @@
     /// Set by a target on each whole answer and required on successful ones; `None` if targets
     /// don't set it.
     pub seal: Option<HeaderName>,
+    /// Set by a target on answers to checks of its health to the milliseconds for which it remains
+    /// cold; `None` if targets don't set it.
+    pub warmup_ms: Option<HeaderName>,
     /// Whether an answer may end with the close of the connection.
     pub allows_close_delimited: bool,
 }
@@ -66,6 +69,7 @@
             draining: Some(HeaderName::from_static(header::DRAINING)),
             limit: None,
             seal: None,
+            warmup_ms: None,
             allows_close_delimited: false,
         });
         &OWN
@@ -219,9 +223,18 @@
 
 impl Backend {
     /// Asks the target on a new connection whether it is well, and waits for the head of any answer.
-    pub(crate) async fn check(self: &Arc<Self>, path: &str) -> Result<(), Failure> {
+    /// Returns how long the target says that it remains cold.
+    pub(crate) async fn check(
+        self: &Arc<Self>,
+        path: &str,
+        warmup: Option<&HeaderName>,
+    ) -> Result<Duration, Failure> {
         let mut lease = self.lease_new().await?;
-        self.ask(&mut lease, path).await.map(drop)
+        let answer = self.ask(&mut lease, path).await?;
+        let cold = warmup.and_then(|name| answer.headers().get(name));
+        let millis = cold.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+        let cold = millis.and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok());
+        Ok(cold.unwrap_or_default())
     }
 
     /// Asks the target on an idle connection, if there is one, and closes it; returns the time since it
