Serve a short grant whole, and its more urgent requests first

A host reports near its limit as soon as it has admitted something, so that the time between two of its reports is often a few milliseconds. The rate taken from that time was far too high, and what it projected kept up to a twentieth of the grant from being served. Hosts that are known for a window are now projected by a rate that is smoothed over time; hosts that have just started are projected as before, which is safe.

While a workspace asks for more than its grant, part of what remains is kept for requests of more urgent routes. Before, routes that may wait longer for their grant got a larger share of it. Refused requests get a place each at which to return.

--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -149,6 +149,7 @@
             splits: Mutex::new(HashMap::new()),
             metrics: Arc::new(Metrics::new()),
             grant_waiters: Mutex::new(HashMap::new()),
+            orders: Mutex::new(HashMap::new()),
             started: clock.now(),
             leaving: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::admission::Order;
 use chicoryloom_policy::allowance;
 use chicoryloom_policy::allowance::Excess;
 use chicoryloom_policy::allowance::Limiter;
@@ -102,6 +103,8 @@
     metrics: Arc<Metrics>,
     /// Number of requests that wait for room in their workspace's grant, by workspace.
     grant_waiters: Mutex<HashMap<id::Workspace, usize>>,
+    /// Order of each workspace's requests while its grant is short.
+    orders: Mutex<HashMap<id::Workspace, Order>>,
     started: Moment,
     leaving: AtomicBool,
     /// Requests whose response head is not ready yet.
@@ -210,8 +213,8 @@
         let timeout = self.timeout(&request, &route);
         let deadline = started + timeout;
         if let Some(workspace) = &workspace {
-            self.wait_for_grant(workspace, allowance::max_wait(route.target_latency.min(timeout)))
-                .await?;
+            let max_wait = allowance::max_wait(route.target_latency.min(timeout));
+            self.wait_for_grant(workspace, route.priority, max_wait).await?;
         }
         let limits = catalog.limits;
         let (parts, body) = request.into_parts();
@@ -291,37 +294,65 @@
         Refusal::new(Reason::NoConfiguration, detail).retry_after(SHORT_RETRY_AFTER)
     }
 
-    fn check_grant(&self, workspace: &Workspace) -> Result<(), Excess> {
+    /// Checks whether a workspace's grant has room beyond what is kept for more urgent requests.
+    fn check_grant(&self, workspace: &Workspace, priority: u8) -> Result<(), Excess> {
+        let now = self.clock.now();
+        let reserve = self.with_order(workspace, |order| order.reserve(priority, now));
         let mut limiter = self.limiter.lock().expect("no holder of the lock panics");
-        limiter.check(workspace, self.clock.now())
+        limiter.check_beyond(workspace, reserve, now)
     }
 
-    /// Waits until a workspace's grant has room for a request; refuses it once that is expected to
-    /// take longer than `max_wait`.
+    fn with_order<T>(&self, workspace: &Workspace, run: impl FnOnce(&mut Order) -> T) -> T {
+        let mut orders = self.orders.lock().expect("no holder of the lock panics");
+        if let Some(order) = orders.get_mut(&workspace.name) {
+            return run(order);
+        }
+        run(orders.entry(workspace.name.clone()).or_default())
+    }
+
+    /// Waits until a workspace's grant has room for a request of a route's priority; refuses it once
+    /// that is expected to take longer than `max_wait`.
     async fn wait_for_grant(
         &self,
         workspace: &Workspace,
+        priority: u8,
         max_wait: Duration,
     ) -> Result<(), Refusal> {
-        let Err(mut excess) = self.check_grant(workspace) else { return Ok(()) };
-        let until = self.clock.now().after(max_wait);
+        let now = self.clock.now();
+        self.with_order(workspace, |order| order.record(priority, now));
+        let Err(mut excess) = self.check_grant(workspace, priority) else { return Ok(()) };
+        let until = now.after(max_wait);
         let waiter = GrantWaiter::enter(&self.grant_waiters, workspace);
         while excess.wait_behind(waiter.ahead) <= until.since(self.clock.now()) {
             tokio::time::sleep(excess.wait.clamp(GRANT_POLL.0, GRANT_POLL.1)).await;
-            match self.check_grant(workspace) {
+            match self.check_grant(workspace, priority) {
                 Ok(()) => return Ok(()),
                 Err(still) => excess = still,
             }
         }
-        Err(rate_refusal(workspace, &excess))
+        Err(self.refuse_rate(workspace, &excess))
+    }
+
+    /// Refuses a request beyond its workspace's grant, to return when the grant has room again.
+    fn refuse_rate(&self, workspace: &Workspace, excess: &Excess) -> Refusal {
+        let now = self.clock.now();
+        let hosts = self.limiter.lock().expect("no holder of the lock panics").hosts();
+        let wait = self.with_order(workspace, |order| order.place(excess, hosts, now));
+        let rate = workspace.rate.map_or(0.0, |rate| rate.per_second());
+        let detail = format!(
+            "workspace {} has {:.1} requests left of {rate} a second and a burst of {}",
+            workspace.name, excess.remaining, workspace.burst.0,
+        );
+        Refusal::new(Reason::Rate, detail).retry_after(wait)
     }
 
     /// Counts a request towards its workspace's grant.
     fn admit(&self, workspace: &Workspace) -> Result<(), Refusal> {
-        let mut limiter = self.limiter.lock().expect("no holder of the lock panics");
-        limiter
-            .admit(workspace, self.clock.now())
-            .map_err(|excess| rate_refusal(workspace, &excess))
+        let admitted = {
+            let mut limiter = self.limiter.lock().expect("no holder of the lock panics");
+            limiter.admit(workspace, self.clock.now())
+        };
+        admitted.map_err(|excess| self.refuse_rate(workspace, &excess))
     }
 
     /// Returns the timeout of a request: that of its route, or a shorter one that the caller asks
@@ -393,11 +424,6 @@
     }
 }
 
-fn rate_refusal(workspace: &Workspace, excess: &Excess) -> Refusal {
-    let detail = format!("workspace {} has {:.1} requests left", workspace.name, excess.remaining);
-    Refusal::new(Reason::Rate, detail).retry_after(excess.wait)
-}
-
 /// Refuses a request whose head is too long, that asks for another protocol or that hasn't exactly
 /// one `Host` header; returns the value of that header otherwise.
 fn check_request<'a, B>(request: &'a Request<B>, catalog: &Catalog) -> Result<&'a str, Refusal> {
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -21,8 +21,11 @@
 
 /// Longest time for which another host's admissions are projected past its latest report.
 const MAX_PROJECTION: Duration = Duration::from_millis(600);
-/// Weight of the newest sample in another host's smoothed rate.
+/// Weight of the newest sample in the rate of a host that is not known for a window yet. A short
+/// time between two reports makes this rate too high, which is safe while hosts start.
 const RATE_WEIGHT: f64 = 0.4;
+/// Time constant of the rate of a host that is known for a window.
+const RATE_MEMORY: Duration = Duration::from_millis(500);
 /// Fewest unreported requests for which a host reports before the next one is due.
 const MIN_UNREPORTED: f64 = 1.0;
 /// Part of the bucket below which a workspace is near its limit, since it has asked for more than
@@ -53,10 +56,61 @@
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     incarnation: id::Incarnation,
+    /// Time of the first report.
+    known_since: Moment,
     total: u64,
     reported_at: Moment,
-    /// Smoothed requests a second.
-    rate: f64,
+    /// Requests that the latest report added.
+    added: f64,
+    /// Requests a second between the latest reports, smoothed by report.
+    recent_rate: f64,
+    /// Requests a second, smoothed over time, without those that the latest report added. They are
+    /// the reason for that report, and would make the host seem busier than it is.
+    mean_rate: f64,
+}
+
+impl Peer {
+    fn first(report: Report, added: f64, now: Moment) -> Self {
+        let Report { incarnation, total, .. } = report;
+        Self {
+            incarnation,
+            known_since: now,
+            total,
+            reported_at: now,
+            added,
+            recent_rate: 0.0,
+            mean_rate: 0.0,
+        }
+    }
+
+    /// Returns the state after a further report of the same incarnation.
+    fn next(self, total: u64, now: Moment) -> Self {
+        let added = total.saturating_sub(self.total) as f64;
+        let span = now.since(self.reported_at).as_secs_f64();
+        let recent_rate = if span > 0.0 {
+            self.recent_rate + RATE_WEIGHT * (added / span - self.recent_rate)
+        } else {
+            self.recent_rate
+        };
+        let memory = RATE_MEMORY.as_secs_f64();
+        let mean_rate = (self.mean_rate + self.added / memory) * (-span / memory).exp();
+        let total = total.max(self.total);
+        Self { total, reported_at: now, added, recent_rate, mean_rate, ..self }
+    }
+
+    /// Returns how many requests the host is expected to have admitted since its latest report.
+    fn expected(&self, is_settled: bool, now: Moment, window: Duration) -> f64 {
+        let age = now.since(self.reported_at).as_secs_f64();
+        // A host that reports no more may have stopped, so nothing is projected for it.
+        if age > MAX_PROJECTION.as_secs_f64() {
+            0.0
+        } else if is_settled && now.since(self.known_since) > window {
+            let memory = RATE_MEMORY.as_secs_f64();
+            self.mean_rate * memory * (1.0 - (-age / memory).exp())
+        } else {
+            self.recent_rate * age
+        }
+    }
 }
 
 /// The grant that the configuration last gave a workspace.
@@ -171,6 +225,8 @@
     last_tick: Moment,
     /// Part of the rate at which buckets fill until the other hosts' reports are received.
     discovery_share: f64,
+    /// Hosts that are expected to admit requests.
+    hosts: usize,
     meters: HashMap<id::Workspace, Meter>,
 }
 
@@ -182,15 +238,22 @@
             started,
             last_tick: started,
             discovery_share: MAX_DISCOVERY_SHARE,
+            hosts: 1,
             meters: HashMap::new(),
         }
     }
 
     /// Sets how many hosts are expected to admit requests, as all of them may start at once.
     pub fn set_hosts(&mut self, count: usize) {
+        self.hosts = count.max(1);
         self.discovery_share = MAX_DISCOVERY_SHARE.min(1.0 / count.max(1) as f64);
     }
 
+    /// Returns how many hosts are expected to admit requests.
+    pub fn hosts(&self) -> usize {
+        self.hosts
+    }
+
     /// Detects that this host was suspended; to be called often. After a suspension, the limiter
     /// starts over with empty buckets, since it does not know what other hosts admitted meanwhile.
     ///
@@ -227,21 +290,36 @@
 
     /// Checks whether a request would be admitted, without counting it.
     pub fn check(&mut self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
+        self.check_beyond(workspace, Duration::ZERO, now)
+    }
+
+    /// Checks whether a request would be admitted if what the grant's rate allows in `reserve` is
+    /// kept for others, without counting it.
+    pub fn check_beyond(
+        &mut self,
+        workspace: &Workspace,
+        reserve: Duration,
+        now: Moment,
+    ) -> Result<(), Excess> {
         self.tick(now);
         let Some(grant) = Grant::of(workspace) else { return Ok(()) };
         let window = self.window;
         let discovery_end = self.started.after(DISCOVERY_TIME);
         let share = self.discovery_share;
+        let is_settled = self.has_full_window(now);
         let meter = self.meter(&workspace.name);
         meter.refill(grant, discovery_end, share, now);
-        meter.remaining = meter.remaining(now, window);
-        if meter.remaining >= 1.0 {
+        let projected = meter.projected(is_settled, now, window);
+        meter.remaining = meter.remaining(now, window) - projected;
+        let needed = 1.0 + grant.rate * reserve.as_secs_f64();
+        if meter.remaining >= needed {
             return Ok(());
         }
         let remaining = meter.remaining;
         let discovery = discovery_end.since(now);
         let interval = Duration::try_from_secs_f64(1.0 / grant.rate).unwrap_or(window).min(window);
-        Err(Excess { remaining, wait: meter.wait(discovery, share, now, window), interval })
+        let wait = meter.wait(needed + projected, discovery, share, now, window);
+        Err(Excess { remaining, wait, interval })
     }
 
     /// Admits and counts a request, or returns by how much its workspace exceeds its grant.
@@ -288,19 +366,12 @@
         let meter = self.meter(workspace);
         let known = meter.peers.get(host).copied();
         let known = known.filter(|known| known.incarnation == report.incarnation);
-        let (before, span) = match known {
-            Some(known) => (known.total, now.since(known.reported_at)),
+        let peer = match known {
+            Some(known) => known.next(report.total, now),
             // What the host admitted before the last window no longer counts.
-            None => (report.total - report.recent.min(report.total), Duration::ZERO),
-        };
-        let delta = report.total.saturating_sub(before) as f64;
-        let rate = match known {
-            Some(known) if !span.is_zero() => {
-                known.rate + RATE_WEIGHT * (delta / span.as_secs_f64() - known.rate)
-            }
-            Some(known) => known.rate,
-            None => 0.0,
+            None => Peer::first(report, report.recent.min(report.total) as f64, now),
         };
+        let delta = peer.added;
         // The level of a host that has run for longer accounts for what all such hosts admitted.
         let is_in_adopted_level = known.is_none() && report.level.is_some() && !has_full_window;
         if delta > 0.0 && is_in_adopted_level {
@@ -312,8 +383,6 @@
             meter.level = meter.level.max(level);
             meter.is_adopted = true;
         }
-        let total = report.total.max(before);
-        let peer = Peer { incarnation: report.incarnation, total, reported_at: now, rate };
         meter.peers.insert(host.clone(), peer);
     }
 }
@@ -360,9 +429,9 @@
         within.map(|(_, count)| count).sum()
     }
 
-    /// Returns how many requests may still be admitted.
+    /// Returns how many requests may still be admitted, by those that are known.
     fn remaining(&self, now: Moment, window: Duration) -> f64 {
-        self.remaining_in_window(now, window).min(self.level) - self.projected(now)
+        self.remaining_in_window(now, window).min(self.level)
     }
 
     /// Returns how many requests the window alone still allows.
@@ -382,20 +451,22 @@
 
     /// Returns how many requests the other hosts are expected to have admitted since their latest
     /// reports.
-    fn projected(&self, now: Moment) -> f64 {
-        let expected = |peer: &Peer| {
-            let age = now.since(peer.reported_at);
-            // A host that reports no more may have stopped, so nothing is projected for it.
-            if age > MAX_PROJECTION { 0.0 } else { peer.rate * age.as_secs_f64() }
-        };
-        self.peers.values().map(expected).sum()
+    fn projected(&self, is_settled: bool, now: Moment, window: Duration) -> f64 {
+        self.peers.values().map(|peer| peer.expected(is_settled, now, window)).sum()
     }
 
-    /// Returns the time until a request can be admitted: until enough of the counted ones leave the
-    /// window and the bucket has a token. For `discovery`, the bucket fills at `share` of the rate.
-    fn wait(&self, discovery: Duration, share: f64, now: Moment, window: Duration) -> Duration {
-        let projected = self.projected(now);
-        let lacking = 1.0 + projected - self.remaining_in_window(now, window);
+    /// Returns the time until `needed` requests may be admitted: until enough of the counted ones
+    /// leave the window and the bucket has the tokens. For `discovery`, the bucket fills at `share`
+    /// of the rate.
+    fn wait(
+        &self,
+        needed: f64,
+        discovery: Duration,
+        share: f64,
+        now: Moment,
+        window: Duration,
+    ) -> Duration {
+        let lacking = needed - self.remaining_in_window(now, window);
         let by_window = if lacking > 0.0 {
             let mut leaving = 0.0;
             let leaves = self.admitted.iter().find(|(_, count)| {
@@ -406,7 +477,7 @@
         } else {
             Duration::ZERO
         };
-        let lacking = (1.0 + projected - self.level).max(0.0);
+        let lacking = (needed - self.level).max(0.0);
         let slow_rate = share * self.grant.rate;
         let seconds = if lacking <= slow_rate * discovery.as_secs_f64() {
             lacking / slow_rate
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! property tests can drive every module.
 
 pub mod account;
+pub mod admission;
 pub mod allowance;
 pub mod catalog;
 pub mod dispatch;
