--- a/chicoryloom_harness/src/process.rs
+++ b/chicoryloom_harness/src/process.rs
@@ -106,7 +106,7 @@
     /// Returns whether all threads of the process are stopped.
     pub fn is_paused(&self) -> bool {
         let Some(pid) = self.pid() else { return false };
-        let Ok(threads) = std::fs::read_dir(format!("/proc/{pid}/task")) else { return false };
+        let Ok(mut threads) = std::fs::read_dir(format!("/proc/{pid}/task")) else { return false };
         let is_stopped = |thread: io::Result<std::fs::DirEntry>| {
             let stat =
                 thread.and_then(|thread| std::fs::read_to_string(thread.path().join("stat")));
@@ -115,7 +115,7 @@
                 stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
             })
         };
-        threads.map(is_stopped).all(|is_stopped| is_stopped)
+        threads.all(is_stopped)
     }
 
     /// Lets a stopped process go on.
