--- a/chicoryloom_policy/src/balance.rs
+++ b/chicoryloom_policy/src/balance.rs
@@ -102,15 +102,20 @@
 ///
 /// The slots are laid out in a row and cut into equal parts. A part covers few targets, so that a
 /// host uses the same few connections again; hosts that disagree about the row overlap, and no more.
+/// With more hosts than slots, each has the one slot around the middle of its part.
 pub fn home_shares(index: usize, hosts: usize, slots: &[u32]) -> Vec<f64> {
     let total: f64 = slots.iter().map(|count| f64::from(*count)).sum();
     let part = total / hosts.max(1) as f64;
-    let (from, to) = (index as f64 * part, (index + 1) as f64 * part);
+    let middle = (index as f64 + 0.5) * part;
+    let half = part / 2.0;
     let mut end = 0.0;
     let share = |count: &u32| {
         let begin = end;
         end += f64::from(*count);
-        (to.min(end) - from.max(begin)).max(0.0)
+        if part < 1.0 {
+            return if (begin..end).contains(&middle) { 1.0 } else { 0.0 };
+        }
+        ((middle + half).min(end) - (middle - half).max(begin)).max(0.0)
     };
     slots.iter().map(share).collect()
 }
