--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod account;
 pub mod admission;
 pub mod allowance;
+pub mod balance;
 pub mod catalog;
 pub mod dispatch;
 pub mod document;
