Hold a request by unproved losses at their host alone, and judge losses with answers between apart

Cause, found in review: a loss that nothing could prove went into the holds that are told to all hosts each second, so that three quiet hosts could hold a well request on the whole fleet; and all open losses were judged as one group, so that one target that resets connections kept a crashing request from being judged.

Change: holds by unproved losses are kept apart, and never told; an answer between two losses parts their groups.

No test plays the two cases yet.

--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -199,7 +199,8 @@
         for endpoint in endpoints.iter().filter(is_chosen) {
             spawn(endpoint, Over::New);
         }
-        for endpoint in endpoints.iter().filter(is_suspect).take(MAX_SUSPECTS) {
+        let tried = endpoints.iter().filter(is_suspect);
+        for endpoint in tried.choose_multiple(&mut rand::rng(), MAX_SUSPECTS) {
             spawn(endpoint, Over::New);
         }
         if !suspects.is_empty() {
@@ -248,10 +249,10 @@
         }
         let check = endpoint.backend.check(path, self.warmup_header.as_ref());
         match tokio::time::timeout(CHECK_TIMEOUT, check).await {
-            Ok(Ok(warmup)) => {
+            Ok(Ok((warmup, age))) => {
                 self.record_warmth(endpoint, warmup);
                 self.record_opening(endpoint, begun, true);
-                self.record_answer(endpoint, Some(begun), None);
+                self.record_answer(endpoint, Some(self.clock.now().before(age)), None);
             }
             Ok(Err(Failure::Cap)) => {}
             Ok(Err(_)) | Err(_) => {
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -76,6 +76,8 @@
     in_flight: InFlight,
     estimator: Estimator,
     holdback: Holdback,
+    /// Requests that this host alone holds back, as nothing could prove the losses on them.
+    own_holdback: Holdback,
     withdrawals: Withdrawals,
     evacuations: Evacuations,
     throttle: Throttle,
@@ -163,6 +165,7 @@
                 in_flight: InFlight::default(),
                 estimator: Estimator::default(),
                 holdback: Holdback::new(CRASH_LIMIT),
+                own_holdback: Holdback::new(CRASH_LIMIT),
                 withdrawals: Withdrawals::default(),
                 evacuations: Evacuations::default(),
                 throttle: Throttle::default(),
--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -159,8 +159,11 @@
     /// that at this host alone: sending it on could take another target down.
     pub(in crate::gateway) fn held_for(&self, request: Fingerprint) -> Option<Duration> {
         let state = self.lock();
-        let hold = state.holdback.remaining_hold(request, self.clock.now());
-        let may_hold = || state.holdback.would_hold(request, state.losses.lost_on(request));
+        let now = self.clock.now();
+        let hold = state.holdback.remaining_hold(request, now);
+        let hold = hold.max(state.own_holdback.remaining_hold(request, now));
+        let unproved = || state.own_holdback.lost_on(request).chain(state.losses.lost_on(request));
+        let may_hold = || state.holdback.would_hold(request, unproved());
         hold.or_else(|| may_hold().then_some(UNJUDGED_HOLD))
     }
 
@@ -193,7 +196,7 @@
             );
             if proof == Proof::Missing {
                 if let Some(request) = request {
-                    self.apply_crash(request, address.0, false, None);
+                    self.lock().own_holdback.record_loss(request, address, now);
                 }
                 continue;
             }
@@ -236,7 +239,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         if answered {
-            return state.holdback.clear(request);
+            let was_own = state.own_holdback.clear(request);
+            return state.holdback.clear(request) || was_own;
         }
         let held = state.holdback.record_loss(request, id::Target(address), now);
         drop(state);
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -223,18 +223,19 @@
 
 impl Backend {
     /// Asks the target on a new connection whether it is well, and waits for the head of any answer.
-    /// Returns how long the target says that it remains cold.
+    /// Returns how long the target says that it remains cold, and the time since the connection was
+    /// opened.
     pub(crate) async fn check(
         self: &Arc<Self>,
         path: &str,
         warmup: Option<&HeaderName>,
-    ) -> Result<Duration, Failure> {
+    ) -> Result<(Duration, Duration), Failure> {
         let mut lease = self.lease_new().await?;
         let answer = self.ask(&mut lease, path).await?;
         let cold = warmup.and_then(|name| answer.headers().get(name));
         let millis = cold.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
         let cold = millis.and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok());
-        Ok(cold.unwrap_or_default())
+        Ok((cold.unwrap_or_default(), lease.age()))
     }
 
     /// Asks the target on an idle connection, if there is one, and closes it; returns the time since it
--- a/chicoryloom_policy/src/holdback.rs
+++ b/chicoryloom_policy/src/holdback.rs
@@ -82,6 +82,12 @@
         (now < until).then(|| until.since(now))
     }
 
+    /// Returns the targets that were lost on a request since its latest hold began.
+    pub fn lost_on(&self, request: Fingerprint) -> impl Iterator<Item = id::Target> {
+        let lost = self.suspects.get(&request).map_or(&[][..], |suspect| &suspect.lost);
+        lost.iter().map(|(target, _)| *target)
+    }
+
     /// Returns whether a request would be held back if targets that broke the connection on it are
     /// counted which are not recorded yet.
     pub fn would_hold(
--- a/chicoryloom_policy/src/loss.rs
+++ b/chicoryloom_policy/src/loss.rs
@@ -93,6 +93,8 @@
 #[derive(Clone, Debug)]
 struct Pending {
     loss: Loss,
+    /// Number of the group that it is judged with: no answer came between the losses of a group.
+    group: u32,
     /// Whether something could have proved it, as connections to other targets were in use shortly
     /// before, or whether the link was down as far as can be told.
     has_witness: bool,
@@ -136,6 +138,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Losses {
     pending: Vec<Pending>,
+    /// Number of the group that the next loss belongs to.
+    group: u32,
     /// The two targets that answered last.
     answered: Vec<(id::Instance, Moment)>,
     /// Targets that failed since the latest answer.
@@ -155,6 +159,7 @@
         };
         let is_out_of_reach = |one: &Failed| one.is_unopened && one.target != loss.target;
         self.pending.push(Pending {
+            group: self.group,
             has_witness: self.answered.iter().any(is_witness)
                 || self.failed.iter().any(is_out_of_reach),
             is_spanned: false,
@@ -221,10 +226,15 @@
         let settled = |one: &&Pending| now.since(one.loss.at) >= BURST_TIME;
         let is_open = |one: &&Pending| !one.is_dismissed && !one.is_absent;
         // Losses with one cause are judged together, by what they have in common.
-        let open = self.pending.iter().filter(settled).filter(is_open);
-        let is_ready = open.clone().all(|one| one.proof(now).is_some());
-        let group: Vec<_> = open.map(|one| one.loss.clone()).collect();
-        let blamed = if is_ready { attribute(&group) } else { Vec::new() };
+        let open: Vec<_> = self.pending.iter().filter(settled).filter(is_open).collect();
+        let (mut judged, mut blamed) = (HashSet::new(), Vec::new());
+        for group in open.iter().map(|one| one.group).collect::<HashSet<_>>() {
+            let losses = || open.iter().filter(|one| one.group == group);
+            if losses().all(|one| one.proof(now).is_some()) {
+                judged.insert(group);
+                blamed.extend(attribute(&losses().map(|one| one.loss.clone()).collect::<Vec<_>>()));
+            }
+        }
         let mut verdicts = Vec::new();
         self.pending.retain_mut(|one| {
             if now.since(one.loss.at) < BURST_TIME {
@@ -235,7 +245,7 @@
                 verdicts.push(Verdict { loss: one.loss.clone(), proof });
                 return false;
             }
-            one.is_dismissed |= is_ready;
+            one.is_dismissed |= judged.contains(&one.group);
             true
         });
         verdicts
@@ -251,6 +261,10 @@
         self.answered.retain(|(target, _)| target != answer.target);
         self.answered.insert(0, (answer.target.clone(), now));
         self.answered.truncate(2);
+        let latest = self.pending.last().map(|one| one.loss.at);
+        if latest.is_some_and(|at| now.since(at) >= BURST_TIME) {
+            self.group = self.group.wrapping_add(1);
+        }
         self.pending.retain(|one| now.since(one.loss.at) < MAX_AGE);
         for one in &mut self.pending {
             let Loss { target, opened, at, .. } = &one.loss;
