--- a/chicoryloom/src/gateway/message/tests.rs
+++ b/chicoryloom/src/gateway/message/tests.rs
@@ -218,6 +218,14 @@
     assert_eq!(decode_datagram(&bytes).unwrap_err().fault, Fault::Body);
 }
 
+/// A kind that is added raises [`KINDS`].
+#[test]
+fn kinds_are_counted() {
+    let read = |kind: u32| postcard::from_bytes::<Body>(&[kind.try_into().unwrap()]).unwrap_err();
+    assert_eq!(read(KINDS - 1), postcard::Error::DeserializeUnexpectedEnd);
+    assert_eq!(read(KINDS), postcard::Error::SerdeDeCustom);
+}
+
 #[test]
 fn limit_that_is_no_number_is_not_read() {
     let bytes = encode(&envelope("ask", body("ask").unwrap()), &Extension::new());
