--- a/chicoryloom/src/gateway/dispatcher/throttle.rs
+++ b/chicoryloom/src/gateway/dispatcher/throttle.rs
@@ -67,7 +67,7 @@
     reports: Vec<Process>,
     messages: Vec<(id::Host, Message)>,
     /// Requests sent to targets that had named a limit.
-    sends: u64,
+    pub(super) sends: u64,
     /// Requests sent to targets that warmed up.
     pub(super) warming_sends: u64,
 }
@@ -409,23 +409,4 @@
         let owners = if near.is_empty() { all } else { near };
         owners.owner(endpoint.trial_key).filter(|host| **host != self.me).cloned()
     }
-
-    /// Counts a request that is sent to a target which had named a limit or is cold.
-    pub(in crate::gateway) fn count_send(&self, endpoint: &Endpoint) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let (throttle, process) = (&mut state.throttle, endpoint.process());
-        throttle.sends += u64::from(throttle.limits.get(&process).is_some());
-        throttle.warming_sends += u64::from(throttle.warming.limit(&process, now).is_some());
-    }
-
-    /// Returns how many targets have a limit.
-    pub(in crate::gateway) fn limited_targets(&self) -> u64 {
-        self.lock().throttle.limits.count() as u64
-    }
-
-    /// Returns how many requests were sent to targets that had named a limit.
-    pub(in crate::gateway) fn limited_sends(&self) -> u64 {
-        self.lock().throttle.sends
-    }
 }
--- a/chicoryloom/src/gateway/dispatcher/warming.rs
+++ b/chicoryloom/src/gateway/dispatcher/warming.rs
@@ -1,5 +1,5 @@
 //! Targets that warm up. What they take from all hosts together is kept like the limits that targets
-//! name.
+//! name, and counted with them.
 
 use std::time::Duration;
 
@@ -75,4 +75,23 @@
         let (state, now) = (self.lock(), self.clock.now());
         (state.throttle.warming.count(now) as u64, state.throttle.warming_sends)
     }
+
+    /// Counts a request that is sent to a target which had named a limit or is cold.
+    pub(in crate::gateway) fn count_send(&self, endpoint: &Endpoint) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let (throttle, process) = (&mut state.throttle, endpoint.process());
+        throttle.sends += u64::from(throttle.limits.get(&process).is_some());
+        throttle.warming_sends += u64::from(throttle.warming.limit(&process, now).is_some());
+    }
+
+    /// Returns how many targets have a limit.
+    pub(in crate::gateway) fn limited_targets(&self) -> u64 {
+        self.lock().throttle.limits.count() as u64
+    }
+
+    /// Returns how many requests were sent to targets that had named a limit.
+    pub(in crate::gateway) fn limited_sends(&self) -> u64 {
+        self.lock().throttle.sends
+    }
 }
--- a/chicoryloom_policy/tests/warming.rs
+++ b/chicoryloom_policy/tests/warming.rs
@@ -136,15 +136,14 @@
         // The others notice 0.8 s later, and the host takes over again as it is back.
         let on_duty = usize::from(scenario.is_lost && (3300..6800).contains(&now_ms));
         let second = (scenario.is_double && (4000..4800).contains(&now_ms)).then_some(2);
-        for at in 0..nodes.len() {
-            if now_ms < nodes[at].down_until || (now_ms + at as u64) % 10 != 0 {
+        for (at, node) in nodes.iter_mut().enumerate() {
+            if now_ms < node.down_until || !(now_ms + at as u64).is_multiple_of(10) {
                 continue;
             }
             let owner = match second {
                 Some(second) if at % 2 == 0 => second,
                 _ => on_duty,
             };
-            let node = &mut nodes[at];
             if now_ms >= node.learns && now_ms < 8000 {
                 let remaining = Duration::from_millis(8000 - now_ms);
                 if scenario.is_evacuated {
