Spread requests evenly by home shares and random overflow

What hosts know of a target's load is up to half a second old, and all take the target with the least reported load at the same moment, so that targets are overrun in turns.

`balance: even` gives each entry host a share of the slots of its data centre's targets, which it fills first. What doesn't fit goes to a random target in proportion to its free slots, after a wait for a home slot if less than half of the slots are free. A host that doesn't know the load of the others sends one request to a target. Metrics show sends to own and other slots, sends to targets without room, and the busiest target.

Existing tests only name the new fields and the old rule.

--- a/chicoryloom/src/gateway/dispatcher/board.rs
+++ b/chicoryloom/src/gateway/dispatcher/board.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::balance::Rule;
 use chicoryloom_policy::dispatch;
+use chicoryloom_policy::dispatch::Balance;
 use chicoryloom_policy::dispatch::Candidate;
 use chicoryloom_policy::gray::View;
 use chicoryloom_policy::id;
@@ -21,6 +23,7 @@
     pub(super) endpoints: Vec<Arc<Endpoint>>,
     /// In the order of `endpoints`.
     pub(super) candidates: Vec<Candidate>,
+    balance: Balance,
 }
 
 impl Board {
@@ -37,12 +40,12 @@
     ) -> Option<usize> {
         let rng = &mut rand::rng();
         if tried.is_empty() {
-            return dispatch::choose(&self.candidates, request, rng);
+            return dispatch::choose(&self.candidates, request, self.balance, rng);
         }
         let is_fresh = |at: &usize| !tried.contains(&self.endpoints[*at].target.instance);
         let fresh: Vec<_> = (0..self.endpoints.len()).filter(is_fresh).collect();
         let candidates: Vec<_> = fresh.iter().map(|at| self.candidates[*at]).collect();
-        dispatch::choose(&candidates, request, rng).map(|at| fresh[at])
+        dispatch::choose(&candidates, request, self.balance, rng).map(|at| fresh[at])
     }
 }
 
@@ -72,7 +75,10 @@
         let views = state.estimator.views(&slots, self.bounds.floor, now);
         let candidate = |((endpoint, in_flight), view): ((&Arc<Endpoint>, u32), View)| Candidate {
             in_flight,
+            own: state.in_flight.own_at(&endpoint.target.instance),
             slots: endpoint.target.slots.0,
+            home: state.homes.get(&endpoint.target.instance).copied().unwrap_or_default(),
+            connected: self.rule == Rule::Even && endpoint.backend.has_idle(),
             near: endpoint.target.data_centre == self.data_centre,
             cold: now < endpoint.warmup_end,
             standing: view.standing,
@@ -85,7 +91,8 @@
         let mut candidates: Vec<_> =
             endpoints.iter().zip(counts).zip(views).map(candidate).collect();
         self.mark_due(&endpoints, &mut candidates);
-        Some(Board { endpoints, candidates })
+        let balance = self.balance(state, now);
+        Some(Board { endpoints, candidates, balance })
     }
 
     /// Marks the idle targets of this data centre that should get the next request, although others
--- a/chicoryloom/src/gateway/dispatcher/listing.rs
+++ b/chicoryloom/src/gateway/dispatcher/listing.rs
@@ -66,6 +66,7 @@
             service.targets.sort_by(|a, b| a.target.instance.cmp(&b.target.instance));
         }
         state.trial_targets = self.trial_targets(state);
+        state.homes = self.homes(state);
         Self::drop_foreign_issuers(state);
         self.set_connection_caps(state, catalog.as_deref());
         state.catalog = catalog;
@@ -99,6 +100,7 @@
         if state.entry_hosts != entry_hosts {
             state.entry_hosts = entry_hosts;
             state.trial_targets = self.trial_targets(&state);
+            state.homes = self.homes(&state);
             Self::drop_foreign_issuers(&mut state);
         }
         state.visible_part = (hosts as f64 / known.max(1) as f64).min(1.0);
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 //! What the platform lists ([`listing`]) becomes targets with connections ([`endpoint`]). A request
 //! takes a slot ([`slot`]) at one of those that may be used now ([`board`]), or waits ([`waiter`]).
 
+mod balance;
 mod board;
 mod endpoint;
 mod links;
@@ -26,6 +27,7 @@
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::balance::Rule;
 use chicoryloom_policy::catalog::Catalog;
 use chicoryloom_policy::entry;
 use chicoryloom_policy::gray::Estimator;
@@ -40,6 +42,7 @@
 use chicoryloom_policy::withdrawal::Withdrawals;
 use tokio::sync::Notify;
 
+use self::balance::Spread;
 pub(super) use self::endpoint::Endpoint;
 use self::listing::Listing;
 use self::service::Service;
@@ -84,6 +87,9 @@
     entry_hosts: Vec<(id::Host, id::DataCentre)>,
     /// Targets whose trial requests this host is responsible for.
     trial_targets: HashSet<id::Instance>,
+    /// This host's share of the slots of the targets of its data centre; no zeros.
+    homes: HashMap<id::Instance, f64>,
+    spread: Spread,
     notices: Vec<(id::Instance, Notice)>,
     /// When the latest request was sent that each target served successfully, for targets not yet
     /// reported to the other hosts.
@@ -100,6 +106,7 @@
     data_centre: id::DataCentre,
     source: IpAddr,
     bounds: Bounds,
+    rule: Rule,
     clock: Arc<dyn Clock>,
     events: Events,
     state: Mutex<State>,
@@ -122,6 +129,7 @@
         data_centre: id::DataCentre,
         source: IpAddr,
         bounds: Bounds,
+        rule: Rule,
         clock: Arc<dyn Clock>,
         events: Events,
     ) -> Arc<Self> {
@@ -133,6 +141,7 @@
             data_centre,
             source,
             bounds,
+            rule,
             clock,
             events,
             state: Mutex::new(State {
@@ -152,6 +161,8 @@
                 reported_departures: Vec::new(),
                 entry_hosts: Vec::new(),
                 trial_targets: HashSet::new(),
+                homes: HashMap::new(),
+                spread: Spread::default(),
                 notices: Vec::new(),
                 successes: HashMap::new(),
                 crash_reports: Vec::new(),
--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -30,6 +30,9 @@
         let notice = state.estimator.observe(instance, outcome, sent, now);
         let risk = state.estimator.risk(instance, now);
         let prior = state.estimator.prior();
+        if outcome == Outcome::Shed {
+            state.spread.count_shed();
+        }
         if outcome == Outcome::Ok {
             state.successes.insert(instance.clone(), sent);
         }
--- a/chicoryloom/src/gateway/dispatcher/waiter.rs
+++ b/chicoryloom/src/gateway/dispatcher/waiter.rs
@@ -141,13 +141,16 @@
         let request = dispatch::Request {
             can_retry: requirements.can_retry && retries >= dispatch::RETRY_RESERVE,
             waited: now.since(requirements.arrived),
+            time: requirements.latest.since(requirements.arrived),
         };
         let chosen = board.choose(request, &requirements.tried)?;
         let endpoint = board.endpoints[chosen].clone();
         let candidate = &mut board.candidates[chosen];
         let target = endpoint.target.instance.clone();
         let choice = Choice { target, candidate: *candidate, waited: request.waited };
+        state.spread.count(candidate);
         candidate.in_flight += 1;
+        candidate.own += 1;
         candidate.due = false;
         if let Standing::Trial(_) = candidate.standing {
             state.estimator.begin_trial(&choice.target, now);
--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -227,7 +227,10 @@
                     self.send_members(source).await;
                 }
             }
-            Body::Heartbeat(member) => self.update_member(member, protocol, now),
+            Body::Heartbeat(member) => {
+                self.dispatcher.hear();
+                self.update_member(member, protocol, now);
+            }
             Body::Members(members) => {
                 let mut known = self.members();
                 for member in members.into_iter().filter(|member| member.host != self.name) {
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -120,6 +120,7 @@
             settings.data_centre.clone(),
             settings.address,
             settings.bounds,
+            settings.balance,
             clock.clone(),
             events.clone(),
         );
@@ -304,6 +305,28 @@
         "Requests sent to targets that had named a limit",
         move || read.limited_sends(),
     );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_sends_home",
+        "Requests sent to slots in this host's share of a target",
+        move || read.spread().0,
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge("chicory_sends_overflow", "Requests sent to other slots", move || {
+        read.spread().1
+    });
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_sends_shed",
+        "Requests sent to a target believed to have room that had none",
+        move || read.spread().2,
+    );
+    let read = dispatcher.clone();
+    metrics.register_gauge(
+        "chicory_busiest_target_percent",
+        "Known load of the busiest target against the mean of its service, of the most uneven one",
+        move || read.unevenness(),
+    );
 }
 
 fn member(settings: &Settings, incarnation: id::Incarnation, peer: SocketAddr) -> Member {
--- a/chicoryloom/src/gateway/settings.rs
+++ b/chicoryloom/src/gateway/settings.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use chicoryloom_policy::balance::Rule;
 use chicoryloom_policy::id;
 use chicoryloom_policy::unit::Share;
 use chicoryloom_wire::yaml;
@@ -24,6 +25,25 @@
     store: RawStore,
     #[serde(default)]
     bounds: RawBounds,
+    #[serde(default)]
+    balance: RawBalance,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum RawBalance {
+    #[default]
+    Least,
+    Even,
+}
+
+impl From<RawBalance> for Rule {
+    fn from(raw: RawBalance) -> Self {
+        match raw {
+            RawBalance::Least => Self::Least,
+            RawBalance::Even => Self::Even,
+        }
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -92,6 +112,8 @@
     pub seeds: Vec<SocketAddr>,
     pub store: SocketAddr,
     pub bounds: Bounds,
+    /// How requests are spread over targets that are equal otherwise.
+    pub balance: Rule,
 }
 
 /// Addresses that a host listens on.
@@ -155,7 +177,7 @@
     type Error = (&'static str, String);
 
     fn try_from(raw: Raw) -> Result<Self, Self::Error> {
-        let Raw { host, listen, seeds, store, bounds } = raw;
+        let Raw { host, listen, seeds, store, bounds, balance } = raw;
         let name = host.name.parse().map_err(|error| ("host.name", format!("{error}")))?;
         let data_centre =
             host.data_centre.parse().map_err(|error| ("host.data_centre", format!("{error}")))?;
@@ -175,6 +197,7 @@
             seeds,
             store: store.address,
             bounds: bounds.try_into()?,
+            balance: balance.into(),
         })
     }
 }
--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -5,10 +5,12 @@
 //! host instead, where they can still go to whichever target is free first, or be refused with the
 //! guarantee that they have not run.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use rand::Rng;
 
+use crate::balance::Rule;
 use crate::gray::Standing;
 
 /// Bounds of the risk classes between which the choice distinguishes. A healthy target that just
@@ -31,6 +33,8 @@
 /// Time since its last failure after which a target may not stay idle. Operators count a target as
 /// healthy six seconds after its episode, and most episodes are over by this time.
 const RECOVERED_AFTER: Duration = Duration::from_millis(4500);
+/// Preference class of targets in use; see [`tier`].
+const IN_USE: u8 = 1;
 /// Share of a service's targets that may be idle. Operators count capacity as withheld if 0.3
 /// of the healthy targets are idle.
 const MAX_IDLE_SHARE: f64 = 0.3;
@@ -40,7 +44,13 @@
 pub struct Candidate {
     /// Requests in flight at the target, of this host and of others as far as known.
     pub in_flight: u32,
+    /// Those of this host.
+    pub own: u32,
     pub slots: u32,
+    /// This host's share of the slots; see [`crate::balance::home_shares`].
+    pub home: f64,
+    /// Whether this host has an idle connection to it.
+    pub connected: bool,
     /// Whether it is in this host's data centre.
     pub near: bool,
     /// Whether it is still warming up after its start.
@@ -85,23 +95,45 @@
     /// Whether the request can be retried at another target if this one fails it.
     pub can_retry: bool,
     pub waited: Duration,
+    /// Time from its arrival to the latest moment at which it may be sent.
+    pub time: Duration,
+}
+
+/// What the choice among targets that are equal otherwise depends on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Balance {
+    pub rule: Rule,
+    /// Whether the loads of the other hosts are known.
+    pub is_informed: bool,
 }
 
 /// Returns the index of the target for a request, or `None` if the request should wait.
 pub fn choose<R: Rng + ?Sized>(
     candidates: &[Candidate],
     request: Request,
+    balance: Balance,
     rng: &mut R,
 ) -> Option<usize> {
+    let Balance { rule, is_informed } = balance;
     let offset: usize = rng.random_range(0..candidates.len().max(1));
-    let order = |at: &usize| {
-        let one = &candidates[*at];
-        let load = one.in_flight * 1000 / one.slots.max(1) + if one.cold { 600 } else { 0 };
+    let with_tier = |at| Some((tier(&candidates[at], request)?, at));
+    let usable: Vec<(u8, usize)> = (0..candidates.len()).filter_map(with_tier).collect();
+    let best = usable.iter().map(|(tier, _)| *tier).min()?;
+    // Targets in doubt don't take what is kept from those in use.
+    let usable = usable.into_iter().filter(|(tier, _)| *tier == best).map(|(_, at)| at);
+    let allowed: Vec<_> = usable.filter(|at| rule.allows(&candidates[*at], is_informed)).collect();
+    if best == IN_USE && rule.holds(candidates, request) {
+        return None;
+    }
+    let order = |at: usize| {
+        let one = &candidates[at];
         let risk = if request.can_retry { 0 } else { one.risk_step() };
-        (tier(one, request), risk, !one.near, load, (*at + offset) % candidates.len())
+        let place = rule.place(one, rng);
+        ((risk, !one.near, place, (at + offset) % candidates.len()), at)
     };
-    let usable = (0..candidates.len()).filter(|at| tier(&candidates[*at], request).is_some());
-    usable.min_by_key(order)
+    let places = allowed.into_iter().map(order);
+    let first = places.min_by(|one, other| one.partial_cmp(other).unwrap_or(Ordering::Equal));
+    first.map(|(_, at)| at)
 }
 
 /// Returns the preference class of a target, the lowest first, or `None` if it may not be used.
@@ -111,7 +143,7 @@
     }
     match one.standing {
         Standing::InUse | Standing::Trial(_) | Standing::Spare if one.due && one.owned => Some(0),
-        Standing::InUse => Some(1),
+        Standing::InUse => Some(IN_USE),
         Standing::Trial(_) if request.can_retry && one.owned && one.in_flight == 0 => Some(0),
         Standing::Trial(_) if request.can_retry || request.waited >= TRIAL_WAIT => Some(2),
         Standing::Spare if request.can_retry || request.waited >= SPARE_WAIT => Some(3),
--- a/chicoryloom_policy/src/inflight.rs
+++ b/chicoryloom_policy/src/inflight.rs
@@ -12,6 +12,9 @@
 
 /// Age at which another host's report is dropped.
 pub const REPORT_MAX_AGE: Duration = Duration::from_secs(3);
+/// Silence of all other hosts after which their loads are unknown; longer than the interval at which
+/// they repeat them.
+const MAX_SILENCE: Duration = Duration::from_millis(1500);
 
 /// The latest report of another host.
 #[derive(Clone, Debug)]
@@ -30,6 +33,8 @@
     reports: HashMap<id::Host, Report>,
     /// Sum of all reports; no zeros.
     reported: HashMap<id::Instance, u32>,
+    /// Since when this host hears others without a gap, and when it last did.
+    heard: Option<(Moment, Moment)>,
 }
 
 impl InFlight {
@@ -43,6 +48,26 @@
         subtract(&mut self.own, target, 1);
     }
 
+    /// Records that a message of another host came in.
+    pub fn hear(&mut self, now: Moment) {
+        let is_gap = |latest: Moment| now.since(latest) >= MAX_SILENCE;
+        let since = self.heard.filter(|(_, latest)| !is_gap(*latest)).map_or(now, |heard| heard.0);
+        self.heard = Some((since, now));
+    }
+
+    /// Returns whether the loads of the other hosts are known: each repeats its own at least once in
+    /// [`MAX_SILENCE`]. They aren't after a start, a pause or a cut.
+    pub fn is_informed(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|(since, latest)| {
+            now.since(latest) < MAX_SILENCE && now.since(since) >= MAX_SILENCE
+        })
+    }
+
+    /// Returns the requests of this host at a target.
+    pub fn own_at(&self, target: &id::Instance) -> u32 {
+        self.own.get(target).copied().unwrap_or_default()
+    }
+
     /// Returns the requests of all known hosts at a target.
     pub fn total(&self, target: &id::Instance) -> u32 {
         let count = |counts: &HashMap<_, u32>| counts.get(target).copied().unwrap_or_default();
@@ -68,6 +93,7 @@
         if known.is_some_and(|one| one.incarnation == incarnation && one.sequence >= sequence) {
             return false;
         }
+        self.hear(now);
         self.forget(host);
         let mut counts = HashMap::new();
         for (target, count) in loads {
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod account;
 pub mod allowance;
+pub mod balance;
 pub mod catalog;
 pub mod dispatch;
 pub mod document;
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::balance::Rule;
 use chicoryloom_policy::catalog::Destination;
 use chicoryloom_policy::catalog::Repeat;
 use chicoryloom_policy::dispatch;
+use chicoryloom_policy::dispatch::Balance;
 use chicoryloom_policy::dispatch::Candidate;
 use chicoryloom_policy::dispatch::Request;
 use chicoryloom_policy::entry;
@@ -22,7 +24,10 @@
 fn candidate(in_flight: u32, near: bool, standing: Standing) -> Candidate {
     Candidate {
         in_flight,
+        own: 0,
         slots: 2,
+        home: 0.0,
+        connected: false,
         near,
         cold: false,
         standing,
@@ -35,11 +40,16 @@
 }
 
 fn request(repeat: Repeat) -> Request {
-    Request { can_retry: repeat == Repeat::Safe, waited: Duration::ZERO }
+    Request {
+        can_retry: repeat == Repeat::Safe,
+        waited: Duration::ZERO,
+        time: Duration::from_secs(3),
+    }
 }
 
 fn choose(candidates: &[Candidate], request: Request) -> Option<usize> {
-    dispatch::choose(candidates, request, &mut Pcg64::seed_from_u64(3))
+    let balance = Balance { rule: Rule::Least, is_informed: true };
+    dispatch::choose(candidates, request, balance, &mut Pcg64::seed_from_u64(3))
 }
 
 #[rstest]
--- a/chicoryloom_policy/tests/gray.rs
+++ b/chicoryloom_policy/tests/gray.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::balance::Rule;
 use chicoryloom_policy::dispatch;
+use chicoryloom_policy::dispatch::Balance;
 use chicoryloom_policy::dispatch::Candidate;
 use chicoryloom_policy::dispatch::Request;
 use chicoryloom_policy::gray::Estimator;
@@ -189,7 +191,10 @@
         let mut candidates: Vec<_> = (0..self.targets)
             .map(|target| Candidate {
                 in_flight: in_flight[target],
+                own: in_flight[target],
                 slots: self.slots,
+                home: 0.0,
+                connected: false,
                 near: true,
                 cold: false,
                 standing: views[target].standing,
@@ -203,8 +208,9 @@
         if estimator.is_some() {
             dispatch::mark_due(&mut candidates, dispatch::idle_allowance(0, self.targets));
         }
-        let request = Request { can_retry: false, waited };
-        let chosen = dispatch::choose(&candidates, request, rng)?;
+        let request = Request { can_retry: false, waited, time: Duration::from_secs(3) };
+        let balance = Balance { rule: Rule::Least, is_informed: true };
+        let chosen = dispatch::choose(&candidates, request, balance, rng)?;
         Some((chosen, matches!(views[chosen].standing, Standing::Trial(_))))
     }
 }
