--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -61,6 +61,9 @@
     pub(in crate::gateway) fn record_unreached(&self, endpoint: &Endpoint, since: Moment) {
         let now = self.clock.now();
         let mut state = self.lock();
+        if Self::is_evacuated(&state, endpoint) {
+            return;
+        }
         let remains = |endpoint: &&Arc<Endpoint>| !Self::is_evacuated(&state, endpoint);
         let size = |service: &Service| service.targets.iter().filter(remains).count();
         let sizes = state.services.values().map(size);
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -128,6 +128,20 @@
     weak_self: Weak<Self>,
 }
 
+/// What a [`Dispatcher`] is created from.
+pub(super) struct Setup {
+    pub(super) me: id::Host,
+    pub(super) data_centre: id::DataCentre,
+    /// Address that connections to targets come from.
+    pub(super) source: IpAddr,
+    pub(super) bounds: Bounds,
+    /// Header in which targets say in answers to checks that they are cold.
+    pub(super) warmup_header: Option<HeaderName>,
+    pub(super) rule: Rule,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) events: Events,
+}
+
 impl fmt::Debug for Dispatcher {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "Dispatcher {{ {} }}", self.me)
@@ -135,16 +149,8 @@
 }
 
 impl Dispatcher {
-    pub(super) fn new(
-        me: id::Host,
-        data_centre: id::DataCentre,
-        source: IpAddr,
-        bounds: Bounds,
-        warmup_header: Option<HeaderName>,
-        rule: Rule,
-        clock: Arc<dyn Clock>,
-        events: Events,
-    ) -> Arc<Self> {
+    pub(super) fn new(setup: Setup) -> Arc<Self> {
+        let Setup { me, data_centre, source, bounds, warmup_header, rule, clock, events } = setup;
         let key = entry::rank(&me);
         let started = clock.now();
         Arc::new_cyclic(|weak_self| Self {
--- a/chicoryloom/src/gateway/dispatcher/throttle.rs
+++ b/chicoryloom/src/gateway/dispatcher/throttle.rs
@@ -30,6 +30,8 @@
 /// Most targets of a service that a host asks for permits at a time. It bounds the messages where
 /// hundreds of targets name limits at once.
 const MAX_ASKS: usize = 8;
+/// Most hosts that have rations of a target's limit. Each may have saved up one request.
+const MAX_RATIONS: usize = 6;
 /// Most permits that a host asks for at a time.
 const MAX_WANTED: u32 = 32;
 /// Time for which a change of a limit is reported to the other hosts once a second, as datagrams get
@@ -242,6 +244,7 @@
             Message::Ask { process, change, cold, asked, wanted } => {
                 self.apply_listing(&mut state);
                 if let Some(Cold { rate, remaining }) = cold {
+                    let remaining = remaining.min(self.longest_warmup(&state));
                     Self::assert_cold(&mut state, &process, rate, remaining, now);
                 }
                 if state.trial_targets.contains(&process.instance) {
@@ -336,7 +339,8 @@
                 let issuer = state.throttle.issuer(&process, state.visible_part, now);
                 issuer.is_some_and(|issuer| issuer.take(now))
             } else if self.is_rationed(state, endpoint) {
-                let (hosts, part) = (state.entry_hosts.len(), state.visible_part);
+                let hosts = state.entry_hosts.len().min(MAX_RATIONS);
+                let part = state.visible_part;
                 state.throttle.ration.take(&process, limit, hosts, part, now)
             } else {
                 false
@@ -348,14 +352,15 @@
     }
 
     /// Returns whether this host uses its ration of a target's limit, as the responsible host gives out
-    /// no permits. Only entry hosts have rations, which are counted.
+    /// no permits. Some entry hosts have rations, the same ones on all hosts.
     fn is_rationed(&self, state: &State, endpoint: &Endpoint) -> bool {
         if state.throttle.silence.count() == 0 {
             return false;
         }
-        let is_entry = state.entry_hosts.iter().any(|(host, _)| *host == self.me);
         let owner = self.owner(state, endpoint);
-        is_entry && owner.is_some_and(|owner| state.throttle.silence.is_silent(&owner))
+        let entry_hosts = Owners::new(state.entry_hosts.iter().map(|(host, _)| host));
+        let has_ration = || entry_hosts.first(endpoint.trial_key, MAX_RATIONS).contains(&&self.me);
+        owner.is_some_and(|owner| state.throttle.silence.is_silent(&owner)) && has_ration()
     }
 
     /// Records that a host knows limits, as the version of its messages has them.
--- a/chicoryloom/src/gateway/dispatcher/warming.rs
+++ b/chicoryloom/src/gateway/dispatcher/warming.rs
@@ -66,10 +66,21 @@
         let mut state = self.lock();
         let warmup = self.warmup(state.catalog.as_deref(), &endpoint.target.service);
         if let Some(warmup) = warmup {
+            let remaining = remaining.min(warmup.time);
             Self::assert_cold(&mut state, &endpoint.process(), warmup.rate, remaining, now);
         }
     }
 
+    /// Returns the longest time that targets take to warm up; zero if they don't.
+    pub(super) fn longest_warmup(&self, state: &State) -> Duration {
+        let Some(catalog) = state.catalog.as_deref().filter(|_| self.bounds.warmup.is_some())
+        else {
+            return Duration::ZERO;
+        };
+        let times = catalog.services.values().filter_map(|service| service.warmup);
+        times.map(|warmup| warmup.time).max().unwrap_or_default()
+    }
+
     /// Returns how many targets are cold, and how many requests this host has sent to such ones.
     pub(in crate::gateway) fn warming_gauges(&self) -> (u64, u64) {
         let (state, now) = (self.lock(), self.clock.now());
--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -324,7 +324,7 @@
     }
 
     fn apply_change(&self, host: &id::Host, change: Change) {
-        if matches!(change, Change::Lost | Change::Restarted) {
+        if matches!(change, Change::Lost | Change::Restarted | Change::Joined) {
             self.dispatcher.forget_host(host);
         }
         let change = format!("{change:?}").to_lowercase();
--- a/chicoryloom/src/gateway/fleet/throttle.rs
+++ b/chicoryloom/src/gateway/fleet/throttle.rs
@@ -17,6 +17,8 @@
 use crate::gateway::message::Ceiling;
 use crate::gateway::message::Cold;
 
+/// Age in an ask of a host that knows nothing of the target's limit.
+const UNKNOWN_AGE_MS: u32 = u32::MAX;
 /// Most limits in one datagram; each takes about 35 bytes.
 const LIMITS_PER_DATAGRAM: usize = 30;
 
@@ -74,7 +76,11 @@
                 let cold = Cold { rate, remaining_ms: millis(remaining) };
                 extension = extension.with(Field::Cold, &cold);
             }
-            let age_ms = millis(now.since(change.at));
+            let age_ms = if change.at == Moment::ZERO {
+                UNKNOWN_AGE_MS
+            } else {
+                millis(now.since(change.at))
+            };
             let ceiling = Ceiling { process: process.into(), limit: change.limit, age_ms };
             Body::Ask { ceiling, asked_ns: nanos(asked), wanted }
         }
@@ -91,7 +97,11 @@
 fn decode(body: Body, cold: Option<Cold>, now: Moment) -> Option<Message> {
     Some(match body {
         Body::Ask { ceiling: Ceiling { process, limit, age_ms }, asked_ns, wanted } => {
-            let at = now.before(Duration::from_millis(age_ms.into()));
+            let at = if age_ms == UNKNOWN_AGE_MS {
+                Moment::ZERO
+            } else {
+                now.before(Duration::from_millis(age_ms.into()))
+            };
             Message::Ask {
                 process: process.into(),
                 change: Change { limit, at },
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use super::Gateway;
+use super::dispatcher;
 use super::dispatcher::Dispatcher;
 use super::edge;
 use super::edge::Server;
@@ -115,16 +116,16 @@
         let readiness = readiness.await.map_err(bind("readiness", settings.listen.readiness))?;
 
         let limiter = Arc::new(Mutex::new(Limiter::new(settings.bounds.rate_window, clock.now())));
-        let dispatcher = Dispatcher::new(
-            settings.name.clone(),
-            settings.data_centre.clone(),
-            settings.address,
-            settings.bounds,
-            dialect.protocol().warmup_ms.clone(),
-            settings.balance,
-            clock.clone(),
-            events.clone(),
-        );
+        let dispatcher = Dispatcher::new(dispatcher::Setup {
+            me: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            source: settings.address,
+            bounds: settings.bounds,
+            warmup_header: dialect.protocol().warmup_ms.clone(),
+            rule: settings.balance,
+            clock: clock.clone(),
+            events: events.clone(),
+        });
         let mirror = Arc::new(Mirror::new(
             dispatcher.clone(),
             dialect.clone(),
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -246,7 +246,7 @@
             }
         }
         // A host that has just started has no earlier entries that could have lapsed.
-        let is_first = self.mirror.age() == Duration::MAX;
+        let is_first = Kind::COMMON.iter().any(|kind| self.mirror.position(*kind).is_start());
         if is_in_touch && !is_first {
             self.mirror.platform_returned();
         }
--- a/chicoryloom_policy/src/entry.rs
+++ b/chicoryloom_policy/src/entry.rs
@@ -79,6 +79,14 @@
         self.hosts.is_empty()
     }
 
+    /// Returns the first `count` hosts in the order in which they take over a target with a key.
+    pub fn first(&self, target_key: u64, count: usize) -> Vec<&'a id::Host> {
+        let mut order: Vec<_> =
+            self.hosts.iter().map(|(key, host)| (mix(key ^ target_key), *host)).collect();
+        order.sort_by(|one, other| other.cmp(one));
+        order.into_iter().take(count).map(|(_, host)| host).collect()
+    }
+
     /// Returns the host that is responsible for the target with a key.
     pub fn owner(&self, target_key: u64) -> Option<&'a id::Host> {
         let weight = |(key, host): &&(u64, &'a id::Host)| (mix(key ^ target_key), *host);
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -314,7 +314,9 @@
             return Changes::default();
         }
         let kind = update.kind;
-        self.table_mut(kind).grace_until = None;
+        if kind == Kind::Target {
+            self.targets.grace_until = None;
+        }
         let lapsed = update.lapsed.clone();
         let changes = self.merge(update, now);
         // This host may follow another one by the time they expire, so it expires them itself.
@@ -427,6 +429,9 @@
             .filter(|record| !listed.contains(&record.name) && !is_kept(record))
             .map(|record| record.name.clone())
             .collect();
+        if kind == Kind::Evacuation {
+            return table.delete_ended(unlisted, position, now);
+        }
         if let Some(until) = grace {
             for name in unlisted {
                 table.lapsed.entry(name).or_insert(until);
@@ -500,6 +505,32 @@
         merge != Merge::Outdated || !is_of_earlier_era
     }
 
+    /// Deletes the unlisted objects that were written in this era of the store, and returns their
+    /// names. Those of an earlier era lapse, as the store may have lost them.
+    fn delete_ended(
+        &mut self,
+        unlisted: Vec<SmolStr>,
+        position: Position,
+        now: Moment,
+    ) -> Vec<SmolStr> {
+        let mut ended = Vec::new();
+        for name in unlisted {
+            let known = self.records.get(&name);
+            let is_lost = known.is_some_and(|record| record.position.era < position.era);
+            let until = self.lapsed.get(&name).copied().or(self.grace_until);
+            match until.filter(|until| is_lost && now < *until) {
+                Some(until) => {
+                    self.lapsed.insert(name, until);
+                }
+                None => {
+                    self.delete_known(&name, position);
+                    ended.push(name);
+                }
+            }
+        }
+        ended
+    }
+
     /// Deletes an object and remembers its generation.
     fn delete_known(&mut self, name: &SmolStr, position: Position) {
         let generation = self.records.get(name).map(|record| record.generation);
