--- a/chicoryloom_policy/tests/evacuation.rs
+++ b/chicoryloom_policy/tests/evacuation.rs
@@ -56,6 +56,12 @@
     replica.records(Kind::Evacuation).map(|record| record.name.clone()).collect()
 }
 
+/// Returns the known evacuations with the position of each.
+fn positions(replica: &Replica) -> BTreeMap<SmolStr, Position> {
+    let records = replica.records(Kind::Evacuation);
+    records.map(|record| (record.name.clone(), record.position)).collect()
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Begin(usize),
@@ -90,17 +96,18 @@
         let mut now = Moment::from_millis(1);
         let mut store = Store { revision: 1, ..Store::default() };
         let mut hosts = vec![Replica::default(); HOSTS];
-        // Evacuations of the operator that haven't ended, and until when a restoration that lost
-        // them may not end them.
-        let mut asked: BTreeMap<SmolStr, Option<Moment>> = BTreeMap::new();
+        // Evacuations of the operator that haven't ended, since which position of the store, and
+        // until when a restoration that lost them may not end them.
+        let mut asked: BTreeMap<SmolStr, (Position, Option<Moment>)> = BTreeMap::new();
         for step in steps {
-            let before: Vec<_> = hosts.iter().map(known).collect();
+            let before: Vec<_> = hosts.iter().map(positions).collect();
             match step {
                 Step::Begin(at) => {
                     store.revision += 1;
                     let revision = store.revision;
-                    store.objects.entry(CENTRES[at].into()).or_insert(revision);
-                    asked.insert(CENTRES[at].into(), None);
+                    let begun = *store.objects.entry(CENTRES[at].into()).or_insert(revision);
+                    let begun = Position::new(Era(store.era), begun);
+                    asked.insert(CENTRES[at].into(), (begun, None));
                 }
                 Step::End(at) => {
                     store.revision += 1;
@@ -111,7 +118,7 @@
                 Step::Restore => if let Some((revision, objects)) = store.copy.clone() {
                     store = Store { era: store.era + 1, revision, objects, copy: store.copy };
                     let until = now.after(EVACUATION_GRACE);
-                    for (name, lost) in &mut asked {
+                    for (name, (_, lost)) in &mut asked {
                         if !store.objects.contains_key(name) {
                             lost.get_or_insert(until);
                         }
@@ -138,9 +145,11 @@
             }
             for (host, before) in hosts.iter().zip(before) {
                 let after = known(host);
-                for name in before.difference(&after) {
-                    let in_force = asked.get(name);
-                    let may_end = in_force.is_none_or(|lost| lost.is_some_and(|until| now >= until));
+                for (name, position) in before.iter().filter(|(name, _)| !after.contains(*name)) {
+                    // An earlier evacuation of the data centre, which has ended, may be dropped.
+                    let may_end = asked.get(name).is_none_or(|(begun, lost)| {
+                        position < begun || lost.is_some_and(|until| now >= until)
+                    });
                     prop_assert!(may_end, "{name} dropped at {now:?}: {step:?}");
                 }
             }
@@ -182,6 +191,28 @@
     }
 }
 
+/// A host that follows another one and then watches keeps what the restored store has lost.
+#[test]
+fn lost_evacuation_outlives_a_change_of_source() {
+    let now = Moment::from_millis(1);
+    let mut store = Store { revision: 1, ..Store::default() };
+    store.objects.insert("north".into(), 1);
+    let mut hosts = [Replica::default(), Replica::default()];
+    for host in &mut hosts {
+        host.apply(store.list(), now);
+    }
+    let restored = Store { era: 1, revision: 1, ..Store::default() };
+    for host in &mut hosts {
+        host.apply(restored.list(), now);
+    }
+    let [one, other] = &mut hosts;
+    other.apply_relayed(one.snapshot(Kind::Evacuation, other.position(Kind::Evacuation)), now);
+    other.apply(restored.list(), now);
+    assert_eq!(known(other), store.listed());
+    other.expire(now.after(EVACUATION_GRACE));
+    assert!(known(other).is_empty());
+}
+
 #[test]
 fn set_tells_what_began_and_ended() {
     let centre = |name: &str| name.parse::<id::DataCentre>().unwrap();
--- a/chicoryloom_policy/tests/loss.rs
+++ b/chicoryloom_policy/tests/loss.rs
@@ -155,6 +155,19 @@
     assert!(answer(&mut losses, 9, OLD, 50).is_empty(), "two targets at once");
 }
 
+/// A target that resets its connections doesn't keep a request from being blamed that crashed another.
+#[test]
+fn losses_with_an_answer_between_are_judged_apart() {
+    let mut losses = witnessed(&[(1, 7, 1)]);
+    // No later connection answers yet, so that the loss can't be judged.
+    let loss_on_new = |target, request, at| Loss { opened: after(at), ..loss(target, request, at) };
+    losses.add(loss_on_new(3, 8, 5));
+    assert!(answer(&mut losses, 9, OLD, 3).is_empty());
+    assert_eq!(answer(&mut losses, 9, OLD, 30), []);
+    losses.add(loss(2, 7, 40));
+    assert_eq!(answer(&mut losses, 9, OLD, 60), [(2, 7, Proof::Link)]);
+}
+
 #[test]
 fn request_that_is_answered_elsewhere_is_not_blamed() {
     let mut losses = witnessed(&[(1, 7, 0)]);
--- a/chicoryloom_policy/tests/share.rs
+++ b/chicoryloom_policy/tests/share.rs
@@ -42,6 +42,11 @@
     let targets: Vec<id::Instance> =
         (0..1100).map(|n| format!("i-{n:x}").parse().unwrap()).collect();
     let all = Owners::new(names.iter());
+    for key in 0..100 {
+        let first = all.first(key, 6);
+        assert_eq!(first.first().copied(), all.owner(key));
+        assert_eq!(first.len(), names.len().min(6));
+    }
     let fewer = Owners::new(names[1..].iter());
     let mut owned: HashMap<&id::Host, usize> = HashMap::new();
     for target in &targets {
