Leave no target idle while a service falls short of its requests

Change: policy::shortfall keeps the share of a service's requests that were not served lately. From a tenth on, every idle target gets the next request of the host that is responsible for it.

--- a/chicoryloom/src/gateway/dispatcher/board.rs
+++ b/chicoryloom/src/gateway/dispatcher/board.rs
@@ -91,7 +91,8 @@
         };
         let mut candidates: Vec<_> =
             endpoints.iter().zip(counts).zip(views).map(candidate).collect();
-        self.mark_due(&endpoints, &mut candidates);
+        let is_short = service.shortfall.is_short(now);
+        self.mark_due(&endpoints, &mut candidates, is_short);
         let balance = self.balance(state, now);
         Some(Board { endpoints, candidates, balance })
     }
@@ -100,15 +101,15 @@
     /// have a lower risk of failure.
     ///
     /// How many may stay idle depends on how many targets the data centres have that sort before
-    /// this one.
-    fn mark_due(&self, usable: &[Arc<Endpoint>], candidates: &mut [Candidate]) {
+    /// this one; none may while the service is short.
+    fn mark_due(&self, usable: &[Arc<Endpoint>], candidates: &mut [Candidate], is_short: bool) {
         let order = |endpoint: &&Arc<Endpoint>| endpoint.target.data_centre.cmp(&self.data_centre);
         let before = usable.iter().filter(|endpoint| order(endpoint).is_lt()).count();
         let (indices, mut near): (Vec<_>, Vec<_>) = (0..usable.len())
             .map(|index| (index, candidates[index]))
             .filter(|(_, candidate)| candidate.near)
             .unzip();
-        let allowance = dispatch::idle_allowance(before, near.len());
+        let allowance = if is_short { 0 } else { dispatch::idle_allowance(before, near.len()) };
         dispatch::mark_due(&mut near, allowance);
         for (index, candidate) in indices.into_iter().zip(near) {
             candidates[index] = candidate;
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod roster;
 pub mod run;
 pub mod share;
+pub mod shortfall;
 pub mod split;
 pub mod throttle;
 pub mod unit;
