Let other hosts clear a request that one holds back without a proof

Change: such holds are told under one address that is no target's, so that all of them together count as one target, and the host that gets an answer clears the request.

--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -21,6 +21,7 @@
 use std::collections::HashSet;
 use std::fmt;
 use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -61,6 +62,9 @@
 /// Targets that must crash on equal requests before such requests are held back. Equal requests of
 /// one workspace are common, and two targets may well crash for another reason while they run one.
 const CRASH_LIMIT: usize = 3;
+/// Stands for the targets of all losses that nothing could prove, so that they count as one target
+/// at other hosts, which then clear the request if they get an answer to it.
+const UNPROVED: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 /// Time for which a leaving target is reported to the other hosts once a second, as datagrams get
 /// lost and hosts become entry hosts.
 const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(3);
@@ -210,6 +214,8 @@
         let held: Vec<_> = state.holdback.all_held(now).collect();
         let held = held.into_iter().map(|(request, target)| (request, target.0, false));
         state.crash_reports.extend(held);
+        let own: Vec<_> = state.own_holdback.all_held(now).collect();
+        state.crash_reports.extend(own.into_iter().map(|(request, _)| (request, UNPROVED, false)));
         state.withdrawals.sweep(now);
         state.evacuations.sweep(now);
         let listed = state.listed;
