Project other hosts' admissions as before, since the smoothed rate broke the grant

The bound over all hosts goes first.

Change: allowance projects by the latest reports again. What admission keeps for more urgent requests stays.

--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -21,11 +21,9 @@
 
 /// Longest time for which another host's admissions are projected past its latest report.
 const MAX_PROJECTION: Duration = Duration::from_millis(600);
-/// Weight of the newest sample in the rate of a host that is not known for a window yet. A short
-/// time between two reports makes this rate too high, which is safe while hosts start.
+/// Weight of the newest sample in another host's smoothed rate. A short time between two reports makes
+/// the rate too high, so that what is projected by it stays within the tolerance.
 const RATE_WEIGHT: f64 = 0.4;
-/// Time constant of the rate of a host that is known for a window.
-const RATE_MEMORY: Duration = Duration::from_millis(500);
 /// Fewest unreported requests for which a host reports before the next one is due.
 const MIN_UNREPORTED: f64 = 1.0;
 /// Part of the bucket below which a workspace is near its limit, since it has asked for more than
@@ -56,60 +54,37 @@
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     incarnation: id::Incarnation,
-    /// Time of the first report.
-    known_since: Moment,
     total: u64,
     reported_at: Moment,
     /// Requests that the latest report added.
     added: f64,
-    /// Requests a second between the latest reports, smoothed by report.
-    recent_rate: f64,
-    /// Requests a second, smoothed over time, without those that the latest report added. They are
-    /// the reason for that report, and would make the host seem busier than it is.
-    mean_rate: f64,
+    /// Smoothed requests a second.
+    rate: f64,
 }
 
 impl Peer {
     fn first(report: Report, added: f64, now: Moment) -> Self {
         let Report { incarnation, total, .. } = report;
-        Self {
-            incarnation,
-            known_since: now,
-            total,
-            reported_at: now,
-            added,
-            recent_rate: 0.0,
-            mean_rate: 0.0,
-        }
+        Self { incarnation, total, reported_at: now, added, rate: 0.0 }
     }
 
     /// Returns the state after a further report of the same incarnation.
     fn next(self, total: u64, now: Moment) -> Self {
         let added = total.saturating_sub(self.total) as f64;
         let span = now.since(self.reported_at).as_secs_f64();
-        let recent_rate = if span > 0.0 {
-            self.recent_rate + RATE_WEIGHT * (added / span - self.recent_rate)
+        let rate = if span > 0.0 {
+            self.rate + RATE_WEIGHT * (added / span - self.rate)
         } else {
-            self.recent_rate
+            self.rate
         };
-        let memory = RATE_MEMORY.as_secs_f64();
-        let mean_rate = (self.mean_rate + self.added / memory) * (-span / memory).exp();
-        let total = total.max(self.total);
-        Self { total, reported_at: now, added, recent_rate, mean_rate, ..self }
+        Self { total: total.max(self.total), reported_at: now, added, rate, ..self }
     }
 
     /// Returns how many requests the host is expected to have admitted since its latest report.
-    fn expected(&self, is_settled: bool, now: Moment, window: Duration) -> f64 {
-        let age = now.since(self.reported_at).as_secs_f64();
+    fn expected(&self, now: Moment) -> f64 {
+        let age = now.since(self.reported_at);
         // A host that reports no more may have stopped, so nothing is projected for it.
-        if age > MAX_PROJECTION.as_secs_f64() {
-            0.0
-        } else if is_settled && now.since(self.known_since) > window {
-            let memory = RATE_MEMORY.as_secs_f64();
-            self.mean_rate * memory * (1.0 - (-age / memory).exp())
-        } else {
-            self.recent_rate * age
-        }
+        if age > MAX_PROJECTION { 0.0 } else { self.rate * age.as_secs_f64() }
     }
 }
 
@@ -306,10 +281,9 @@
         let window = self.window;
         let discovery_end = self.started.after(DISCOVERY_TIME);
         let share = self.discovery_share;
-        let is_settled = self.has_full_window(now);
         let meter = self.meter(&workspace.name);
         meter.refill(grant, discovery_end, share, now);
-        let projected = meter.projected(is_settled, now, window);
+        let projected = meter.projected(now);
         meter.remaining = meter.remaining(now, window) - projected;
         let needed = 1.0 + grant.rate * reserve.as_secs_f64();
         if meter.remaining >= needed {
@@ -451,8 +425,8 @@
 
     /// Returns how many requests the other hosts are expected to have admitted since their latest
     /// reports.
-    fn projected(&self, is_settled: bool, now: Moment, window: Duration) -> f64 {
-        self.peers.values().map(|peer| peer.expected(is_settled, now, window)).sum()
+    fn projected(&self, now: Moment) -> f64 {
+        self.peers.values().map(|peer| peer.expected(now)).sum()
     }
 
     /// Returns the time until `needed` requests may be admitted: until enough of the counted ones
