--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -22,7 +22,7 @@
 /// Longest time for which another host's admissions are projected past its latest report.
 const MAX_PROJECTION: Duration = Duration::from_millis(600);
 /// Weight of the newest sample in another host's smoothed rate. A short time between two reports makes
-/// the rate too high, so that what is projected by it stays within the tolerance.
+/// the rate too high, which leaves part of a grant unused.
 const RATE_WEIGHT: f64 = 0.4;
 /// Fewest unreported requests for which a host reports before the next one is due.
 const MIN_UNREPORTED: f64 = 1.0;
