Log which host is followed, how a gap was judged and what is kept after it

Operators couldn't tell a host that follows another one from a host that has stopped watching: both logged `source: peer`, neither named the relay. A removal that was held back left no trace at all, nor did the decision of a `gap`.

`source` names the relay and its age, `gap` the copy that was taken over and whether lapsed objects are kept, `object_kept` each of them. Gauges for the age of the copy, the known and the kept targets.

No change of behaviour; replica, era and evacuation tests of the policy pass.

--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -273,6 +273,22 @@
         "Times that the platform's store was restored from a copy, as far as known",
         move || read.era().0,
     );
+    let read = mirror.clone();
+    metrics.register_gauge(
+        "chicory_copy_age_ms",
+        "Time since the copy of the platform's objects was confirmed",
+        move || read.age().as_millis().min(u128::from(u32::MAX)) as u64,
+    );
+    let read = mirror.clone();
+    metrics.register_gauge("chicory_targets_known", "Targets in the copy", move || {
+        read.target_counts().0 as u64
+    });
+    let read = mirror.clone();
+    metrics.register_gauge(
+        "chicory_targets_kept",
+        "Targets that the platform no longer lists, but may list again after its outage",
+        move || read.target_counts().1 as u64,
+    );
     let read = dispatcher.clone();
     metrics.register_gauge(
         "chicory_targets_leaving",
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -196,6 +196,13 @@
         let _ = era.wait_for(|era| *era > known).await;
     }
 
+    /// Returns how many targets are known, and how many of them are kept although the platform no
+    /// longer lists them.
+    pub(super) fn target_counts(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.targets.len(), state.replica.lapsed_count(Kind::Target))
+    }
+
     /// Returns the latest known era of the platform's store.
     pub(super) fn era(&self) -> Era {
         *self.era.borrow()
@@ -275,6 +282,9 @@
     }
 
     fn apply_changes(&self, state: &mut State, changes: &Changes, source: &str) {
+        for name in &changes.lapsed {
+            self.events.emit("object_kept", json!({ "name": name.as_str(), "from": source }));
+        }
         if changes.is_empty() {
             return;
         }
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -89,12 +89,19 @@
 /// Outcome of polling a relay.
 #[derive(Clone, Copy, Debug, Default)]
 struct Followed {
-    /// Whether the relay's copy is fresh.
-    is_fresh: bool,
+    /// Age of the relay's copy; `None` if it did not respond.
+    age: Option<Duration>,
     /// Whether the relay said nothing of evacuations, although they were asked for.
     has_no_evacuations: bool,
 }
 
+impl Followed {
+    /// Returns whether the relay's copy is fresh.
+    fn is_fresh(&self) -> bool {
+        self.age.is_some_and(|age| age < MAX_FRESH_AGE)
+    }
+}
+
 /// Replicates the platform's objects into the mirror.
 #[derive(Clone, Debug)]
 pub(super) struct Replicator {
@@ -119,6 +126,7 @@
         let started = self.clock.now();
         let mut avoided: HashMap<id::Host, Moment> = HashMap::new();
         let mut follower: Option<Follower> = None;
+        let mut source: Option<id::Host> = None;
         loop {
             self.mirror.expire();
             let now = self.clock.now();
@@ -135,7 +143,10 @@
                 let age = self.mirror.age().min(now.since(started));
                 let is_due = rank < PRIMARY_WATCHERS || age >= takeover_age;
                 let wanted = !is_discovering && is_due;
-                self.set_watching(&sources, wanted, wanted);
+                if self.set_watching(&sources, wanted, wanted) {
+                    source = None;
+                    self.emit_source(None, None);
+                }
                 tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
                 continue;
             };
@@ -143,9 +154,13 @@
             let wait =
                 MAX_FRESH_AGE.saturating_sub(self.mirror.age()).clamp(MIN_FOLLOW_WAIT, FOLLOW_WAIT);
             let followed = self.follow(&mut follower, relay.peer, wait).await;
-            if followed.is_fresh {
+            if followed.is_fresh() {
                 // Hosts of builds that know no evacuations relay none.
-                self.set_watching(&sources, false, followed.has_no_evacuations);
+                let changed = self.set_watching(&sources, false, followed.has_no_evacuations);
+                if changed || source.as_ref() != Some(&relay.host) {
+                    source = Some(relay.host.clone());
+                    self.emit_source(Some(&relay.host), followed.age);
+                }
             } else {
                 follower = None;
                 avoided.insert(relay.host.clone(), self.clock.now().after(RELAY_BACKOFF));
@@ -153,18 +168,25 @@
         }
     }
 
-    fn set_watching(&self, sources: &Sources, wanted: bool, evacuations: bool) {
+    /// Sets whether this host watches the platform; returns whether that changed.
+    fn set_watching(&self, sources: &Sources, wanted: bool, evacuations: bool) -> bool {
         let set = |source: &watch::Sender<bool>, wanted| {
             source.send_if_modified(|present| std::mem::replace(present, wanted) != wanted)
         };
         set(&sources.evacuations, evacuations);
         let changed = set(&sources.common, wanted);
         self.fleet.set_watches(wanted);
-        if changed {
-            let source = if wanted { "platform" } else { "peer" };
-            let age = self.mirror.age().as_millis().min(u128::from(u32::MAX)) as u64;
-            self.events.emit("source", json!({ "source": source, "age_ms": age }));
-        }
+        changed
+    }
+
+    /// Writes an event on where the copy comes from: a relay, or the platform.
+    fn emit_source(&self, relay: Option<&id::Host>, relay_age: Option<Duration>) {
+        let millis = |age: Duration| age.as_millis().min(u128::from(u32::MAX)) as u64;
+        let fields = json!({
+            "source": relay.map_or("platform", |_| "peer"), "relay": relay.map(id::Host::as_str),
+            "relay_age_ms": relay_age.map(millis), "age_ms": millis(self.mirror.age()),
+        });
+        self.events.emit("source", fields);
     }
 
     /// Returns the hosts before this one in the order, this host's place in it, and whether no
@@ -230,7 +252,7 @@
         if let Some(update) = evacuations {
             self.mirror.apply(update, age, Source::Host(relay));
         }
-        Followed { is_fresh: age < MAX_FRESH_AGE, has_no_evacuations }
+        Followed { age: Some(age), has_no_evacuations }
     }
 
     /// Repairs this host's copy after a gap in its updates: copies it from another host that had no
@@ -238,19 +260,28 @@
     /// platform. Returns whether another host's copy was used.
     async fn catch_up(&self) -> bool {
         let (is_in_touch, fresh) = self.fleet.reachability();
-        self.events.emit("gap", json!({ "hosts_heard": is_in_touch, "fresh_hosts": fresh }));
-        for peer in fresh {
+        let mut copied_from = None;
+        for peer in &fresh {
             let mut follower = None;
-            if self.follow(&mut follower, peer, Duration::ZERO).await.is_fresh {
-                return true;
+            if self.follow(&mut follower, *peer, Duration::ZERO).await.is_fresh() {
+                copied_from = Some(*peer);
+                break;
             }
         }
         // A host that has just started has no earlier entries that could have lapsed.
         let is_first = Kind::COMMON.iter().any(|kind| self.mirror.position(*kind).is_start());
-        if is_in_touch && !is_first {
+        let has_grace = copied_from.is_none() && is_in_touch && !is_first;
+        self.events.emit(
+            "gap",
+            json!({
+                "hosts_heard": is_in_touch, "fresh_hosts": fresh, "copied_from": copied_from,
+                "keeps_lapsed": has_grace,
+            }),
+        );
+        if has_grace {
             self.mirror.platform_returned();
         }
-        false
+        copied_from.is_some()
     }
 
     /// Watches one kind of objects at the platform while `should_watch` is true.
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -110,6 +110,8 @@
     pub catalog: bool,
     pub targets: Vec<SmolStr>,
     pub evacuations: bool,
+    /// Objects that the platform no longer lists and that are kept for a grace period from now on.
+    pub lapsed: Vec<SmolStr>,
 }
 
 impl Changes {
@@ -118,7 +120,7 @@
         usize::from(self.catalog) + self.targets.len() + usize::from(self.evacuations)
     }
 
-    /// Returns whether nothing changed.
+    /// Returns whether no object changed.
     pub fn is_empty(&self) -> bool {
         !self.catalog && self.targets.is_empty() && !self.evacuations
     }
@@ -318,13 +320,14 @@
             self.targets.grace_until = None;
         }
         let lapsed = update.lapsed.clone();
-        let changes = self.merge(update, now);
+        let mut changes = self.merge(update, now);
         // This host may follow another one by the time they expire, so it expires them itself.
         let grace = kind.restoration_grace().unwrap_or_default();
         let table = self.table_mut(kind);
         for name in lapsed {
-            if table.records.contains_key(&name) {
-                table.lapsed.entry(name).or_insert(now.after(grace));
+            if table.records.contains_key(&name) && !table.lapsed.contains_key(&name) {
+                changes.lapsed.push(name.clone());
+                table.lapsed.insert(name, now.after(grace));
             }
         }
         changes
@@ -401,11 +404,14 @@
         for name in &names {
             table.lapsed.remove(name);
         }
+        let lapsed = table.lapsed.keys().filter(|name| !lapsed_before.contains(*name));
+        let lapsed = lapsed.cloned().collect();
         self.log_changes(kind, &names);
+        let changes = Changes { lapsed, ..Changes::default() };
         match kind {
-            Kind::Catalog => Changes { catalog: !names.is_empty(), ..Changes::default() },
-            Kind::Target => Changes { targets: names, ..Changes::default() },
-            Kind::Evacuation => Changes { evacuations: !names.is_empty(), ..Changes::default() },
+            Kind::Catalog => Changes { catalog: !names.is_empty(), ..changes },
+            Kind::Target => Changes { targets: names, ..changes },
+            Kind::Evacuation => Changes { evacuations: !names.is_empty(), ..changes },
         }
     }
 
@@ -448,7 +454,7 @@
     pub fn expire(&mut self, now: Moment) -> Changes {
         let targets = self.expire_kind(Kind::Target, now);
         let evacuations = !self.expire_kind(Kind::Evacuation, now).is_empty();
-        Changes { catalog: false, targets, evacuations }
+        Changes { targets, evacuations, ..Changes::default() }
     }
 
     fn expire_kind(&mut self, kind: Kind, now: Moment) -> Vec<SmolStr> {
