Take only failed calls of a running process for an outage of the platform

Callers: requests reached targets up to 2.4 s after the store had acknowledged their removal, from hosts that were in touch with it.

Cause: a host whose copy was older than 1.5 s when the store answered took that for the end of an outage of the store, and kept all removed targets for another 2.2 s. The age of a copy grows as well when the host that was followed stands still or loses its own link. The host asked three others for a fresh copy, one after the other and all of its own data centre, which had followed the same hosts.

The class: a conclusion about the platform that is one about a relay, this process or this host's link.

Now an outage shows in failed calls of this host alone (policy::outage). Calls that failed while the process was stopped don't count, and a host in any data centre with a fresh copy proves that there was none; four are asked at a time, of as many data centres as possible. So a follower that turns to the store and gets an answer applies removals at once.

--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -46,7 +46,7 @@
 /// host.
 const ISOLATION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Most hosts that are asked for a fresh copy after a gap.
-const MAX_CATCH_UP_HOSTS: usize = 3;
+const MAX_CATCH_UP_HOSTS: usize = 4;
 
 /// This host as a member of the fleet.
 #[derive(Debug)]
@@ -188,9 +188,7 @@
         let is_alone = members.all().next().is_none();
         let heard =
             members.last_heartbeat().is_some_and(|heard| now.since(heard) < ISOLATION_TIMEOUT);
-        let mut fresh = members.fresh(now);
-        fresh.truncate(MAX_CATCH_UP_HOSTS);
-        (is_alone || heard, fresh)
+        (is_alone || heard, members.fresh(MAX_CATCH_UP_HOSTS, now))
     }
 
     /// Announces to all other hosts at once that this one stops.
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -14,6 +14,7 @@
 
 use chicoryloom_policy::allowance::Limiter;
 use chicoryloom_policy::id;
+use chicoryloom_policy::outage::Pulse;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -166,6 +167,7 @@
             mirror: mirror.clone(),
             store: store.clone(),
             fleet: fleet.clone(),
+            pulse: Arc::new(Mutex::new(Pulse::new(clock.now()))),
             clock,
             events: events.clone(),
         };
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -200,13 +200,26 @@
         alive.map(|peer| &peer.member)
     }
 
-    /// Returns the live hosts whose copy of the platform's objects was fresh at their latest
-    /// heartbeat, the latest heartbeat first.
-    pub(super) fn fresh(&self, now: Moment) -> Vec<SocketAddr> {
+    /// Returns up to `count` live hosts whose copy of the platform's objects was fresh at their latest
+    /// heartbeat.
+    ///
+    /// They are of as many data centres as possible, since hosts of one follow the same hosts; within
+    /// a data centre the latest heartbeat comes first.
+    pub(super) fn fresh(&self, count: usize, now: Moment) -> Vec<SocketAddr> {
         let is_fresh = |peer: &&Peer| peer.member.fresh && self.is_alive(peer, now);
         let mut fresh: Vec<_> = self.peers.values().filter(is_fresh).collect();
         fresh.sort_by_key(|peer| std::cmp::Reverse(peer.last_heartbeat));
-        fresh.into_iter().map(|peer| peer.member.peer).collect()
+        let mut places: HashMap<&id::DataCentre, usize> = HashMap::new();
+        let mut placed: Vec<_> = fresh
+            .into_iter()
+            .map(|peer| {
+                let place = places.entry(&peer.member.data_centre).or_default();
+                *place += 1;
+                (*place, peer.member.peer)
+            })
+            .collect();
+        placed.sort_by_key(|(place, _)| *place);
+        placed.into_iter().take(count).map(|(_, address)| address).collect()
     }
 
     /// Returns the entry hosts of a data centre, chosen to serve `demand` requests per second.
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -10,15 +10,22 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::entry;
 use chicoryloom_policy::id;
+use chicoryloom_policy::outage;
+use chicoryloom_policy::outage::Outage;
+use chicoryloom_policy::outage::Pulse;
 use chicoryloom_policy::replica::Kind;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use rand::Rng;
 use serde_json::json;
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
 
 use super::events::Events;
 use super::fleet::Fleet;
@@ -70,7 +77,9 @@
 const DISCOVERY_TIME: Duration = Duration::from_millis(600);
 /// Interval at which a host that follows no other one chooses its source anew.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Age of the copy above which an answer of the platform is its return after an outage.
+/// Interval at which it is noticed that this process was stopped.
+const BEAT_INTERVAL: Duration = Duration::from_millis(50);
+/// Age of the copy above which entries may have lapsed since it was confirmed.
 const OUTAGE_AGE: Duration = Duration::from_millis(1500);
 
 /// Whether this host watches the platform: for the kinds that all builds relay, and for evacuations.
@@ -110,11 +119,13 @@
     pub(super) fleet: Arc<Fleet>,
     pub(super) clock: Arc<dyn Clock>,
     pub(super) events: Events,
+    pub(super) pulse: Arc<Mutex<Pulse>>,
 }
 
 impl Replicator {
     /// Runs until the task is aborted.
     pub(super) async fn run(self) {
+        tokio::spawn(self.clone().beat());
         let sources = Sources::default();
         for kind in self.mirror.kinds() {
             let should_watch = match kind {
@@ -255,26 +266,50 @@
         Followed { age: Some(age), has_no_evacuations }
     }
 
-    /// Repairs this host's copy after a gap in its updates: copies it from another host that had no
-    /// gap, or else starts the grace period for entries that lapsed during an outage of the
-    /// platform. Returns whether another host's copy was used.
-    async fn catch_up(&self) -> bool {
-        let (is_in_touch, fresh) = self.fleet.reachability();
-        let mut copied_from = None;
-        for peer in &fresh {
+    /// Records at intervals that the process runs.
+    async fn beat(self) {
+        let mut ticks = tokio::time::interval(BEAT_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let now = self.clock.now();
+            self.pulse.lock().expect("no holder of the lock panics").beat(now);
+        }
+    }
+
+    fn was_stopped(&self, begun: Moment) -> bool {
+        let now = self.clock.now();
+        self.pulse.lock().expect("no holder of the lock panics").was_stopped(begun, now)
+    }
+
+    /// Copies the objects from the first host that turns out to be fresh, and returns its address.
+    async fn copy_from(&self, hosts: &[SocketAddr]) -> Option<SocketAddr> {
+        let asked = hosts.iter().map(|host| async move {
             let mut follower = None;
-            if self.follow(&mut follower, *peer, Duration::ZERO).await.is_fresh() {
-                copied_from = Some(*peer);
-                break;
+            let followed = self.follow(&mut follower, *host, Duration::ZERO).await;
+            followed.is_fresh().then_some(*host)
+        });
+        let mut asked: FuturesUnordered<_> = asked.collect();
+        while let Some(copied) = asked.next().await {
+            if copied.is_some() {
+                return copied;
             }
         }
-        // A host that has just started has no earlier entries that could have lapsed.
-        let is_first = Kind::COMMON.iter().any(|kind| self.mirror.position(*kind).is_start());
-        let has_grace = copied_from.is_none() && is_in_touch && !is_first;
+        None
+    }
+
+    /// Repairs this host's copy after an outage of the platform or at the start: copies it from
+    /// another host that has been in touch with the platform, or else starts the grace period for
+    /// entries that lapsed in the outage. Returns whether another host's copy was used.
+    async fn catch_up(&self, has_failed: bool) -> bool {
+        let (in_touch, fresh) = self.fleet.reachability();
+        let copied_from = self.copy_from(&fresh).await;
+        let others = outage::Others { in_touch, any_fresh: copied_from.is_some() };
+        let has_grace = has_failed && Outage::may_have_lapsed(others);
         self.events.emit(
             "gap",
             json!({
-                "hosts_heard": is_in_touch, "fresh_hosts": fresh, "copied_from": copied_from,
+                "hosts_heard": in_touch, "fresh_hosts": fresh, "copied_from": copied_from,
                 "keeps_lapsed": has_grace,
             }),
         );
@@ -289,11 +324,13 @@
         let mut retry_delay = RETRY_DELAY.0;
         let mut is_listed = false;
         let mut is_lost = false;
+        let mut outage = Outage::default();
         let mut was_compacted = false;
         let mut batch_delay = Duration::ZERO;
         loop {
             if !*should_watch.borrow_and_update() {
                 is_listed = !self.mirror.position(kind).is_start();
+                outage.end();
                 if should_watch.changed().await.is_err() {
                     return;
                 }
@@ -301,6 +338,7 @@
             }
             let after = self.mirror.position(kind);
             let is_watch = is_listed && !after.is_start();
+            let begun = self.clock.now();
             let called = if is_watch {
                 tokio::time::sleep(batch_delay).await;
                 self.store.watch(kind, after, WATCH_WAIT - batch_delay).await
@@ -320,7 +358,11 @@
                         self.events.emit("store_regained", json!({ "kind": format!("{kind:?}") }));
                     }
                     is_listed = true;
-                    if self.mirror.age() > OUTAGE_AGE && !self.catch_up().await {
+                    let has_failed = outage.end() && kind == Kind::Target;
+                    let has_gap = self.mirror.age() > OUTAGE_AGE;
+                    // Copies of other hosts know what a restored store does not.
+                    let needs_others = has_failed || after.is_start();
+                    if has_gap && needs_others && !self.catch_up(has_failed).await {
                         // Entries that lapsed in the outage are absent from a listing as well.
                         // The objects are listed next, unless this update is a listing.
                         is_listed = update.whole;
@@ -346,6 +388,7 @@
                     continue;
                 }
                 Err(error) => {
+                    outage.record_failure(self.was_stopped(begun));
                     if !is_lost {
                         is_lost = true;
                         let error = error.to_string();
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod limit;
 pub mod loss;
 pub mod moment;
+pub mod outage;
 mod pace;
 pub mod pick;
 pub mod placement;
