Bound the age of a copy whichever hosts before it are lost

Callers: requests reached leaving targets up to 2.4 s after the acknowledgement from hosts whose watchers had lost the store, and a change of the configuration came as late.

Cause: several waits added up, and nothing bounded their sum. A host that had taken over stopped as soon as its copy was fresh, so that nobody watched until all copies were 1.4 to 2.0 s old again. The takeover waited for relays that did not respond; the last hosts' turn came at 2.0 s, which is the limit itself; and the call that followed waited for the pause between two answers, although the last one was long past.

The class: a limit that is kept by the sum of delays that don't know of each other.

policy::takeover decides now who watches and who is followed. A host that has taken over goes on until it follows another watcher; the takeover doesn't wait for relays and comes at 1.7 s at the latest; an old copy is confirmed by a call that doesn't wait; new and former watchers announce themselves at once. A host whose calls fail follows any watcher meanwhile.

--- a/chicoryloom/src/gateway/fleet/maintenance.rs
+++ b/chicoryloom/src/gateway/fleet/maintenance.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::takeover::MAX_FRESH_AGE;
 use tokio::time::MissedTickBehavior;
 
 use super::Fleet;
@@ -14,7 +15,6 @@
 use crate::gateway::members::HEARTBEAT_INTERVAL;
 use crate::gateway::members::REMOTE_HEARTBEAT_INTERVAL;
 use crate::gateway::message::Body;
-use crate::gateway::mirror::MAX_FRESH_AGE;
 use crate::gateway::mirror::Mirror;
 
 /// Interval between two rounds of maintenance.
@@ -38,7 +38,7 @@
         let (mut local_at, mut remote_at, mut fleet_at) =
             (Moment::ZERO, Moment::ZERO, Moment::ZERO);
         let (mut entries_at, mut swept_at) = (Moment::ZERO, Moment::ZERO);
-        let (mut was_entry, mut was_cut) = (false, false);
+        let (mut was_entry, mut was_watcher, mut was_cut) = (false, false, false);
         let mut announce_until = Moment::ZERO;
         loop {
             tokio::select! {
@@ -62,14 +62,18 @@
                 entries_at = now;
                 self.update_entries(&mirror, now);
             }
-            let is_entry = self.me().entry;
+            let me = self.me();
+            let is_entry = me.entry;
             let is_frequent = is_entry || announces;
             let interval = if is_frequent { ENTRY_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL };
             // Others send admitted requests only to hosts that they know as entry hosts, so a new
             // one announces itself at once.
             let is_new = is_entry && !was_entry;
             was_entry = is_entry;
-            if now.since(local_at) >= interval || is_new {
+            // Others follow a host, and stop watching, as long as they take it for a watcher.
+            let is_watcher = me.watches && me.fresh;
+            let has_changed = std::mem::replace(&mut was_watcher, is_watcher) != is_watcher;
+            if now.since(local_at) >= interval || is_new || has_changed {
                 local_at = now;
                 let to_remote = is_entry && now.since(remote_at) >= REMOTE_HEARTBEAT_INTERVAL;
                 let is_fleet_due = is_new || now.since(fleet_at) >= FLEET_HEARTBEAT_INTERVAL;
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -168,6 +168,7 @@
             store: store.clone(),
             fleet: fleet.clone(),
             pulse: Arc::new(Mutex::new(Pulse::new(clock.now()))),
+            is_failing: Arc::new(AtomicBool::new(false)),
             clock,
             events: events.clone(),
         };
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -31,10 +31,6 @@
 use super::port::Dialect;
 use crate::clock::Clock;
 
-/// Largest age of a copy that counts as fresh; an older one may lack changes that other hosts act
-/// on already. A change must take effect within two seconds, and this leaves a margin.
-pub(super) const MAX_FRESH_AGE: Duration = Duration::from_millis(1400);
-
 /// Time for which a host that has just started waits for the evacuations before it uses its
 /// configuration without them: no other host may know them, and the platform may be down.
 const MAX_EVACUATIONS_WAIT: Duration = Duration::from_secs(3);
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -1,16 +1,15 @@
 //! Keeps the mirror up to date, from the platform or from another host that watches the platform.
 //!
-//! In each data centre one host watches and the others follow it. The order in which hosts take
-//! over is the same on all hosts. A host follows the first watcher before it in that order whose
-//! copy is fresh, and watches the platform itself if there is none. A relay responds whenever its
-//! copy is confirmed, so that copies are about equally old along a chain of followers. A silent
-//! watcher is replaced once its copy is no longer fresh, and the platform gets a few calls a
-//! second.
+//! In each data centre one host watches and the others follow it; [`takeover`] decides which. A relay
+//! responds whenever its copy is confirmed, so that copies are about equally old along a chain of
+//! followers, and the platform gets a few calls a second.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
@@ -20,6 +19,10 @@
 use chicoryloom_policy::outage::Outage;
 use chicoryloom_policy::outage::Pulse;
 use chicoryloom_policy::replica::Kind;
+use chicoryloom_policy::takeover;
+use chicoryloom_policy::takeover::Candidate;
+use chicoryloom_policy::takeover::MAX_FRESH_AGE;
+use chicoryloom_policy::takeover::Standing;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::Rng;
@@ -31,7 +34,6 @@
 use super::fleet::Fleet;
 use super::members::Relay;
 use super::message::Fault;
-use super::mirror::MAX_FRESH_AGE;
 use super::mirror::Mirror;
 use super::mirror::Source;
 use super::port;
@@ -62,13 +64,6 @@
 const FOLLOW_SLACK: Duration = Duration::from_millis(200);
 /// Time for which a relay that failed or whose copy is not fresh is not followed.
 const RELAY_BACKOFF: Duration = Duration::from_millis(400);
-/// Hosts of a data centre that watch at the same time while the platform does not answer them,
-/// before further hosts do so as well.
-const PRIMARY_WATCHERS: usize = 2;
-/// Additional age of the copy at which each further host starts to watch.
-const TAKEOVER_STEP: Duration = Duration::from_millis(100);
-/// How many times that age grows; all later hosts start at the same age.
-const MAX_TAKEOVER_STEPS: usize = 6;
 /// Shortest and longest delay before a failed call to the platform is repeated.
 const RETRY_DELAY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time after its start in which a host that knows no other one waits for others before it calls
@@ -120,6 +115,8 @@
     pub(super) clock: Arc<dyn Clock>,
     pub(super) events: Events,
     pub(super) pulse: Arc<Mutex<Pulse>>,
+    /// Whether the latest call to the platform failed.
+    pub(super) is_failing: Arc<AtomicBool>,
 }
 
 impl Replicator {
@@ -142,18 +139,21 @@
             self.mirror.expire();
             let now = self.clock.now();
             avoided.retain(|_, until| now < *until);
-            let (before, rank, is_alone) = self.order(now);
-            let is_usable = |relay: &&Relay| !avoided.contains_key(&relay.host);
-            let watcher = before.iter().filter(|relay| relay.watches).find(is_usable);
-            let primary = before.iter().take(PRIMARY_WATCHERS).find(is_usable);
-            let Some(relay) = watcher.or(primary) else {
-                let is_discovering = is_alone && now.since(started) < DISCOVERY_TIME;
-                let steps = rank.saturating_sub(PRIMARY_WATCHERS).min(MAX_TAKEOVER_STEPS);
-                let takeover_age =
-                    MAX_FRESH_AGE + TAKEOVER_STEP * u32::try_from(steps).unwrap_or_default();
-                let age = self.mirror.age().min(now.since(started));
-                let is_due = rank < PRIMARY_WATCHERS || age >= takeover_age;
-                let wanted = !is_discovering && is_due;
+            let (others, place) = self.order(now);
+            let is_watching = *sources.common.borrow();
+            let is_failing = is_watching && self.is_failing.load(Ordering::Relaxed);
+            self.fleet.set_watches(is_watching && !is_failing);
+            let age = self.mirror.age().min(now.since(started));
+            let standing = Standing { place, age, is_watching, is_failing };
+            let candidate = |relay: &Relay| Candidate {
+                watches: relay.watches,
+                is_usable: !avoided.contains_key(&relay.host),
+            };
+            let candidates: Vec<_> = others.iter().map(candidate).collect();
+            let Some(takeover::Relay { index, replaces_watch }) = standing.relay(&candidates)
+            else {
+                let is_discovering = others.is_empty() && now.since(started) < DISCOVERY_TIME;
+                let wanted = !is_discovering && standing.watches();
                 if self.set_watching(&sources, wanted, wanted) {
                     source = None;
                     self.emit_source(None, None);
@@ -161,20 +161,32 @@
                 tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
                 continue;
             };
+            let relay = &others[index];
             // A silent relay must be detected before the copy is no longer fresh.
             let wait =
                 MAX_FRESH_AGE.saturating_sub(self.mirror.age()).clamp(MIN_FOLLOW_WAIT, FOLLOW_WAIT);
-            let followed = self.follow(&mut follower, relay.peer, wait).await;
-            if followed.is_fresh() {
-                // Hosts of builds that know no evacuations relay none.
-                let changed = self.set_watching(&sources, false, followed.has_no_evacuations);
-                if changed || source.as_ref() != Some(&relay.host) {
-                    source = Some(relay.host.clone());
-                    self.emit_source(Some(&relay.host), followed.age);
+            let until_due = takeover::due_age(place).saturating_sub(age);
+            let followed = tokio::select! {
+                followed = self.follow(&mut follower, relay.peer, wait) => followed,
+                // A relay that does not respond must not delay the takeover.
+                () = tokio::time::sleep(until_due), if !is_watching => {
+                    self.set_watching(&sources, true, true);
+                    source = None;
+                    self.emit_source(None, None);
+                    Followed::default()
                 }
-            } else {
+            };
+            if !followed.is_fresh() {
                 follower = None;
                 avoided.insert(relay.host.clone(), self.clock.now().after(RELAY_BACKOFF));
+                continue;
+            }
+            // Hosts of builds that know no evacuations relay none.
+            let changed =
+                replaces_watch && self.set_watching(&sources, false, followed.has_no_evacuations);
+            if changed || source.as_ref() != Some(&relay.host) {
+                source = Some(relay.host.clone());
+                self.emit_source(Some(&relay.host), followed.age);
             }
         }
     }
@@ -185,9 +197,8 @@
             source.send_if_modified(|present| std::mem::replace(present, wanted) != wanted)
         };
         set(&sources.evacuations, evacuations);
-        let changed = set(&sources.common, wanted);
-        self.fleet.set_watches(wanted);
-        changed
+        self.fleet.set_watches(wanted && !self.is_failing.load(Ordering::Relaxed));
+        set(&sources.common, wanted)
     }
 
     /// Writes an event on where the copy comes from: a relay, or the platform.
@@ -200,20 +211,17 @@
         self.events.emit("source", fields);
     }
 
-    /// Returns the hosts before this one in the order, this host's place in it, and whether no
-    /// other host of the data centre is known.
-    fn order(&self, now: Moment) -> (Vec<Relay>, usize, bool) {
-        let mut near = self.fleet.relays(now);
-        let is_alone = near.is_empty();
+    /// Returns the other hosts of the data centre in the order, and this host's place in it.
+    fn order(&self, now: Moment) -> (Vec<Relay>, usize) {
+        let mut others = self.fleet.relays(now);
         let me = self.fleet.name();
         let own = (me, self.fleet.capacity());
-        let hosts = near.iter().map(|relay| (&relay.host, relay.capacity)).chain([own]);
+        let hosts = others.iter().map(|relay| (&relay.host, relay.capacity)).chain([own]);
         let order: Vec<_> = entry::failover_order(PURPOSE, hosts).into_iter().cloned().collect();
         let place = |host: &id::Host| order.iter().position(|name| name == host);
-        let rank = place(me).unwrap_or_default();
-        near.retain(|relay| place(&relay.host) < Some(rank));
-        near.sort_by_key(|relay| place(&relay.host));
-        (near, rank, is_alone)
+        let own_place = place(me).unwrap_or_default();
+        others.sort_by_key(|relay| place(&relay.host));
+        (others, own_place)
     }
 
     /// Polls a relay once, and applies its updates.
@@ -326,7 +334,7 @@
         let mut is_lost = false;
         let mut outage = Outage::default();
         let mut was_compacted = false;
-        let mut batch_delay = Duration::ZERO;
+        let mut batch_until = Moment::ZERO;
         loop {
             if !*should_watch.borrow_and_update() {
                 is_listed = !self.mirror.position(kind).is_start();
@@ -340,19 +348,25 @@
             let is_watch = is_listed && !after.is_start();
             let begun = self.clock.now();
             let called = if is_watch {
+                let batch_delay = batch_until.since(begun);
                 tokio::time::sleep(batch_delay).await;
-                self.store.watch(kind, after, WATCH_WAIT - batch_delay).await
+                // An old copy is confirmed or corrected at once.
+                let is_fresh = self.mirror.age() < MAX_FRESH_AGE;
+                let wait = if is_fresh { WATCH_WAIT - batch_delay } else { Duration::ZERO };
+                self.store.watch(kind, after, wait).await
             } else {
                 self.store.list(kind).await
             };
             match called {
                 Ok(update) => {
-                    batch_delay = match kind {
+                    self.is_failing.store(false, Ordering::Relaxed);
+                    let batch_delay = match kind {
                         _ if update.records.is_empty() => Duration::ZERO,
                         Kind::Catalog => CATALOG_BATCH_DELAY,
                         Kind::Evacuation => Duration::ZERO,
                         Kind::Target => TARGET_BATCH_DELAY,
                     };
+                    batch_until = self.clock.now().after(batch_delay);
                     if is_lost {
                         is_lost = false;
                         self.events.emit("store_regained", json!({ "kind": format!("{kind:?}") }));
@@ -388,6 +402,7 @@
                     continue;
                 }
                 Err(error) => {
+                    self.is_failing.store(true, Ordering::Relaxed);
                     outage.record_failure(self.was_stopped(begun));
                     if !is_lost {
                         is_lost = true;
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod share;
 pub mod split;
 pub mod suspicion;
+pub mod takeover;
 pub mod throttle;
 pub mod unit;
 pub mod waiting;
