Take an answer that waited for a stopped process for as old as its call

Cause: an answer of the platform was taken for its state at the moment at which it was read, and one of a relay as of the end of the time for which it may be held. Both may have waited in the socket while the process was stopped. The class: a time that is taken when something is heard, not when it was true.

The age of such an answer counts from the beginning of its call (Pulse::answer_age), so that the host calls the platform at once and others don't follow it meanwhile.

Policy tests in tests/outage.rs, new as the function is; a gateway test was not found: the next call confirms the copy within milliseconds.

--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -261,6 +262,7 @@
         // The relay reports its age as of its response, which it sent after this request was sent;
         // time past the wait counts as transit.
         let lag = self.clock.now().since(sent).saturating_sub(wait);
+        let lag = self.answer_age(sent, lag);
         let age = Duration::from_millis(response.age_ms).saturating_add(lag);
         let mut accepted = true;
         for update in response.updates {
@@ -281,13 +283,20 @@
         loop {
             ticks.tick().await;
             let now = self.clock.now();
-            self.pulse.lock().expect("no holder of the lock panics").beat(now);
+            self.pulse().beat(now);
         }
     }
 
+    fn pulse(&self) -> MutexGuard<'_, Pulse> {
+        self.pulse.lock().expect("no holder of the lock panics")
+    }
+
     fn was_stopped(&self, begun: Moment) -> bool {
-        let now = self.clock.now();
-        self.pulse.lock().expect("no holder of the lock panics").was_stopped(begun, now)
+        self.pulse().was_stopped(begun, self.clock.now())
+    }
+
+    fn answer_age(&self, begun: Moment, transit: Duration) -> Duration {
+        self.pulse().answer_age(begun, transit, self.clock.now())
     }
 
     /// Copies the objects from the first host that turns out to be fresh, and returns its address.
@@ -386,7 +395,8 @@
                     }
                     // The changes of a store that was restored from a copy are incomplete, and an
                     // answer from before the restoration may arrive after it.
-                    let is_accepted = self.mirror.apply(update, Duration::ZERO, Source::Platform);
+                    let age = self.answer_age(begun, Duration::ZERO);
+                    let is_accepted = self.mirror.apply(update, age, Source::Platform);
                     if !is_accepted {
                         is_listed = false;
                         retry_delay = self.back_off(retry_delay).await;
--- a/chicoryloom_policy/src/outage.rs
+++ b/chicoryloom_policy/src/outage.rs
@@ -40,6 +40,12 @@
         self.resumed.is_some_and(|resumed| resumed >= begun)
             || now.since(self.latest) > MAX_BEAT_GAP
     }
+
+    /// Returns how old an answer may be that is read at `now`, for a call that took `transit` beyond the
+    /// time for which it was held. One that waited for a stopped process is as old as its call.
+    pub fn answer_age(&self, begun: Moment, transit: Duration, now: Moment) -> Duration {
+        if self.was_stopped(begun, now) { now.since(begun) } else { transit }
+    }
 }
 
 /// What is known of the other hosts when the platform answers again.
--- a/chicoryloom_policy/tests/outage.rs
+++ b/chicoryloom_policy/tests/outage.rs
@@ -32,6 +32,18 @@
     assert_eq!(stopped_pulse().was_stopped(at(begun), at(now)), stopped);
 }
 
+#[rstest]
+#[case::began_before_the_stop(10, 72, BEAT * 62)]
+#[case::began_after_it(80, 82, Duration::from_millis(30))]
+fn answer_that_waited_for_a_stopped_process_is_as_old_as_its_call(
+    #[case] begun: u32,
+    #[case] read: u32,
+    #[case] age: Duration,
+) {
+    let transit = Duration::from_millis(30);
+    assert_eq!(stopped_pulse().answer_age(at(begun), transit, at(read)), age);
+}
+
 #[test]
 fn late_beats_of_a_busy_process_are_no_stop() {
     let mut pulse = Pulse::new(Moment::ZERO);
