Keep a target that was removed and written again within one answer

Cause: the platform doesn't tell when an object was deleted, so that a deletion bears the position of its answer. If the object was written again before the answer ended, and the copy of another host that had that write already was taken over while the answer was on its way, the deletion looked like the later of the two. A watch goes on from its position, so that nothing ever repaired it.

The class: an order that follows from when something was heard.

The last record of an object in an update is the object's state at the position of the update; earlier ones are dropped, so that positions order states. target_that_was_written_again_survives_a_late_answer failed before (the copy lacked the target) and passes; the replicas' generated histories stamp deletions like the platform now.

--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -343,6 +343,7 @@
 
     fn merge(&mut self, update: Update, now: Moment) -> Changes {
         let Update { kind, records, kept, lapsed: _, whole, position } = update;
+        let records = latest_of_each(records);
         let known = self.table(kind).position;
         let is_restored = !known.is_start() && position.era > known.era;
         if is_restored && let Some(grace) = kind.restoration_grace() {
@@ -472,6 +473,19 @@
     }
 }
 
+/// Keeps the last record of each object.
+///
+/// The platform does not tell when an object was deleted, so that a deletion bears the position of its
+/// update. It would take precedence over a later record of the object in the same update.
+fn latest_of_each(records: Vec<Record>) -> Vec<Record> {
+    let mut last = HashMap::new();
+    for (index, record) in records.iter().enumerate() {
+        last.insert(record.name.clone(), index);
+    }
+    let is_last = |(index, record): &(usize, Record)| last[&record.name] == *index;
+    records.into_iter().enumerate().filter(is_last).map(|(_, record)| record).collect()
+}
+
 impl Table {
     /// Compares an object of an update with what is known of it.
     fn merge(&self, record: &Record) -> Merge {
--- a/chicoryloom_policy/tests/replica.rs
+++ b/chicoryloom_policy/tests/replica.rs
@@ -69,11 +69,18 @@
         }
     }
 
+    /// Returns what has changed after a position. Like the users' platform, it does not tell when an
+    /// object was deleted, so that deletions carry the position of the answer.
     fn watch(&self, after: Position) -> Update {
         let records = self.history.iter().filter(|record| record.position > after);
+        let position = self.position(self.revision);
+        let stamp = |record: &Record| match record.value {
+            Some(_) => record.clone(),
+            None => Record { position, ..record.clone() },
+        };
         Update {
             kind: Kind::Target,
-            records: records.cloned().collect(),
+            records: records.map(stamp).collect(),
             kept: Vec::new(),
             lapsed: Vec::new(),
             whole: false,
@@ -188,6 +195,28 @@
     }
 }
 
+/// A host copies another one's newer state while the answer to its watch is on the way.
+#[test]
+fn target_that_was_written_again_survives_a_late_answer() {
+    let now = Moment::from_millis(1000);
+    let mut platform = Platform::default();
+    platform.put("a");
+    let mut first = Replica::default();
+    first.apply(platform.list(), now);
+    let mut second = first.clone();
+    platform.delete("a");
+    platform.put("a");
+    platform.put("b");
+    let answer = first.position(Kind::Target);
+    let answer = platform.watch(answer);
+    second.apply(platform.list(), now);
+    for update in second.updates_after(0, first.positions()) {
+        first.apply_relayed(update, now);
+    }
+    first.apply(answer, now);
+    assert_eq!(stored(&first), listed(&platform));
+}
+
 /// Lapsed entries that a watch reports as deleted are kept like those that a listing lacks.
 #[test]
 fn lapsed_entries_are_kept_if_a_watch_reports_them() {
