Drop late changes to objects that a newer copy no longer has

Callers: a request may be sent to a target that is gone.

Cause: the answer to a watch can arrive after the host took over a newer copy from another host. That copy names only objects that exist, so that an object which was written and deleted in the meantime leaves no trace, and the late answer, which ends before its deletion, put it back for good. The class: an answer from before that is applied to a copy from after.

A copy holds every object that existed at its position. So a change at or before this position to an object that the copy lacks was followed by a deletion, and is dropped (Table::is_deleted_since). Listings are not concerned: an older one is rejected as a whole.

copies_never_regress_and_converge plays watches whose answers arrive later, and ends with a watch instead of a listing for one host.

--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -350,7 +350,13 @@
             self.table_mut(kind).grace_until = Some(now.after(grace));
         }
         let mut names: Vec<SmolStr> = Vec::new();
-        let merges: Vec<_> = records.iter().map(|one| self.table(kind).merge(one)).collect();
+        let table = self.table(kind);
+        // Changes may arrive after the copy has reached a later position by other means.
+        let merge = |record: &Record| {
+            let is_outdated = !whole && table.is_deleted_since(record);
+            if is_outdated { Merge::Outdated } else { table.merge(record) }
+        };
+        let merges: Vec<_> = records.iter().map(merge).collect();
         let lapsed_before: HashSet<_> = self.table(kind).lapsed.keys().cloned().collect();
         if whole {
             let listed: HashSet<_> = records
@@ -518,6 +524,14 @@
         if is_newer { Merge::Changed } else { Merge::Outdated }
     }
 
+    /// Returns whether a changed object was deleted after the change: the copy holds all objects that
+    /// existed at its position.
+    fn is_deleted_since(&self, record: &Record) -> bool {
+        record.position.era == self.position.era
+            && record.position <= self.position
+            && !self.records.contains_key(&record.name)
+    }
+
     /// Returns whether a full listing with this record shows that the known object still exists.
     fn lists(&self, record: &Record, merge: Merge) -> bool {
         let known = self.records.get(&record.name);
--- a/chicoryloom_policy/tests/replica.rs
+++ b/chicoryloom_policy/tests/replica.rs
@@ -108,6 +108,14 @@
         whole: bool,
         ago: usize,
     },
+    /// A host watches the platform, and gets the answer later.
+    Watch {
+        host: usize,
+    },
+    /// The answer arrives.
+    Receive {
+        host: usize,
+    },
     /// A host asks another one for its changes.
     Follow {
         host: usize,
@@ -124,6 +132,8 @@
         2 => (0..6u8).prop_map(Step::Delete),
         3 => (host.clone(), any::<bool>(), 0..4usize)
             .prop_map(|(host, whole, ago)| Step::Learn { host, whole, ago }),
+        2 => host.clone().prop_map(|host| Step::Watch { host }),
+        2 => host.clone().prop_map(|host| Step::Receive { host }),
         4 => (host.clone(), host).prop_map(|(host, relay)| Step::Follow { host, relay }),
     ]
 }
@@ -139,6 +149,7 @@
         let mut platform = Platform::default();
         let mut past = vec![platform.clone()];
         let mut hosts = vec![Replica::default(); HOSTS];
+        let mut answers: [Option<Update>; HOSTS] = Default::default();
         // Number of the latest change of each relay that each host has applied.
         let mut cursors = [[0u64; HOSTS]; HOSTS];
         for step in steps {
@@ -154,6 +165,15 @@
                     // A relay's changes only apply to a copy that came from it alone.
                     cursors[host] = [0; HOSTS];
                 }
+                Step::Watch { host } => {
+                    answers[host] = Some(platform.watch(hosts[host].position(Kind::Target)));
+                }
+                Step::Receive { host } => {
+                    if let Some(answer) = answers[host].take() {
+                        hosts[host].apply(answer, now);
+                        cursors[host] = [0; HOSTS];
+                    }
+                }
                 Step::Follow { host, relay } if host != relay => {
                     let after = cursors[host][relay];
                     cursors[host] = [0; HOSTS];
@@ -182,6 +202,7 @@
                 }
             }
         }
+        let mut watching = hosts[0].clone();
         hosts[0].apply(platform.list(), now);
         for host in 1..HOSTS {
             let reached = hosts[host].positions();
@@ -192,6 +213,11 @@
         for host in &hosts {
             prop_assert_eq!(stored(host), listed(&platform));
         }
+        // A watch goes on from where the copy is, and repairs nothing before that.
+        if !watching.position(Kind::Target).is_start() {
+            watching.apply(platform.watch(watching.position(Kind::Target)), now);
+            prop_assert_eq!(stored(&watching), listed(&platform));
+        }
     }
 }
 
