Keep copied lapsed targets until their own deadline

Cause: the host that finds out that targets lapsed keeps them for a grace period; a host that copied them and then asked the platform itself dropped them at once, as only its own grace period counted. The class: a decision that is copied without what it rests on.

An object that has lapsed is kept until the deadline that it has, whoever found out (Table::kept_until). It can't delay a real removal: an object that is listed again has not lapsed any more.

copied_lapsed_entries_are_kept_when_the_platform_is_asked failed before in both cases (one of two targets was left) and passes, as do replica, era and evacuation tests.

--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -395,9 +395,9 @@
                     names.push(record.name.clone());
                     table.records.insert(record.name.clone(), record);
                 }
-                Merge::Changed => match grace {
+                Merge::Changed => match table.kept_until(&record.name, grace, now) {
                     Some(until) if table.records.contains_key(&record.name) => {
-                        table.lapsed.entry(record.name).or_insert(until);
+                        table.lapsed.insert(record.name, until);
                     }
                     _ => {
                         table.delete(&record.name, record.position, record.generation);
@@ -445,16 +445,16 @@
         if kind == Kind::Evacuation {
             return table.delete_ended(unlisted, position, now);
         }
-        if let Some(until) = grace {
-            for name in unlisted {
-                table.lapsed.entry(name).or_insert(until);
+        let mut deleted = Vec::new();
+        for name in unlisted {
+            if let Some(until) = table.kept_until(&name, grace, now) {
+                table.lapsed.insert(name, until);
+            } else {
+                table.delete_known(&name, position);
+                deleted.push(name);
             }
-            return Vec::new();
-        }
-        for name in &unlisted {
-            table.delete_known(name, position);
         }
-        unlisted
+        deleted
     }
 
     /// Deletes lapsed objects that were not listed again in time.
@@ -539,6 +539,12 @@
         merge != Merge::Outdated || !is_of_earlier_era
     }
 
+    /// Returns until when an object is kept that is no longer listed. One that has lapsed is kept as long
+    /// as when that was found, also by a host that copied it.
+    fn kept_until(&self, name: &SmolStr, grace: Option<Moment>, now: Moment) -> Option<Moment> {
+        self.lapsed.get(name).copied().or(grace).filter(|until| now < *until)
+    }
+
     /// Deletes the unlisted objects that were written in this era of the store, and returns their
     /// names. Those of an earlier era lapse, as the store may have lost them.
     fn delete_ended(
@@ -551,8 +557,8 @@
         for name in unlisted {
             let known = self.records.get(&name);
             let is_lost = known.is_some_and(|record| record.position.era < position.era);
-            let until = self.lapsed.get(&name).copied().or(self.grace_until);
-            match until.filter(|until| is_lost && now < *until) {
+            let until = self.kept_until(&name, self.grace_until, now);
+            match until.filter(|_| is_lost) {
                 Some(until) => {
                     self.lapsed.insert(name, until);
                 }
--- a/chicoryloom_policy/tests/replica.rs
+++ b/chicoryloom_policy/tests/replica.rs
@@ -14,6 +14,7 @@
 use chicoryloom_policy::replica::Replica;
 use chicoryloom_policy::replica::Update;
 use proptest::prelude::*;
+use rstest::rstest;
 use smol_str::SmolStr;
 
 /// A platform with objects of one kind and the history of all their changes.
@@ -243,6 +244,31 @@
     assert_eq!(stored(&first), listed(&platform));
 }
 
+/// A host that copied lapsed entries turns to the platform, which does not list them yet.
+#[rstest]
+#[case::listing(true)]
+#[case::watch(false)]
+fn copied_lapsed_entries_are_kept_when_the_platform_is_asked(#[case] whole: bool) {
+    let start = Moment::from_millis(1000);
+    let mut platform = Platform::default();
+    platform.put("a");
+    platform.put("b");
+    let mut first = Replica::default();
+    first.apply(platform.list(), start);
+    let mut second = first.clone();
+    let known = second.position(Kind::Target);
+    platform.delete("a");
+    first.platform_returned(start);
+    first.apply(platform.list(), start);
+    for update in first.updates_after(0, second.positions()) {
+        second.apply_relayed(update, start);
+    }
+    let update = if whole { platform.list() } else { platform.watch(known) };
+    second.apply(update, start.after(Duration::from_millis(100)));
+    assert_eq!(stored(&second).len(), 2);
+    assert_eq!(second.expire(start.after(LAPSE_GRACE)).targets, ["a"]);
+}
+
 /// Lapsed entries that a watch reports as deleted are kept like those that a listing lacks.
 #[test]
 fn lapsed_entries_are_kept_if_a_watch_reports_them() {
