Let starting hosts copy from stale ones, and relays respond when a copy gets younger

- A host that starts while the store is silent watched it at once, and asked no other host any more, so that it got no configuration: fleet_keeps_serving_while_the_store_is_unreachable::case_2 failed in one of one run.
A host without a copy asks any other one while its calls are pending.
- Followers took over from well relays: a relay responded when the first of two kinds was confirmed, with the age of the other one, and then held the next response for a second. one_host_watches_for_all failed with 18 calls where 16 are allowed.
A relay responds when its oldest confirmation advances, and a tenth of a second before the follower would take over.

Both tests pass, as do all change and takeover tests (15), once.

--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -150,10 +150,15 @@
     /// Returns the time since the copies of all kinds were confirmed to be the platform's state.
     pub(super) fn age(&self) -> Duration {
         let confirmed = self.lock().confirmed;
-        let oldest = self.kinds().iter().map(|kind| confirmed[*kind as usize]).min().flatten();
+        let oldest = self.oldest(&confirmed);
         oldest.map_or(Duration::MAX, |oldest| self.clock.now().since(oldest))
     }
 
+    /// Returns when the kind that was confirmed least recently was.
+    fn oldest(&self, confirmed: &[Option<Moment>]) -> Option<Moment> {
+        self.kinds().iter().map(|kind| confirmed[*kind as usize]).min().flatten()
+    }
+
     /// Returns whether the latest update came from `source`.
     pub(super) fn is_from(&self, source: Source) -> bool {
         self.lock().source == Some(source)
@@ -236,12 +241,16 @@
         }
         let (listed, position) = (update.records.len(), update.position);
         if accepted && position >= before {
+            let oldest_before = self.oldest(&state.confirmed);
             let confirmed = &mut state.confirmed[kind as usize];
             *confirmed = (*confirmed).max(Some(now.before(age)));
             if kind == Kind::Target {
                 self.dispatcher.set_listed(*confirmed);
             }
-            self.latest.send_modify(|(_, confirmed)| *confirmed += 1);
+            // A response after the first of two confirmations would bear the age of the other kind.
+            if self.oldest(&state.confirmed) > oldest_before {
+                self.latest.send_modify(|(_, confirmed)| *confirmed += 1);
+            }
         }
         let changes = match source {
             Source::Platform => state.replica.apply(update, now),
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -60,6 +60,8 @@
 const FOLLOW_WAIT: Duration = Duration::from_millis(1100);
 /// Shortest time that a follower lets its relay hold a response.
 const MIN_FOLLOW_WAIT: Duration = Duration::from_millis(50);
+/// Time before the end of freshness at which a relay responds.
+const FOLLOW_MARGIN: Duration = Duration::from_millis(100);
 /// Time past the wait after which a relay that has not responded counts as failed; also the
 /// timeout of the connection to it.
 const FOLLOW_SLACK: Duration = Duration::from_millis(200);
@@ -145,7 +147,8 @@
             let is_failing = is_watching && self.is_failing.load(Ordering::Relaxed);
             self.fleet.set_watches(is_watching && !is_failing);
             let age = self.mirror.age().min(now.since(started));
-            let standing = Standing { place, age, is_watching, is_failing };
+            let has_copy = Kind::COMMON.iter().all(|kind| !self.mirror.position(*kind).is_start());
+            let standing = Standing { place, age, has_copy, is_watching, is_failing };
             let candidate = |relay: &Relay| Candidate {
                 watches: relay.watches,
                 is_usable: !avoided.contains_key(&relay.host),
@@ -163,9 +166,10 @@
                 continue;
             };
             let relay = &others[index];
-            // A silent relay must be detected before the copy is no longer fresh.
-            let wait =
-                MAX_FRESH_AGE.saturating_sub(self.mirror.age()).clamp(MIN_FOLLOW_WAIT, FOLLOW_WAIT);
+            // A relay responds before the copy is no longer fresh, unless it is silent.
+            let wait = MAX_FRESH_AGE
+                .saturating_sub(self.mirror.age().saturating_add(FOLLOW_MARGIN))
+                .clamp(MIN_FOLLOW_WAIT, FOLLOW_WAIT);
             let until_due = takeover::due_age(place).saturating_sub(age);
             let followed = tokio::select! {
                 followed = self.follow(&mut follower, relay.peer, wait) => followed,
--- a/chicoryloom_policy/src/takeover.rs
+++ b/chicoryloom_policy/src/takeover.rs
@@ -51,6 +51,8 @@
     pub place: usize,
     /// Age of this host's copy.
     pub age: Duration,
+    /// Whether it has a copy, however old.
+    pub has_copy: bool,
     /// Whether it watches the platform.
     pub is_watching: bool,
     /// Whether its latest call to the platform failed.
@@ -81,7 +83,10 @@
             return Some(Relay { index: before.len() + index, replaces_watch: false });
         }
         if self.is_watching {
-            return None;
+            // A host that starts while the platform is away takes any copy.
+            let usable = others.iter().position(|host| host.is_usable);
+            let index = usable.filter(|_| !self.has_copy)?;
+            return Some(Relay { index, replaces_watch: false });
         }
         let primary = before.iter().take(PRIMARY_WATCHERS).position(|host| host.is_usable);
         primary.map(|index| Relay { index, replaces_watch: true })
--- a/chicoryloom_policy/tests/takeover.rs
+++ b/chicoryloom_policy/tests/takeover.rs
@@ -83,7 +83,7 @@
         let host = &self.hosts[me];
         let is_watching = host.watches_since.is_some();
         let is_failing = is_watching && self.is_failing(me);
-        Standing { place: me, age: self.age(me), is_watching, is_failing }
+        Standing { place: me, age: self.age(me), has_copy: true, is_watching, is_failing }
     }
 
     fn relay(&self, me: usize) -> Option<Relay> {
@@ -204,3 +204,15 @@
     centre.run(Duration::from_secs(3));
     assert_eq!(centre.watchers(), [0]);
 }
+
+#[rstest]
+#[case::first(0)]
+#[case::last(2)]
+fn host_that_starts_in_an_outage_takes_any_copy(#[case] place: usize) {
+    let others = [Candidate { watches: false, is_usable: true }; 2];
+    let age = Duration::from_millis(10);
+    let standing = Standing { place, age, has_copy: false, is_watching: true, is_failing: false };
+    assert_eq!(standing.relay(&others), Some(Relay { index: 0, replaces_watch: false }));
+    let standing = Standing { has_copy: true, ..standing };
+    assert_eq!(standing.relay(&others), None);
+}
