List targets before most of a service is dropped, and once a minute

- Changes that remove most targets of a service at once (policy::outage::is_mass_removal) are not applied: the host lists all targets, and takes that.
- A host that watches lists the objects once a minute.
Price: 60 calls an hour, kind and data centre, besides 3,600 watches.
- Events targets_vanish and copy_corrected, gauge chicory_copy_corrections.
- The task that watches a kind has a file and a type of its own, so that its steps have names.

--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -287,6 +287,12 @@
         read.target_counts().0 as u64
     });
     let read = mirror.clone();
+    metrics.register_gauge(
+        "chicory_copy_corrections",
+        "Objects that the copy lacked until a listing named them",
+        move || read.corrections(),
+    );
+    let read = mirror.clone();
     metrics.register_gauge(
         "chicory_targets_kept",
         "Targets that the platform no longer lists, but may list again after its outage",
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -15,6 +16,8 @@
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Catalog;
 use chicoryloom_policy::catalog::Target;
+use chicoryloom_policy::id;
+use chicoryloom_policy::outage;
 use chicoryloom_policy::position::Era;
 use chicoryloom_policy::position::Position;
 use chicoryloom_policy::replica::Changes;
@@ -80,6 +83,8 @@
     latest: watch::Sender<(u64, u64)>,
     /// Latest era of the platform's store that the copy has reached.
     era: watch::Sender<Era>,
+    /// Number of objects that the copy lacked although it had reached their positions.
+    corrections: AtomicU64,
 }
 
 impl fmt::Debug for Mirror {
@@ -107,6 +112,7 @@
             events,
             latest: watch::Sender::new((0, 0)),
             era: watch::Sender::new(Era::default()),
+            corrections: AtomicU64::new(0),
         }
     }
 
@@ -197,6 +203,38 @@
         let _ = era.wait_for(|era| *era > known).await;
     }
 
+    /// Returns whether changes remove most targets of a service at once.
+    pub(super) fn loses_service(&self, update: &Update) -> bool {
+        if update.kind != Kind::Target {
+            return false;
+        }
+        let state = self.lock();
+        let mut removed: HashMap<&id::Service, usize> = HashMap::new();
+        for record in &update.records {
+            if record.value.is_none()
+                && let Some(target) = state.targets.get(&record.name)
+            {
+                *removed.entry(&target.service).or_default() += 1;
+            }
+        }
+        let mut is_lost = false;
+        for (service, removed) in removed {
+            let known = state.targets.values().filter(|target| target.service == *service).count();
+            if outage::is_mass_removal(removed, known) {
+                is_lost = true;
+                let fields =
+                    json!({ "service": service.as_str(), "removed": removed, "known": known });
+                self.events.emit("targets_vanish", fields);
+            }
+        }
+        is_lost
+    }
+
+    /// Returns how many missing objects listings of the platform have added to the copy.
+    pub(super) fn corrections(&self) -> u64 {
+        self.corrections.load(Ordering::Relaxed)
+    }
+
     /// Returns how many targets are known, and how many of them are kept although the platform no
     /// longer lists them.
     pub(super) fn target_counts(&self) -> (usize, usize) {
@@ -252,6 +290,12 @@
                 self.latest.send_modify(|(_, confirmed)| *confirmed += 1);
             }
         }
+        let missing = state.replica.lacked_count(&update);
+        if accepted && update.whole && missing > 0 {
+            self.corrections.fetch_add(missing as u64, Ordering::Relaxed);
+            let fields = json!({ "kind": format!("{kind:?}"), "missing": missing, "from": source.to_string() });
+            self.events.emit("copy_corrected", fields);
+        }
         let changes = match source {
             Source::Platform => state.replica.apply(update, now),
             Source::Host(_) => state.replica.apply_relayed(update, now),
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod relay;
 pub mod settings;
 mod sync;
+mod watch;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -26,7 +26,6 @@
 use chicoryloom_policy::takeover::Standing;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use rand::Rng;
 use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -37,24 +36,14 @@
 use super::message::Fault;
 use super::mirror::Mirror;
 use super::mirror::Source;
-use super::port;
 use super::port::Store;
 use super::relay;
 use super::relay::Follower;
+use super::watch::Watcher;
 use crate::clock::Clock;
 
 /// Purpose that keys the order in which the hosts of a data centre watch the platform.
 const PURPOSE: &str = "watch";
-/// Longest time that the platform holds the response to a watch. Its end confirms the copy, so
-/// that it is shorter than [`MAX_FRESH_AGE`].
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Delay before the next watch after a response with changes of the configuration, so that changes in
-/// quick succession arrive in one response. It delays the changes that come in the meantime, and is
-/// subtracted from the wait of that watch.
-const CATALOG_BATCH_DELAY: Duration = Duration::from_millis(200);
-/// The same for targets. Among hundreds of them one changes at almost any time, and each response
-/// costs a call.
-const TARGET_BATCH_DELAY: Duration = Duration::from_millis(500);
 /// Longest time that a follower lets its relay hold a response; the relay responds sooner when its
 /// copy is confirmed.
 const FOLLOW_WAIT: Duration = Duration::from_millis(1100);
@@ -67,8 +56,6 @@
 const FOLLOW_SLACK: Duration = Duration::from_millis(200);
 /// Time for which a relay that failed or whose copy is not fresh is not followed.
 const RELAY_BACKOFF: Duration = Duration::from_millis(400);
-/// Shortest and longest delay before a failed call to the platform is repeated.
-const RETRY_DELAY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time after its start in which a host that knows no other one waits for others before it calls
 /// the platform. Hosts that start together find each other within this time; if each of them listed
 /// all objects instead, the calls would grow with the fleet.
@@ -77,9 +64,6 @@
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which it is noticed that this process was stopped.
 const BEAT_INTERVAL: Duration = Duration::from_millis(50);
-/// Age of the copy above which entries may have lapsed since it was confirmed.
-const OUTAGE_AGE: Duration = Duration::from_millis(1500);
-
 /// Whether this host watches the platform: for the kinds that all builds relay, and for evacuations.
 #[derive(Debug)]
 struct Sources {
@@ -132,7 +116,8 @@
                 Kind::Evacuation => &sources.evacuations,
                 Kind::Catalog | Kind::Target => &sources.common,
             };
-            tokio::spawn(self.clone().watch(*kind, should_watch.subscribe()));
+            let watcher = Watcher::new(self.clone(), *kind);
+            tokio::spawn(watcher.run(should_watch.subscribe()));
         }
         let started = self.clock.now();
         let mut avoided: HashMap<id::Host, Moment> = HashMap::new();
@@ -295,11 +280,11 @@
         self.pulse.lock().expect("no holder of the lock panics")
     }
 
-    fn was_stopped(&self, begun: Moment) -> bool {
+    pub(super) fn was_stopped(&self, begun: Moment) -> bool {
         self.pulse().was_stopped(begun, self.clock.now())
     }
 
-    fn answer_age(&self, begun: Moment, transit: Duration) -> Duration {
+    pub(super) fn answer_age(&self, begun: Moment, transit: Duration) -> Duration {
         self.pulse().answer_age(begun, transit, self.clock.now())
     }
 
@@ -322,7 +307,7 @@
     /// Repairs this host's copy after an outage of the platform or at the start: copies it from
     /// another host that has been in touch with the platform, or else starts the grace period for
     /// entries that lapsed in the outage. Returns whether another host's copy was used.
-    async fn catch_up(&self, has_failed: bool) -> bool {
+    pub(super) async fn catch_up(&self, has_failed: bool) -> bool {
         let (in_touch, fresh) = self.fleet.reachability();
         let copied_from = self.copy_from(&fresh).await;
         let others = outage::Others { in_touch, any_fresh: copied_from.is_some() };
@@ -339,102 +324,4 @@
         }
         copied_from.is_some()
     }
-
-    /// Watches one kind of objects at the platform while `should_watch` is true.
-    async fn watch(self, kind: Kind, mut should_watch: watch::Receiver<bool>) {
-        let mut retry_delay = RETRY_DELAY.0;
-        let mut is_listed = false;
-        let mut is_lost = false;
-        let mut outage = Outage::default();
-        let mut was_compacted = false;
-        let mut batch_until = Moment::ZERO;
-        loop {
-            if !*should_watch.borrow_and_update() {
-                is_listed = !self.mirror.position(kind).is_start();
-                outage.end();
-                if should_watch.changed().await.is_err() {
-                    return;
-                }
-                continue;
-            }
-            let after = self.mirror.position(kind);
-            let is_watch = is_listed && !after.is_start();
-            let begun = self.clock.now();
-            let called = if is_watch {
-                let batch_delay = batch_until.since(begun);
-                tokio::time::sleep(batch_delay).await;
-                // An old copy is confirmed or corrected at once.
-                let is_fresh = self.mirror.age() < MAX_FRESH_AGE;
-                let wait = if is_fresh { WATCH_WAIT - batch_delay } else { Duration::ZERO };
-                self.store.watch(kind, after, wait).await
-            } else {
-                self.store.list(kind).await
-            };
-            match called {
-                Ok(update) => {
-                    self.is_failing.store(false, Ordering::Relaxed);
-                    let batch_delay = match kind {
-                        _ if update.records.is_empty() => Duration::ZERO,
-                        Kind::Catalog => CATALOG_BATCH_DELAY,
-                        Kind::Evacuation => Duration::ZERO,
-                        Kind::Target => TARGET_BATCH_DELAY,
-                    };
-                    batch_until = self.clock.now().after(batch_delay);
-                    if is_lost {
-                        is_lost = false;
-                        self.events.emit("store_regained", json!({ "kind": format!("{kind:?}") }));
-                    }
-                    is_listed = true;
-                    let has_failed = outage.end() && kind == Kind::Target;
-                    let has_gap = self.mirror.age() > OUTAGE_AGE;
-                    // Copies of other hosts know what a restored store does not.
-                    let needs_others = has_failed || after.is_start();
-                    if has_gap && needs_others && !self.catch_up(has_failed).await {
-                        // Entries that lapsed in the outage are absent from a listing as well.
-                        // The objects are listed next, unless this update is a listing.
-                        is_listed = update.whole;
-                    }
-                    if is_watch {
-                        retry_delay = RETRY_DELAY.0;
-                    }
-                    // The changes of a store that was restored from a copy are incomplete, and an
-                    // answer from before the restoration may arrive after it.
-                    let age = self.answer_age(begun, Duration::ZERO);
-                    let is_accepted = self.mirror.apply(update, age, Source::Platform);
-                    if !is_accepted {
-                        is_listed = false;
-                        retry_delay = self.back_off(retry_delay).await;
-                    }
-                }
-                Err(port::Error::Compacted) => {
-                    // Without a pause, a store that keeps no history would get one list after the
-                    // other.
-                    if std::mem::replace(&mut was_compacted, true) {
-                        retry_delay = self.back_off(retry_delay).await;
-                    }
-                    is_listed = false;
-                    continue;
-                }
-                Err(error) => {
-                    self.is_failing.store(true, Ordering::Relaxed);
-                    outage.record_failure(self.was_stopped(begun));
-                    if !is_lost {
-                        is_lost = true;
-                        let error = error.to_string();
-                        let fields = json!({ "kind": format!("{kind:?}"), "error": error });
-                        self.events.emit("store_lost", fields);
-                    }
-                    retry_delay = self.back_off(retry_delay).await;
-                }
-            }
-            was_compacted &= !is_watch;
-        }
-    }
-
-    /// Waits before a call to the platform is repeated; returns the delay of the next repetition.
-    async fn back_off(&self, delay: Duration) -> Duration {
-        let jitter = rand::rng().random_range(0.7..1.3);
-        tokio::time::sleep(delay.mul_f64(jitter)).await;
-        (delay * 2).min(RETRY_DELAY.1)
-    }
 }
--- a/chicoryloom_policy/src/outage.rs
+++ b/chicoryloom_policy/src/outage.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// Fewest targets that a service loses at once for that to be unusual.
+const MIN_MASS_REMOVAL: usize = 3;
+
+/// Returns whether a service that loses so many of its known targets at once would lose most of its
+/// capacity by it, which a listing should confirm first.
+pub const fn is_mass_removal(removed: usize, known: usize) -> bool {
+    removed >= MIN_MASS_REMOVAL && removed * 2 > known
+}
+
 /// What is known of the other hosts when the platform answers again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Others {
--- a/chicoryloom_policy/src/replica.rs
+++ b/chicoryloom_policy/src/replica.rs
@@ -221,6 +221,14 @@
         self.table(kind).records.get(name)
     }
 
+    /// Returns how many objects of an update this copy lacks although it has reached their positions.
+    pub fn lacked_count(&self, update: &Update) -> usize {
+        let table = self.table(update.kind);
+        let is_missing =
+            |record: &&Record| record.value.is_some() && table.is_deleted_since(record);
+        update.records.iter().filter(is_missing).count()
+    }
+
     /// Starts the grace period of missing targets, as the platform answers again after an outage.
     pub fn platform_returned(&mut self, now: Moment) {
         self.targets.grace_until = Some(now.after(LAPSE_GRACE));
--- a/chicoryloom_policy/tests/outage.rs
+++ b/chicoryloom_policy/tests/outage.rs
@@ -6,6 +6,7 @@
 use chicoryloom_policy::outage::Others;
 use chicoryloom_policy::outage::Outage;
 use chicoryloom_policy::outage::Pulse;
+use chicoryloom_policy::outage::is_mass_removal;
 use rstest::rstest;
 
 const BEAT: Duration = Duration::from_millis(50);
@@ -74,3 +75,15 @@
 ) {
     assert_eq!(Outage::may_have_lapsed(Others { in_touch, any_fresh }), may_have_lapsed);
 }
+
+#[rstest]
+#[case::most_of_a_service(3, 5, true)]
+#[case::half_of_it(5, 10, false)]
+#[case::few(2, 2, false)]
+fn mass_removal_takes_most_of_a_service(
+    #[case] removed: usize,
+    #[case] known: usize,
+    #[case] is_mass: bool,
+) {
+    assert_eq!(is_mass_removal(removed, known), is_mass);
+}
--- a/chicoryloom_policy/tests/replica.rs
+++ b/chicoryloom_policy/tests/replica.rs
@@ -360,3 +360,18 @@
     assert_eq!(replica.apply(platform.list(), now).targets, ["a"]);
     assert!(stored(&replica).is_empty());
 }
+
+#[test]
+fn listing_shows_what_the_copy_lacks() {
+    let now = Moment::from_millis(1000);
+    let mut platform = Platform::default();
+    platform.put("a");
+    platform.put("b");
+    let mut replica = Replica::default();
+    let whole = Update { records: platform.list().records[1..].to_vec(), ..platform.list() };
+    replica.apply(whole, now);
+    platform.put("c");
+    assert_eq!(replica.lacked_count(&platform.list()), 1);
+    replica.apply(platform.list(), now);
+    assert_eq!(replica.lacked_count(&platform.list()), 0);
+}
