--- a/chicoryloom/src/gateway/dispatcher/listing.rs
+++ b/chicoryloom/src/gateway/dispatcher/listing.rs
@@ -8,6 +8,7 @@
 use chicoryloom_policy::catalog::Target;
 use chicoryloom_policy::entry::Owners;
 use chicoryloom_policy::id;
+use serde_json::json;
 
 use super::Dispatcher;
 use super::Endpoint;
@@ -107,6 +108,15 @@
         state.visible_part = (hosts as f64 / known.max(1) as f64).min(1.0);
         state.host_count = u32::try_from(hosts).unwrap_or(u32::MAX);
         let burst = self.retry_burst(&state);
+        if burst != state.retry_burst {
+            state.retry_burst = burst;
+            let is_entry = state.entry_hosts.iter().any(|(host, _)| *host == self.me);
+            let fields = json!({
+                "burst": burst, "entry_hosts": state.entry_hosts.len(), "is_entry": is_entry,
+                "hosts": hosts, "known": known,
+            });
+            self.events.emit("retry_burst", fields);
+        }
         for service in state.services.values_mut() {
             if let Some(budget) = &mut service.budget {
                 budget.set_burst(burst);
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -92,6 +92,8 @@
     catalog: Option<Arc<Catalog>>,
     /// Part of the known hosts that are alive, from 0 to 1.
     visible_part: f64,
+    /// This host's share of the burst of retries, as of the latest change of the fleet.
+    retry_burst: f64,
     /// Leaving targets that are not yet reported to the other hosts.
     departures: Vec<Process>,
     /// Leaving targets that this host reports, and since when.
@@ -187,6 +189,7 @@
                 losses: Losses::default(),
                 catalog: None,
                 visible_part: 1.0,
+                retry_burst: 0.0,
                 departures: Vec::new(),
                 reported_departures: Vec::new(),
                 entry_hosts: Vec::new(),
--- a/chicoryloom/src/gateway/dispatcher/service.rs
+++ b/chicoryloom/src/gateway/dispatcher/service.rs
@@ -5,10 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chicoryloom_policy::gray::Standing;
+use chicoryloom_policy::gray::View;
 use chicoryloom_policy::id;
 use chicoryloom_policy::retry::Budget;
 use chicoryloom_policy::waiting::Queue;
 use chicoryloom_policy::waiting::Ticket;
+use chicoryloom_policy::withdrawal::Availability;
 
 use super::Dispatcher;
 use super::Endpoint;
@@ -17,6 +20,8 @@
 
 /// Weight of the newest sample in the smoothed latency of a route.
 const LATENCY_WEIGHT: f64 = 0.05;
+/// Time without a request after which operators count a healthy target as idle.
+const IDLE_SPAN: Duration = Duration::from_secs(2);
 
 #[derive(Default)]
 pub(super) struct Service {
@@ -59,6 +64,27 @@
         budget.is_some_and(Budget::take)
     }
 
+    /// Returns, for each service, how many of its targets are held back, and how many take requests
+    /// but had none of any host for [`IDLE_SPAN`], as far as known.
+    pub(in crate::gateway) fn idle_targets(&self) -> Vec<(id::Service, usize, usize)> {
+        let state = self.lock();
+        let now = self.clock.now();
+        let counts = |(name, service): (&id::Service, &Service)| {
+            let taking = service
+                .targets
+                .iter()
+                .filter(|endpoint| Self::availability(&state, endpoint, now) == Availability::Now);
+            let slots: Vec<_> =
+                taking.map(|one| (&one.target.instance, one.target.slots.0)).collect();
+            let views = state.estimator.views(&slots, self.bounds.floor, now);
+            let is_held = |view: &&View| view.standing == Standing::HeldBack;
+            let is_idle = |view: &&View| view.evidence_age.is_none_or(|age| age >= IDLE_SPAN);
+            let held = views.iter().filter(is_held).count();
+            (name.clone(), held, views.iter().filter(is_idle).count())
+        };
+        state.services.iter().map(counts).collect()
+    }
+
     /// Records the time to the head of a successful response.
     pub(in crate::gateway) fn record_latency(
         &self,
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -160,6 +160,7 @@
             in_flight: AtomicUsize::new(0),
         });
         register_gauges(&gateway.metrics, &mirror, &dispatcher);
+        register_service_gauges(&gateway.metrics, &dispatcher);
         register_fleet_gauges(&gateway.metrics, &fleet, &dispatcher);
         let (closing, closed) = watch::channel(false);
         let server = Server::new(gateway.clone(), closed);
@@ -283,6 +284,12 @@
         move || read.age().as_millis().min(u128::from(u32::MAX)) as u64,
     );
     let read = mirror.clone();
+    metrics.register_gauge(
+        "chicory_configuration",
+        "Version of the configuration in force on this host",
+        move || read.catalog().map_or(0, |catalog| catalog.version.0),
+    );
+    let read = mirror.clone();
     metrics.register_gauge("chicory_targets_known", "Targets in the copy", move || {
         read.target_counts().0 as u64
     });
@@ -388,6 +395,29 @@
     );
 }
 
+fn register_service_gauges(metrics: &Metrics, dispatcher: &Arc<Dispatcher>) {
+    let read = dispatcher.clone();
+    metrics.register_labelled_gauge(
+        "chicory_targets_held_back",
+        "Targets that take requests but get none, as they are in doubt or did not answer",
+        "service",
+        move || {
+            let counts = read.idle_targets().into_iter();
+            counts.map(|(service, held, _)| (service.to_string(), held as u64)).collect()
+        },
+    );
+    let read = dispatcher.clone();
+    metrics.register_labelled_gauge(
+        "chicory_targets_idle",
+        "Targets that take requests but had none of any host for two seconds, as far as known",
+        "service",
+        move || {
+            let counts = read.idle_targets().into_iter();
+            counts.map(|(service, _, idle)| (service.to_string(), idle as u64)).collect()
+        },
+    );
+}
+
 fn register_fleet_gauges(metrics: &Metrics, fleet: &Arc<Fleet>, dispatcher: &Arc<Dispatcher>) {
     let read = dispatcher.clone();
     metrics.register_gauge(
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -87,6 +88,8 @@
     may_have_run: AtomicBool,
     /// Whether the request was counted towards its workspace's grant.
     is_counted: AtomicBool,
+    /// Repeats that were taken from the retry budget.
+    repeats: AtomicU32,
     tried: Mutex<Vec<Choice>>,
 }
 
@@ -96,6 +99,11 @@
         self.tried.lock().expect("no holder of the lock panics").clone()
     }
 
+    /// Returns how many repeats were taken from the retry budget.
+    pub(super) fn repeats(&self) -> u32 {
+        self.repeats.load(Ordering::Relaxed)
+    }
+
     fn add_tried(&self, choice: &Choice) {
         self.tried.lock().expect("no holder of the lock panics").push(choice.clone());
     }
@@ -168,7 +176,9 @@
     }
 
     fn take_retry(&self) -> bool {
-        self.gateway.dispatcher.take_retry(&self.service)
+        let is_taken = self.gateway.dispatcher.take_retry(&self.service);
+        self.progress.repeats.fetch_add(u32::from(is_taken), Ordering::Relaxed);
+        is_taken
     }
 
     fn may_retry(&self, last: Option<&Attempt>) -> bool {
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -127,6 +127,7 @@
     workspace: Option<id::Workspace>,
     version: Option<u64>,
     tried: Vec<Choice>,
+    repeats: u32,
 }
 
 impl Gateway {
@@ -172,7 +173,7 @@
                 "route": summary.route.as_ref().map(|route| route.name.as_str()),
                 "service": summary.service.as_ref().map(id::Service::as_str),
                 "workspace": summary.workspace.as_ref().map(id::Workspace::as_str),
-                "targets": tried, "configuration": summary.version,
+                "targets": tried, "repeats": summary.repeats, "configuration": summary.version,
                 "copy_age_ms": self.mirror.age().as_millis().min(u128::from(u32::MAX)) as u64,
             })
         });
@@ -257,6 +258,7 @@
         };
         let response = job.run().await;
         summary.tried = job.progress.tried();
+        summary.repeats = job.progress.repeats();
         response
     }
 
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -100,13 +100,21 @@
     incarnation: id::Incarnation,
     /// Number of the relay's latest change that the copy has.
     after: u64,
+    /// Bytes of the latest response that have been received, and its length as far as known.
+    received: (usize, Option<usize>),
 }
 
 impl Follower {
     pub(super) async fn connect(relay: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(relay).await?;
         stream.set_nodelay(true)?;
-        Ok(Self { relay, stream, incarnation: id::Incarnation::default(), after: 0 })
+        Ok(Self {
+            relay,
+            stream,
+            incarnation: id::Incarnation::default(),
+            after: 0,
+            received: (0, None),
+        })
     }
 
     /// Requests the changes since the acknowledged one; the relay may wait for one for `wait`. A
@@ -125,7 +133,7 @@
             extension = extension.with(Field::EvacuationsReached, &reached);
         }
         write(&mut self.stream, &message::encode(&request, &extension)).await?;
-        let bytes = read(&mut self.stream, MAX_RESPONSE).await?;
+        let bytes = self.read_response().await?;
         let (response, fields): (SyncResponse, _) = message::decode(&bytes).map_err(malformed)?;
         self.incarnation = response.incarnation;
         let evacuations = fields.get::<Update>(Field::Evacuations).map_err(malformed)?;
@@ -133,6 +141,26 @@
         Ok((response, evacuations.filter(|update| update.kind == Kind::Evacuation)))
     }
 
+    /// Returns how many bytes of the latest response have been received, and its length as far as known.
+    pub(super) fn received(&self) -> (usize, Option<usize>) {
+        self.received
+    }
+
+    async fn read_response(&mut self) -> io::Result<Vec<u8>> {
+        self.received = (0, None);
+        let length = read_length(&mut self.stream, MAX_RESPONSE).await?;
+        self.received.1 = Some(length);
+        let mut bytes = vec![0; length];
+        while self.received.0 < length {
+            let count = self.stream.read(&mut bytes[self.received.0..]).await?;
+            if count == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            self.received.0 += count;
+        }
+        Ok(bytes)
+    }
+
     /// Records that the copy has all changes up to `number`; after 0, the next poll requests all
     /// objects.
     pub(super) fn acknowledge(&mut self, number: u64) {
@@ -149,13 +177,17 @@
 }
 
 async fn read(stream: &mut TcpStream, max_length: u32) -> io::Result<Vec<u8>> {
+    let mut bytes = vec![0; read_length(stream, max_length).await?];
+    stream.read_exact(&mut bytes).await?;
+    Ok(bytes)
+}
+
+async fn read_length(stream: &mut TcpStream, max_length: u32) -> io::Result<usize> {
     let length = stream.read_u32().await?;
     if length > max_length {
         return Err(io::ErrorKind::InvalidData.into());
     }
-    let mut bytes = vec![0; length as usize];
-    stream.read_exact(&mut bytes).await?;
-    Ok(bytes)
+    Ok(length as usize)
 }
 
 /// Returns whether a connection failed as a message could not be read.
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -244,9 +244,13 @@
                 if relay::is_malformed(&error) {
                     self.fleet.unreadable().record(relay, None, Fault::Sync);
                 }
+                self.emit_relay_failed(connected, sent, &error.to_string());
+                return Followed::default();
+            }
+            Err(_) => {
+                self.emit_relay_failed(connected, sent, "no whole response in time");
                 return Followed::default();
             }
-            Err(_) => return Followed::default(),
         };
         // The relay reports its age as of its response, which it sent after this request was sent;
         // time past the wait counts as transit.
@@ -265,6 +269,17 @@
         Followed { age: Some(age), has_no_evacuations }
     }
 
+    /// Writes an event on a response of a relay that did not come whole.
+    fn emit_relay_failed(&self, follower: &Follower, sent: Moment, reason: &str) {
+        let (received, length) = follower.received();
+        let waited = self.clock.now().since(sent);
+        let fields = json!({
+            "relay": follower.relay.to_string(), "reason": reason, "received": received,
+            "length": length, "waited_ms": waited.as_millis() as u64,
+        });
+        self.events.emit("relay_failed", fields);
+    }
+
     /// Records at intervals that the process runs.
     async fn beat(self) {
         let mut ticks = tokio::time::interval(BEAT_INTERVAL);
