--- a/chicoryloom/src/gateway/extension.rs
+++ b/chicoryloom/src/gateway/extension.rs
@@ -27,6 +27,20 @@
     /// Behind [`Body::Ask`](super::message::Body::Ask): that the target is cold, as a
     /// [`Cold`](super::message::Cold).
     Cold = 4,
+    /// Behind a heartbeat, a hello and a [`SyncResponse`](super::message::SyncResponse): the version of the
+    /// configuration that the sender holds, as a [`Holding`](super::versions::Holding).
+    Holding = 5,
+    /// In a [`SyncRequest`](super::message::SyncRequest): that the follower asks for configurations by
+    /// [`Field::Base`], so that the response needs none.
+    FetchesApart = 6,
+    /// In a [`SyncRequest`](super::message::SyncRequest): asks for the configuration alone. The value is the
+    /// digest of the one that the sender has, if any.
+    Base = 7,
+    /// In the response to that: the configuration, as a [`Package`](super::package::Package).
+    Package = 8,
+    /// In a [`SyncResponse`](super::message::SyncResponse): that the configuration was left out, as the follower
+    /// has it at another position or another one.
+    Omitted = 9,
 }
 
 /// Fields behind a message, by number.
--- a/chicoryloom/src/gateway/fleet/maintenance.rs
+++ b/chicoryloom/src/gateway/fleet/maintenance.rs
@@ -16,6 +16,7 @@
 use crate::gateway::members::REMOTE_HEARTBEAT_INTERVAL;
 use crate::gateway::message::Body;
 use crate::gateway::mirror::Mirror;
+use crate::gateway::versions::Holding;
 
 /// Interval between two rounds of maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(50);
@@ -28,7 +29,8 @@
 impl Fleet {
     pub(super) async fn send_heartbeat(&self, remote: bool, fleet: bool) {
         let recipients = self.members().recipients(remote, fleet, self.clock.now());
-        self.send(&recipients, Body::Heartbeat(self.me())).await;
+        let heartbeat = Body::Heartbeat(self.me());
+        self.send_extended(&recipients, heartbeat, &self.announcement()).await;
     }
 
     /// Sends heartbeats, updates the entry hosts and does periodic work until the task is aborted.
@@ -40,6 +42,7 @@
         let (mut entries_at, mut swept_at) = (Moment::ZERO, Moment::ZERO);
         let (mut was_entry, mut was_watcher, mut was_cut) = (false, false, false);
         let mut announce_until = Moment::ZERO;
+        let mut announced = None;
         loop {
             tokio::select! {
                 _ = ticks.tick() => {}
@@ -73,11 +76,15 @@
             // Others follow a host, and stop watching, as long as they take it for a watcher.
             let is_watcher = me.watches && me.fresh;
             let has_changed = std::mem::replace(&mut was_watcher, is_watcher) != is_watcher;
-            if now.since(local_at) >= interval || is_new || has_changed {
+            // Hosts that learn a version from the platform tell all others of it at once; those learn
+            // of it in time also where their own data centre has lost its watchers.
+            let held = self.versions.holding().map(Holding::version);
+            let has_news = me.watches && std::mem::replace(&mut announced, held) != held;
+            if now.since(local_at) >= interval || is_new || has_changed || has_news {
                 local_at = now;
                 let to_remote = is_entry && now.since(remote_at) >= REMOTE_HEARTBEAT_INTERVAL;
                 let is_fleet_due = is_new || now.since(fleet_at) >= FLEET_HEARTBEAT_INTERVAL;
-                let to_fleet = announces || (is_entry && is_fleet_due);
+                let to_fleet = announces || has_news || (is_entry && is_fleet_due);
                 remote_at = if to_remote { now } else { remote_at };
                 fleet_at = if to_fleet { now } else { fleet_at };
                 self.send_heartbeat(to_remote, to_fleet).await;
@@ -100,7 +107,7 @@
         }
         let mut members = self.members();
         let mut me = self.me.lock().expect("no holder of the lock panics");
-        me.ready = catalog.is_some() && !self.dispatcher.is_cut();
+        me.ready = catalog.is_some() && !self.dispatcher.is_cut() && !self.versions.is_behind();
         me.fresh = mirror.age() < MAX_FRESH_AGE;
         let mut centres: BTreeSet<_> =
             members.all_alive(now).map(|member| &member.data_centre).collect();
--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -18,6 +18,7 @@
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::allowance::Limiter;
 use chicoryloom_policy::allowance::Report;
+use chicoryloom_policy::catalog::Version;
 use chicoryloom_policy::gray::Notice;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
@@ -40,6 +41,8 @@
 use super::message::MAX_DATAGRAM;
 use super::message::Member;
 use super::message::Usage;
+use super::versions::Holding;
+use super::versions::Versions;
 use crate::clock::Clock;
 
 /// Silence of all hosts after which this one counts itself as cut off; four heartbeats of an entry
@@ -63,6 +66,7 @@
     clock: Arc<dyn Clock>,
     events: Events,
     unreadable: Arc<Unreadable>,
+    versions: Arc<Versions>,
     /// Share of one data centre in the requests per second that are granted to callers.
     demand: Mutex<f64>,
 }
@@ -74,13 +78,14 @@
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) dispatcher: Arc<Dispatcher>,
     pub(super) allowance: Arc<Mutex<Limiter>>,
+    pub(super) versions: Arc<Versions>,
     pub(super) clock: Arc<dyn Clock>,
     pub(super) events: Events,
 }
 
 impl Fleet {
     pub(super) fn new(setup: Setup) -> Self {
-        let Setup { me, socket, seeds, dispatcher, allowance, clock, events } = setup;
+        let Setup { me, socket, seeds, dispatcher, allowance, versions, clock, events } = setup;
         Self {
             name: me.host.clone(),
             incarnation: me.incarnation,
@@ -91,6 +96,7 @@
             seeds,
             dispatcher,
             allowance,
+            versions,
             unreadable: Arc::new(Unreadable::new(events.clone(), clock.clone())),
             clock,
             events,
@@ -253,6 +259,7 @@
         match body {
             Body::Hello { member, known } => {
                 self.update_member(member, protocol, now);
+                self.apply_holding(&sender, extension, source);
                 if self.peer_count() > known {
                     self.send_members(source).await;
                 }
@@ -260,6 +267,7 @@
             Body::Heartbeat(member) => {
                 self.dispatcher.hear();
                 self.update_member(member, protocol, now);
+                self.apply_holding(&sender, extension, source);
             }
             Body::Members(members) => {
                 let mut known = self.members();
@@ -303,6 +311,33 @@
         }
     }
 
+    /// Applies the version of the configuration that a host announces.
+    fn apply_holding(&self, host: &id::Host, extension: &Extension, source: SocketAddr) {
+        match extension.get::<Holding>(Field::Holding) {
+            Ok(Some(holding)) => {
+                self.members().set_holding(host, holding.version());
+                self.versions.announce(holding);
+            }
+            Ok(None) => {}
+            Err(_) => self.unreadable.record(source, Some(host), message::Fault::Extension),
+        }
+    }
+
+    /// Returns the hosts that hold a version of the configuration or a later one, the nearer ones if
+    /// there are any.
+    pub(super) fn holders(&self, version: Version) -> Vec<(id::Host, SocketAddr)> {
+        self.members().holders(version, self.clock.now())
+    }
+
+    /// Returns the extension of a message with which this host announces its version.
+    fn announcement(&self) -> Extension {
+        let extension = Extension::new();
+        match self.versions.holding() {
+            Some(holding) => extension.with(Field::Holding, &holding),
+            None => extension,
+        }
+    }
+
     fn update_member(&self, member: Member, protocol: u16, now: Moment) {
         let host = member.host.clone();
         let (is_ready, is_leaving) = (member.ready, member.leaving);
--- a/chicoryloom/src/gateway/fleet/registration.rs
+++ b/chicoryloom/src/gateway/fleet/registration.rs
@@ -34,7 +34,7 @@
 impl Fleet {
     /// Introduces this host to others.
     pub(in crate::gateway) async fn send_hello(&self, hosts: &[SocketAddr]) {
-        self.send(hosts, self.hello()).await;
+        self.send_extended(hosts, self.hello(), &self.announcement()).await;
     }
 
     fn hello(&self) -> Body {
@@ -57,7 +57,7 @@
         let seeds: Vec<_> = self.seeds.iter().filter(|seed| **seed != own).copied().collect();
         let mut rounds = 0;
         while self.clock.now() < end && rounds < 3 {
-            self.send(&seeds, self.hello()).await;
+            self.send_hello(&seeds).await;
             tokio::time::sleep(HELLO_INTERVAL).await;
             // Two further rounds reach seeds that started later than this host.
             rounds += usize::from(self.members().all().next().is_some());
@@ -111,7 +111,7 @@
                         self.members().all().map(|one| (one.host.clone(), one.peer)).collect();
                     let new = hosts.filter(|host| known.get(&host.host) != Some(&host.peer));
                     let new: Vec<_> = new.map(|host| host.peer).collect();
-                    self.send(&new, self.hello()).await;
+                    self.send_hello(&new).await;
                 }
                 Err(error) => log::debug!("fleet: registered hosts can't be read: {error}"),
             }
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -38,6 +38,7 @@
 use super::settings;
 use super::settings::Settings;
 use super::sync::Replicator;
+use super::versions::Versions;
 use crate::clock::BootClock;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -127,11 +128,13 @@
             clock: clock.clone(),
             events: events.clone(),
         });
+        let versions = Arc::new(Versions::new(clock.clone()));
         let mirror = Arc::new(Mirror::new(
             dispatcher.clone(),
             dialect.clone(),
             clock.clone(),
             events.clone(),
+            versions.clone(),
             settings.bounds.evacuation.is_some(),
         ));
         let fleet = Arc::new(Fleet::new(fleet::Setup {
@@ -140,6 +143,7 @@
             seeds: seeds(&settings),
             dispatcher: dispatcher.clone(),
             allowance: limiter.clone(),
+            versions,
             clock: clock.clone(),
             events: events.clone(),
         }));
@@ -185,6 +189,7 @@
                 mirror.clone(),
                 fleet.unreadable().clone(),
             )),
+            tokio::spawn(replicator.clone().fetch()),
             tokio::spawn(replicator.run()),
             tokio::spawn(server.clone().accept(callers)),
             tokio::spawn(edge::serve_handler(locator, gateway.clone(), edge::locate)),
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::catalog::Version;
 use chicoryloom_policy::entry;
 use chicoryloom_policy::id;
 
@@ -53,6 +54,8 @@
     discovered: Moment,
     /// Whether it was alive at the latest call of [`Members::expire`].
     was_alive: bool,
+    /// Version of the configuration that it holds, as of its latest announcement.
+    holds: Option<Version>,
 }
 
 /// A host that this one could follow.
@@ -112,8 +115,17 @@
         };
         let rank = before.map_or_else(|| entry::rank(&host), |peer| peer.rank);
         let was_alive = self.peers.get(&host).is_some_and(|peer| peer.was_alive);
-        let peer =
-            Peer { member, protocol, rank, last_heartbeat: Some(now), discovered: now, was_alive };
+        let holds = before.filter(|_| change != Some(Change::Restarted));
+        let holds = holds.and_then(|peer| peer.holds);
+        let peer = Peer {
+            member,
+            protocol,
+            rank,
+            last_heartbeat: Some(now),
+            discovered: now,
+            was_alive,
+            holds,
+        };
         self.peers.insert(host, peer);
         change
     }
@@ -148,9 +160,28 @@
             last_heartbeat: None,
             discovered: now,
             was_alive: false,
+            holds: None,
         });
     }
 
+    /// Records the version of the configuration that a known host holds.
+    pub(super) fn set_holding(&mut self, host: &id::Host, version: Version) {
+        if let Some(peer) = self.peers.get_mut(host) {
+            peer.holds = Some(version);
+        }
+    }
+
+    /// Returns the live hosts that hold a version of the configuration or a later one: those of this
+    /// data centre, or all if it has none.
+    pub(super) fn holders(&self, version: Version, now: Moment) -> Vec<(id::Host, SocketAddr)> {
+        let holds = |peer: &&Peer| peer.holds >= Some(version) && self.is_alive(peer, now);
+        let holders: Vec<_> = self.peers.values().filter(holds).map(|peer| &peer.member).collect();
+        let is_local = |member: &&&Member| member.data_centre == self.data_centre;
+        let address = |member: &&Member| (member.host.clone(), member.peer);
+        let local: Vec<_> = holders.iter().filter(is_local).map(address).collect();
+        if local.is_empty() { holders.iter().map(address).collect() } else { local }
+    }
+
     fn is_alive(&self, peer: &Peer, now: Moment) -> bool {
         is_alive(peer, &self.data_centre, self.is_entry, now)
     }
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,9 +14,11 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Catalog;
 use chicoryloom_policy::catalog::Target;
+use chicoryloom_policy::catalog::Version;
 use chicoryloom_policy::id;
 use chicoryloom_policy::outage;
 use chicoryloom_policy::position::Era;
@@ -23,6 +26,7 @@
 use chicoryloom_policy::replica::Changes;
 use chicoryloom_policy::replica::Kind;
 use chicoryloom_policy::replica::Positions;
+use chicoryloom_policy::replica::Record;
 use chicoryloom_policy::replica::Replica;
 use chicoryloom_policy::replica::Update;
 use serde_json::json;
@@ -31,7 +35,11 @@
 
 use super::dispatcher::Dispatcher;
 use super::events::Events;
+use super::package::Archive;
+use super::package::Digest;
+use super::package::Package;
 use super::port::Dialect;
+use super::versions::Versions;
 use crate::clock::Clock;
 
 /// Time for which a host that has just started waits for the evacuations before it uses its
@@ -61,7 +69,7 @@
     targets: HashMap<SmolStr, Arc<Target>>,
     /// When the copy of each kind was last confirmed to be the platform's state.
     confirmed: [Option<Moment>; Kind::ALL.len()],
-    /// Origin of the latest update of a common kind.
+    /// Origin of the latest update of the targets.
     source: Option<Source>,
     /// When this host got its first configuration.
     first_catalog: Option<Moment>,
@@ -83,6 +91,8 @@
     latest: watch::Sender<(u64, u64)>,
     /// Latest era of the platform's store that the copy has reached.
     era: watch::Sender<Era>,
+    versions: Arc<Versions>,
+    archive: Mutex<Archive>,
     /// Number of objects that the copy lacked although it had reached their positions.
     corrections: AtomicU64,
 }
@@ -99,6 +109,7 @@
         dialect: Arc<dyn Dialect>,
         clock: Arc<dyn Clock>,
         events: Events,
+        versions: Arc<Versions>,
         has_evacuations: bool,
     ) -> Self {
         Self {
@@ -112,6 +123,8 @@
             events,
             latest: watch::Sender::new((0, 0)),
             era: watch::Sender::new(Era::default()),
+            versions,
+            archive: Mutex::default(),
             corrections: AtomicU64::new(0),
         }
     }
@@ -182,6 +195,63 @@
         (state.replica.latest_change(), state.replica.updates_after(number, reached))
     }
 
+    /// Returns the versions of the configuration that this host and the others hold.
+    pub(super) fn versions(&self) -> &Versions {
+        &self.versions
+    }
+
+    /// Records that the newest version of the configuration was known `age` ago, whether this host
+    /// holds it or not.
+    pub(super) fn confirm_newest(&self, age: Duration) {
+        let now = self.clock.now();
+        let confirmed = &mut self.lock().confirmed[Kind::Catalog as usize];
+        *confirmed = (*confirmed).max(Some(now.before(age)));
+    }
+
+    /// Does the same as [`Self::after`] for a follower that fetches the configuration by itself: what is
+    /// returned confirms the one that the follower has, or leaves it out.
+    pub(super) fn after_apart(&self, number: u64, reached: Positions) -> (u64, Vec<Update>) {
+        let state = self.lock();
+        let mut updates = state.replica.updates_after(number, reached);
+        updates.retain(|update| update.kind != Kind::Catalog);
+        let mut catalog = state.replica.snapshot(Kind::Catalog, reached.catalog);
+        // A version of an earlier era that the follower lacks is announced, like any other.
+        let is_known = |record: &Record| record.position <= reached.catalog;
+        if catalog.records.iter().all(is_known) && !catalog.position.is_start() {
+            let known = catalog.records.drain(..).map(|record| record.name);
+            catalog.kept.extend(known);
+            updates.push(catalog);
+        }
+        (state.replica.latest_change(), updates)
+    }
+
+    fn archive(&self) -> MutexGuard<'_, Archive> {
+        self.archive.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the configuration that this host has.
+    pub(super) fn contents(&self) -> Option<(Digest, Bytes)> {
+        self.archive().latest()
+    }
+
+    /// Packs the configuration for a host that has `base`; `None` if this host has none.
+    pub(super) fn package(&self, base: Option<Digest>) -> Option<io::Result<Package>> {
+        let update = self.lock().replica.snapshot(Kind::Catalog, Position::default());
+        let written = update.records.iter().map(|record| record.position).max()?;
+        let written = written.max(Position::new(update.position.era, 0));
+        let base = base.and_then(|base| self.archive().base(base));
+        let known = self.archive().package(written, base.as_ref().map(|(digest, _)| *digest));
+        if let Some(package) = known {
+            return Some(Ok(package));
+        }
+        let dictionary = base.as_ref().map(|(digest, contents)| (*digest, &contents[..]));
+        let package = Package::pack(&update, dictionary);
+        if let Ok(package) = &package {
+            self.archive().keep(written, package.clone());
+        }
+        Some(package)
+    }
+
     /// Returns the platform's positions that the copies have reached.
     pub(super) fn reached(&self) -> Positions {
         self.lock().replica.positions()
@@ -274,7 +344,7 @@
             Source::Host(_) => state.replica.accepts_relayed(&update),
         };
         let (kind, before) = (update.kind, state.replica.position(update.kind));
-        if kind != Kind::Evacuation {
+        if kind == Kind::Target {
             state.source = Some(source);
         }
         let (listed, position) = (update.records.len(), update.position);
@@ -339,6 +409,14 @@
         }
         if changes.catalog {
             self.read_catalog(state, source);
+            let records = state.replica.records(Kind::Catalog);
+            let newest = records.max_by_key(|record| record.generation);
+            if let Some(record) = newest
+                && let Some(contents) = &record.value
+            {
+                self.archive().add(contents.clone());
+                self.versions.hold(Version(record.generation.number));
+            }
         }
         if changes.evacuations {
             self.read_evacuations(state, source);
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod edge;
 pub mod events;
 mod extension;
+mod fetch;
 mod fleet;
 mod head;
 mod host;
@@ -16,11 +17,13 @@
 mod members;
 mod message;
 mod mirror;
+mod package;
 pub mod port;
 mod refusal;
 mod relay;
 pub mod settings;
 mod sync;
+mod versions;
 mod watch;
 
 use std::collections::HashMap;
@@ -156,9 +159,10 @@
         {
             response.headers_mut().insert(name, id.clone());
         }
-        // A host without links to targets frees its callers to connect to another one.
-        let is_unreachable = refusal.is_some() && self.dispatcher.is_cut();
-        if is_ambiguous || is_unreachable || self.leaving.load(Ordering::Relaxed) {
+        // A host that can't serve frees its callers to connect to another one.
+        let is_unable = || self.dispatcher.is_cut() || self.mirror.versions().is_behind();
+        let is_unable = refusal.is_some() && is_unable();
+        if is_ambiguous || is_unable || self.leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         let took = started.elapsed();
@@ -272,6 +276,12 @@
                 Refusal::new(Reason::NoConfiguration, "this host knows no configuration yet");
             return Err(refusal.retry_after(SHORT_RETRY_AFTER));
         };
+        if self.mirror.versions().is_behind() {
+            let detail = "this host lacks a configuration that others have";
+            return Err(
+                Refusal::new(Reason::NoConfiguration, detail).retry_after(SHORT_RETRY_AFTER)
+            );
+        }
         let host = check_request(request, &catalog)?;
         let Some(route) = catalog.route(host, request.uri().path()).cloned() else {
             return Err(self.refuse_unknown(Reason::NoRoute, "no route takes the request"));
@@ -292,7 +302,7 @@
     /// Refuses a request with an unknown route or key; if this host's configuration may be out of
     /// date, the caller is asked to retry instead.
     fn refuse_unknown(&self, reason: Reason, detail: &str) -> Refusal {
-        if self.mirror.age() < MAX_FRESH_AGE {
+        if self.mirror.age() < MAX_FRESH_AGE && self.mirror.versions().missing().is_none() {
             return Refusal::new(reason, detail);
         }
         let detail = format!("{detail}, but this host may have missed a change");
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -7,8 +7,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use chicoryloom_policy::id;
 use chicoryloom_policy::position::Position;
 use chicoryloom_policy::replica::Kind;
@@ -28,6 +31,9 @@
 use super::message::SyncRequest;
 use super::message::SyncResponse;
 use super::mirror::Mirror;
+use super::package::Digest;
+use super::package::Package;
+use super::versions::Holding;
 
 /// Longest time that a relay holds a response.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -35,6 +41,13 @@
 const MAX_REQUEST: u32 = 1024;
 /// Time without a request after which a follower's connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time past the wait after which a relay that has not begun to respond counts as failed; also the
+/// timeout of the connection to it.
+pub(super) const RESPONSE_SLACK: Duration = Duration::from_millis(200);
+/// Pause within a response after which the relay counts as failed.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time that a relay needs to pack its configuration.
+const PACKING_TIME: Duration = Duration::from_millis(800);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -52,7 +65,7 @@
         };
         let (mirror, unreadable) = (mirror.clone(), unreadable.clone());
         tokio::spawn(async move {
-            if let Err(error) = serve_follower(stream, incarnation, &mirror).await {
+            if let Err(error) = serve_follower(stream, incarnation, mirror).await {
                 if is_malformed(&error) {
                     unreadable.record(peer, None, Fault::Sync);
                 }
@@ -65,7 +78,7 @@
 async fn serve_follower(
     mut stream: TcpStream,
     incarnation: id::Incarnation,
-    mirror: &Mirror,
+    mirror: Arc<Mirror>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     loop {
@@ -74,16 +87,33 @@
             return Ok(());
         };
         let (request, fields): (SyncRequest, _) = message::decode(&received?).map_err(malformed)?;
+        if let Some(base) = fields.get::<Option<Digest>>(Field::Base).map_err(malformed)? {
+            let response = package(&mirror, base, incarnation).await?;
+            write(&mut stream, &response).await?;
+            continue;
+        }
         let evacuations = fields.get::<Position>(Field::EvacuationsReached).map_err(malformed)?;
         let after = if request.incarnation == incarnation { request.after } else { 0 };
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
         if after > 0 {
             mirror.wait_for_update(after, wait).await;
         }
-        let (latest, updates) = mirror.after(after, request.reached);
+        let fetches_apart = fields.get(Field::FetchesApart).map_err(malformed)?.unwrap_or(false);
+        let (latest, updates) = if fetches_apart {
+            mirror.after_apart(after, request.reached)
+        } else {
+            mirror.after(after, request.reached)
+        };
         let age_ms = u64::try_from(mirror.age().as_millis()).unwrap_or(u64::MAX);
+        let is_omitted = !updates.iter().any(|update| update.kind == Kind::Catalog);
         let response = SyncResponse { incarnation, latest, age_ms, updates };
         let mut extension = Extension::new();
+        if is_omitted {
+            extension = extension.with(Field::Omitted, &true);
+        }
+        if let Some(holding) = mirror.versions().holding() {
+            extension = extension.with(Field::Holding, &holding);
+        }
         if let Some(update) = evacuations.and_then(|reached| mirror.evacuations_after(reached)) {
             extension = extension.with(Field::Evacuations, &update);
         }
@@ -91,6 +121,36 @@
     }
 }
 
+/// Returns the response with this host's configuration for a host that has `base`.
+async fn package(
+    mirror: &Arc<Mirror>,
+    base: Option<Digest>,
+    incarnation: id::Incarnation,
+) -> io::Result<Bytes> {
+    let packing = mirror.clone();
+    // Requests must not wait for the compression.
+    let package = tokio::task::spawn_blocking(move || packing.package(base)).await?;
+    let age_ms = u64::try_from(mirror.age().as_millis()).unwrap_or(u64::MAX);
+    let response = SyncResponse { incarnation, latest: 0, age_ms, updates: Vec::new() };
+    let extension = Extension::new();
+    let extension = match package.transpose()? {
+        Some(package) => extension.with(Field::Package, &package),
+        None => extension,
+    };
+    Ok(message::encode(&response, &extension))
+}
+
+/// What a relay says in a response besides the updates.
+#[derive(Debug, Default)]
+pub(super) struct Remarks {
+    /// Evacuations, if they were asked for and the relay knows them.
+    pub(super) evacuations: Option<Update>,
+    /// Version of the configuration that the relay holds.
+    pub(super) holding: Option<Holding>,
+    /// Whether the configuration was left out.
+    pub(super) is_omitted: bool,
+}
+
 /// A follower's connection to its relay.
 #[derive(Debug)]
 pub(super) struct Follower {
@@ -117,28 +177,71 @@
         })
     }
 
-    /// Requests the changes since the acknowledged one; the relay may wait for one for `wait`. A
-    /// response has no evacuations if they aren't asked for, or the relay doesn't know them.
+    /// Requests the changes since the acknowledged one; the relay may wait for one for `wait`. The
+    /// configuration is left out if the relay knows how to send it by itself.
+    ///
+    /// The response may take any time to arrive as long as it goes on. `is_receiving` is set while it
+    /// arrives.
     pub(super) async fn poll(
         &mut self,
         reached: Positions,
         evacuations: Option<Position>,
         wait: Duration,
-    ) -> io::Result<(SyncResponse, Option<Update>)> {
+        is_receiving: &AtomicBool,
+    ) -> io::Result<(SyncResponse, Remarks)> {
         let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
         let request =
             SyncRequest { incarnation: self.incarnation, after: self.after, reached, wait_ms };
-        let mut extension = Extension::new();
+        let mut extension = Extension::new().with(Field::FetchesApart, &true);
         if let Some(reached) = evacuations {
             extension = extension.with(Field::EvacuationsReached, &reached);
         }
-        write(&mut self.stream, &message::encode(&request, &extension)).await?;
-        let bytes = self.read_response().await?;
-        let (response, fields): (SyncResponse, _) = message::decode(&bytes).map_err(malformed)?;
+        let (response, fields) = self.exchange(&request, &extension, wait, is_receiving).await?;
         self.incarnation = response.incarnation;
         let evacuations = fields.get::<Update>(Field::Evacuations).map_err(malformed)?;
         // Another kind in this field would be applied without its place in the relay's changes.
-        Ok((response, evacuations.filter(|update| update.kind == Kind::Evacuation)))
+        let evacuations = evacuations.filter(|update| update.kind == Kind::Evacuation);
+        let holding = fields.get(Field::Holding).map_err(malformed)?;
+        let is_omitted = fields.get(Field::Omitted).map_err(malformed)?.unwrap_or(false);
+        Ok((response, Remarks { evacuations, holding, is_omitted }))
+    }
+
+    /// Requests the configuration, given the digest of the one that this host has; returns the age of the
+    /// relay's copy as well. `None` if the relay has no configuration.
+    pub(super) async fn fetch(
+        &mut self,
+        base: Option<Digest>,
+    ) -> io::Result<Option<(Package, Duration)>> {
+        let request = SyncRequest {
+            incarnation: self.incarnation,
+            after: 0,
+            reached: Positions::default(),
+            wait_ms: 0,
+        };
+        let extension = Extension::new().with(Field::Base, &base);
+        let is_receiving = AtomicBool::new(false);
+        let (response, fields) =
+            self.exchange(&request, &extension, PACKING_TIME, &is_receiving).await?;
+        let package = fields.get::<Package>(Field::Package).map_err(malformed)?;
+        Ok(package.map(|package| (package, Duration::from_millis(response.age_ms))))
+    }
+
+    async fn exchange(
+        &mut self,
+        request: &SyncRequest,
+        extension: &Extension,
+        wait: Duration,
+        is_receiving: &AtomicBool,
+    ) -> io::Result<(SyncResponse, Extension)> {
+        self.received = (0, None);
+        write(&mut self.stream, &message::encode(request, extension)).await?;
+        let length = read_length(&mut self.stream, MAX_RESPONSE);
+        let length = tokio::time::timeout(wait + RESPONSE_SLACK, length).await??;
+        self.received.1 = Some(length);
+        is_receiving.store(true, Ordering::Relaxed);
+        let bytes = self.receive(length).await;
+        is_receiving.store(false, Ordering::Relaxed);
+        message::decode(&bytes?).map_err(malformed)
     }
 
     /// Returns how many bytes of the latest response have been received, and its length as far as known.
@@ -146,13 +249,11 @@
         self.received
     }
 
-    async fn read_response(&mut self) -> io::Result<Vec<u8>> {
-        self.received = (0, None);
-        let length = read_length(&mut self.stream, MAX_RESPONSE).await?;
-        self.received.1 = Some(length);
+    async fn receive(&mut self, length: usize) -> io::Result<Vec<u8>> {
         let mut bytes = vec![0; length];
         while self.received.0 < length {
-            let count = self.stream.read(&mut bytes[self.received.0..]).await?;
+            let read = self.stream.read(&mut bytes[self.received.0..]);
+            let count = tokio::time::timeout(STALL_TIMEOUT, read).await??;
             if count == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
@@ -198,3 +299,6 @@
 fn malformed(reason: smol_str::SmolStr) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, reason.as_str())
 }
+
+#[cfg(test)]
+mod tests;
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -39,6 +39,8 @@
 use super::port::Store;
 use super::relay;
 use super::relay::Follower;
+use super::relay::RESPONSE_SLACK;
+use super::relay::Remarks;
 use super::watch::Watcher;
 use crate::clock::Clock;
 
@@ -51,9 +53,6 @@
 const MIN_FOLLOW_WAIT: Duration = Duration::from_millis(50);
 /// Time before the end of freshness at which a relay responds.
 const FOLLOW_MARGIN: Duration = Duration::from_millis(100);
-/// Time past the wait after which a relay that has not responded counts as failed; also the
-/// timeout of the connection to it.
-const FOLLOW_SLACK: Duration = Duration::from_millis(200);
 /// Time for which a relay that failed or whose copy is not fresh is not followed.
 const RELAY_BACKOFF: Duration = Duration::from_millis(400);
 /// Time after its start in which a host that knows no other one waits for others before it calls
@@ -156,10 +155,17 @@
                 .saturating_sub(self.mirror.age().saturating_add(FOLLOW_MARGIN))
                 .clamp(MIN_FOLLOW_WAIT, FOLLOW_WAIT);
             let until_due = takeover::due_age(place).saturating_sub(age);
+            let is_receiving = AtomicBool::new(false);
+            let due = async {
+                tokio::time::sleep(until_due).await;
+                while is_receiving.load(Ordering::Relaxed) {
+                    tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
+                }
+            };
             let followed = tokio::select! {
-                followed = self.follow(&mut follower, relay.peer, wait) => followed,
+                followed = self.follow(&mut follower, relay.peer, wait, &is_receiving) => followed,
                 // A relay that does not respond must not delay the takeover.
-                () = tokio::time::sleep(until_due), if !is_watching => {
+                () = due, if !is_watching => {
                     self.set_watching(&sources, true, true);
                     source = None;
                     self.emit_source(None, None);
@@ -214,15 +220,16 @@
         (others, own_place)
     }
 
-    /// Polls a relay once, and applies its updates.
+    /// Polls a relay once, and applies its updates. `is_receiving` is set while its response arrives.
     async fn follow(
         &self,
         follower: &mut Option<Follower>,
         relay: SocketAddr,
         wait: Duration,
+        is_receiving: &AtomicBool,
     ) -> Followed {
         if follower.as_ref().is_none_or(|follower| follower.relay != relay) {
-            let connected = tokio::time::timeout(FOLLOW_SLACK, Follower::connect(relay)).await;
+            let connected = tokio::time::timeout(RESPONSE_SLACK, Follower::connect(relay)).await;
             *follower = connected.ok().and_then(Result::ok);
         }
         let Some(connected) = follower else {
@@ -236,22 +243,18 @@
         let sent = self.clock.now();
         let wants_evacuations = self.mirror.kinds().contains(&Kind::Evacuation);
         let evacuations = wants_evacuations.then(|| self.mirror.position(Kind::Evacuation));
-        let polled = connected.poll(self.mirror.reached(), evacuations, wait);
-        let polled = tokio::time::timeout(wait + FOLLOW_SLACK, polled);
-        let (response, evacuations) = match polled.await {
-            Ok(Ok(polled)) => polled,
-            Ok(Err(error)) => {
+        let polled = connected.poll(self.mirror.reached(), evacuations, wait, is_receiving);
+        let (response, remarks) = match polled.await {
+            Ok(polled) => polled,
+            Err(error) => {
                 if relay::is_malformed(&error) {
                     self.fleet.unreadable().record(relay, None, Fault::Sync);
                 }
                 self.emit_relay_failed(connected, sent, &error.to_string());
                 return Followed::default();
             }
-            Err(_) => {
-                self.emit_relay_failed(connected, sent, "no whole response in time");
-                return Followed::default();
-            }
         };
+        let Remarks { evacuations, holding, is_omitted } = remarks;
         // The relay reports its age as of its response, which it sent after this request was sent;
         // time past the wait counts as transit.
         let lag = self.clock.now().since(sent).saturating_sub(wait);
@@ -262,6 +265,13 @@
             accepted &= self.mirror.apply(update, age, Source::Host(relay));
         }
         connected.acknowledge(if accepted { response.latest } else { 0 });
+        if let Some(holding) = holding {
+            self.mirror.versions().announce(holding);
+            self.mirror.confirm_newest(age);
+            if is_omitted {
+                self.mirror.versions().note_omitted(relay);
+            }
+        }
         let has_no_evacuations = wants_evacuations && evacuations.is_none();
         if let Some(update) = evacuations {
             self.mirror.apply(update, age, Source::Host(relay));
@@ -307,7 +317,8 @@
     async fn copy_from(&self, hosts: &[SocketAddr]) -> Option<SocketAddr> {
         let asked = hosts.iter().map(|host| async move {
             let mut follower = None;
-            let followed = self.follow(&mut follower, *host, Duration::ZERO).await;
+            let is_receiving = AtomicBool::new(false);
+            let followed = self.follow(&mut follower, *host, Duration::ZERO, &is_receiving).await;
             followed.is_fresh().then_some(*host)
         });
         let mut asked: FuturesUnordered<_> = asked.collect();
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod replay;
 pub mod replica;
 pub mod retry;
+pub mod rollout;
 pub mod roster;
 pub mod run;
 pub mod share;
