--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -129,6 +129,7 @@
     warmup_header: Option<HeaderName>,
     rule: Rule,
     clock: Arc<dyn Clock>,
+    started: Moment,
     events: Events,
     state: Mutex<State>,
     /// Notified when there is something to send to the other hosts.
@@ -172,6 +173,7 @@
             warmup_header,
             rule,
             clock,
+            started,
             events,
             state: Mutex::new(State {
                 services: HashMap::new(),
--- a/chicoryloom/src/gateway/dispatcher/service.rs
+++ b/chicoryloom/src/gateway/dispatcher/service.rs
@@ -8,6 +8,7 @@
 use chicoryloom_policy::gray::Standing;
 use chicoryloom_policy::gray::View;
 use chicoryloom_policy::id;
+use chicoryloom_policy::retry;
 use chicoryloom_policy::retry::Budget;
 use chicoryloom_policy::waiting::Queue;
 use chicoryloom_policy::waiting::Ticket;
@@ -20,6 +21,9 @@
 
 /// Weight of the newest sample in the smoothed latency of a route.
 const LATENCY_WEIGHT: f64 = 0.05;
+/// Time after its start in which a host may not know all others: they send heartbeats to the whole fleet
+/// at this interval.
+const ACQUAINTANCE_TIME: Duration = Duration::from_secs(5);
 /// Time without a request after which operators count a healthy target as idle.
 const IDLE_SPAN: Duration = Duration::from_secs(2);
 
@@ -45,7 +49,13 @@
 impl Dispatcher {
     /// Returns this host's share of the burst of retries that all hosts may send together.
     pub(super) fn retry_burst(&self, state: &State) -> f64 {
-        (self.bounds.retry_burst / state.entry_hosts.len().max(1) as f64).max(1.0)
+        let fleet = retry::Fleet {
+            entry_hosts: state.entry_hosts.len(),
+            is_entry: state.entry_hosts.iter().any(|(host, _)| *host == self.me),
+            visible_part: state.visible_part,
+            is_new: self.clock.now().since(self.started) < ACQUAINTANCE_TIME,
+        };
+        fleet.part(self.bounds.retry_burst)
     }
 
     /// Adds the share of a first attempt to the retry budget of its service.
