--- a/chicoryloom/src/gateway/fetch.rs
+++ b/chicoryloom/src/gateway/fetch.rs
@@ -75,11 +75,14 @@
         let base = present.as_ref().map(|(digest, contents)| (*digest, &contents[..]));
         let fetched = connection.fetch(base.map(|(digest, _)| digest)).await?;
         let Some((package, age)) = fetched else { return Err(io::ErrorKind::NotFound.into()) };
+        let age = age.saturating_add(self.answer_age(sent, self.clock.now().since(sent)));
+        if !self.takes(age) {
+            return Err(io::Error::other("the holder's copy is not fresh"));
+        }
         let update = package.unpack(base)?;
         if update.kind != Kind::Catalog {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        let age = age.saturating_add(self.answer_age(sent, self.clock.now().since(sent)));
         self.mirror.apply(update, age, Source::Host(holder));
         Ok(package.size())
     }
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -131,7 +131,7 @@
             let is_failing = is_watching && self.is_failing.load(Ordering::Relaxed);
             self.fleet.set_watches(is_watching && !is_failing);
             let age = self.mirror.age().min(now.since(started));
-            let has_copy = Kind::COMMON.iter().all(|kind| !self.mirror.position(*kind).is_start());
+            let has_copy = self.has_copy();
             let standing = Standing { place, age, has_copy, is_watching, is_failing };
             let candidate = |relay: &Relay| Candidate {
                 watches: relay.watches,
@@ -260,6 +260,10 @@
         let lag = self.clock.now().since(sent).saturating_sub(wait);
         let lag = self.answer_age(sent, lag);
         let age = Duration::from_millis(response.age_ms).saturating_add(lag);
+        if !self.takes(age) {
+            connected.acknowledge(0);
+            return Followed { age: Some(age), ..Followed::default() };
+        }
         let mut accepted = true;
         for update in response.updates {
             accepted &= self.mirror.apply(update, age, Source::Host(relay));
@@ -279,6 +283,16 @@
         Followed { age: Some(age), has_no_evacuations }
     }
 
+    /// Returns whether this host has a copy of what it needs to serve.
+    fn has_copy(&self) -> bool {
+        Kind::COMMON.iter().all(|kind| !self.mirror.position(*kind).is_start())
+    }
+
+    /// Returns whether this host takes over what another one has whose copy is `age` old.
+    pub(super) fn takes(&self, age: Duration) -> bool {
+        takeover::takes(age, self.has_copy(), self.is_failing.load(Ordering::Relaxed))
+    }
+
     /// Writes an event on a response of a relay that did not come whole.
     fn emit_relay_failed(&self, follower: &Follower, sent: Moment, reason: &str) {
         let (received, length) = follower.received();
--- a/chicoryloom_policy/src/takeover.rs
+++ b/chicoryloom_policy/src/takeover.rs
@@ -26,6 +26,14 @@
     MAX_FRESH_AGE + TAKEOVER_STEP * u32::try_from(steps).unwrap_or_default()
 }
 
+/// Returns whether a host takes over what another one has whose copy is `age` old.
+///
+/// A host that has a copy takes only what is newer. One that has none would take back what was withdrawn
+/// since: it waits for a fresh copy, unless the platform does not answer it.
+pub fn takes(age: Duration, has_copy: bool, is_failing: bool) -> bool {
+    has_copy || is_failing || age < MAX_FRESH_AGE
+}
+
 /// Another host of the data centre.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -85,7 +93,7 @@
         if self.is_watching {
             // A host that starts while the platform is away takes any copy.
             let usable = others.iter().position(|host| host.is_usable);
-            let index = usable.filter(|_| !self.has_copy)?;
+            let index = usable.filter(|_| !self.has_copy && self.is_failing)?;
             return Some(Relay { index, replaces_watch: false });
         }
         let primary = before.iter().take(PRIMARY_WATCHERS).position(|host| host.is_usable);
