--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -204,6 +204,7 @@
     protocol: &Protocol,
 ) -> Result<Answer, Failure> {
     let id = request.headers().get(&protocol.request_id).cloned();
+    let is_first = lease.is_new();
     let Some(sender) = lease.sender() else {
         return Err(Failure::Unsent);
     };
@@ -217,7 +218,7 @@
             });
         }
     };
-    check_response(&response, id.as_ref(), protocol)?;
+    check_response(&response, id.as_ref(), is_first, protocol)?;
     Ok(response.map(|body| AnswerBody::new(body, lease, idle)))
 }
 
@@ -275,6 +276,7 @@
 fn check_response(
     response: &Response<Incoming>,
     id: Option<&HeaderValue>,
+    is_first: bool,
     protocol: &Protocol,
 ) -> Result<(), Failure> {
     if response.status() == StatusCode::SWITCHING_PROTOCOLS {
@@ -282,13 +284,14 @@
     }
     let headers = response.headers();
     let echoed = headers.get(&protocol.request_id);
-    if response.status() == StatusCode::MISDIRECTED_REQUEST && (echoed.is_none() || echoed == id) {
+    let is_own = echoed == id || (echoed.is_none() && protocol.allows_no_echo);
+    // A target that refuses a request before it reads the head can't echo the identifier. On a connection
+    // that has had other requests, such a refusal may be one of theirs.
+    let is_refusal_own = is_own || (echoed.is_none() && is_first);
+    if response.status() == StatusCode::MISDIRECTED_REQUEST && is_refusal_own {
         return Err(Failure::Misdirected);
     }
-    let is_own = echoed == id || (echoed.is_none() && protocol.allows_no_echo);
-    // A target that sheds a request before it reads the head can't echo the identifier.
-    let is_shed = headers.contains_key(&protocol.not_run) && echoed.is_none_or(|_| is_own);
-    if is_shed {
+    if headers.contains_key(&protocol.not_run) && is_refusal_own {
         return Err(Failure::Shed(protocol.terms(response.status(), headers)));
     }
     if !is_own {
