--- a/chicoryloom/src/gateway/dispatcher/board.rs
+++ b/chicoryloom/src/gateway/dispatcher/board.rs
@@ -91,9 +91,10 @@
         };
         let mut candidates: Vec<_> =
             endpoints.iter().zip(counts).zip(views).map(candidate).collect();
+        let healthy = candidates.iter().map(|one| 1.0 - one.doubt).sum();
         // Each data centre takes care of its own targets.
         let mut near: Vec<_> = candidates.iter_mut().filter(|one| one.near).collect();
-        dispatch::mark_due(&mut near);
+        dispatch::mark_due(&mut near, healthy);
         let balance = self.balance(state, now);
         Some(Board { endpoints, candidates, balance })
     }
--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -30,9 +30,21 @@
 const IDLE_AFTER: Duration = Duration::from_millis(800);
 /// The same for hosts that aren't responsible for the target.
 const IDLE_ELSEWHERE_AFTER: Duration = Duration::from_millis(1300);
-/// Share of the targets that are expected to be healthy which may stay idle. Operators count capacity
-/// as withheld if 0.3 of the healthy targets are idle, and more of them may be healthy than expected.
+/// Time without an outcome after which a target gets a request whatever its doubt, so that the same ones
+/// don't stay idle while others take turns.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
+/// Share of the healthy targets that may be sound as operators see it, while links of the others are
+/// disturbed.
+const SOUND_SHARE: f64 = 0.1;
+/// Share of the sound targets that must not be idle together.
+const WITHHELD_SHARE: f64 = 0.3;
+/// Standard deviations between the expected number of idle sound targets and that share.
+const IDLE_MARGIN: f64 = 3.0;
+/// Share of a data centre's healthy targets that may stay idle at most.
 const MAX_IDLE_SHARE: f64 = 0.15;
+/// Healthy targets that may stay idle in a data centre within that share: less than one, so that only
+/// doubted ones do.
+const FREE_ALLOWANCE: f64 = 0.9;
 /// Preference class of targets in use; see [`tier`].
 const IN_USE: u8 = 1;
 
@@ -147,19 +159,35 @@
     }
 }
 
+/// Returns how many healthy targets of a data centre may stay idle, given how many are expected to be healthy
+/// there and in the whole service.
+///
+/// Operators count idle targets among those that are sound, which may be few of the healthy ones, and any
+/// of them. The fewer there are, the more their number on one draw differs from the expected one: the
+/// bound holds for it with a margin of three standard deviations.
+pub fn idle_allowance(near: f64, all: f64) -> f64 {
+    let sound = SOUND_SHARE * all;
+    // The largest expected number that is within the bound together with the margin.
+    let root = (IDLE_MARGIN.powi(2) + 4.0 * WITHHELD_SHARE * sound).sqrt() - IDLE_MARGIN;
+    let share = (root / 2.0).powi(2) / sound.max(1.0);
+    (share * near).max(FREE_ALLOWANCE).min(MAX_IDLE_SHARE * near)
+}
+
 /// Marks the idle targets of a data centre that should get a request although others have less risk:
-/// those with the least doubt, until those that stay idle are a small part of the healthy ones.
+/// those with the least doubt, until those that stay idle are as many as may, and those that have been idle
+/// for long. `all_healthy` is how many targets of the service are expected to be healthy.
 ///
 /// Answers the load of requests that run only once where some targets are in doubt. A request that finds
 /// out whether a target recovered may be lost, and one that finds out whether a healthy one still is
 /// seldom is. A target in doubt counts as capacity withheld only as far as it may have recovered.
-pub fn mark_due(candidates: &mut [&mut Candidate]) {
+pub fn mark_due(candidates: &mut [&mut Candidate], all_healthy: f64) {
     let healthy: f64 = candidates.iter().map(|one| 1.0 - one.doubt).sum();
     let mut idle: Vec<_> = candidates.iter_mut().filter(|one| one.is_idle()).collect();
     idle.sort_by(|a, b| b.doubt.total_cmp(&a.doubt));
-    let mut allowance = MAX_IDLE_SHARE * healthy;
+    let mut allowance = idle_allowance(healthy, all_healthy);
     for one in idle {
         allowance -= 1.0 - one.doubt;
-        one.due = allowance < 0.0 || one.evidence_age.is_none();
+        let is_overdue = one.evidence_age.is_none_or(|age| age >= MAX_IDLE_TIME);
+        one.due = allowance < 0.0 || is_overdue;
     }
 }
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -106,12 +106,38 @@
     let busy = candidate(1, true, Standing::InUse);
     let [a, b, c, d] = doubts.map(idle);
     let mut candidates = [a, b, c, d, busy, busy];
-    dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>());
+    dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>(), 20.0);
     assert_eq!(candidates.map(|one| one.due)[..4], due);
     assert!(!candidates[4].due && !candidates[5].due);
     assert!(due[choose(&candidates, request(Repeat::Once)).unwrap()]);
 }
 
+/// A target that has been idle for long gets a request whatever its doubt, so that no target is left out
+/// for good.
+#[rstest]
+#[case(7900, false)]
+#[case(8000, true)]
+fn target_that_was_idle_for_long_gets_a_request(#[case] idle_ms: u64, #[case] is_due: bool) {
+    let evidence_age = Some(Duration::from_millis(idle_ms));
+    let doubted =
+        Candidate { doubt: 0.98, risk: 0.8, evidence_age, ..candidate(0, true, Standing::InUse) };
+    let mut candidates = [candidate(1, true, Standing::InUse); 20];
+    candidates[3] = doubted;
+    dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>(), 20.0);
+    assert_eq!(candidates[3].due, is_due);
+}
+
+/// No more than a share of the healthy targets is idle, and less where there are many in a data centre.
+#[rstest]
+#[case::small_service(4.0, 8.0, 0.6)]
+#[case::one_data_centre(20.0, 20.0, 0.9)]
+#[case::large_service(34.0, 134.0, 2.6)]
+#[case::hundreds(60.0, 300.0, 6.6)]
+fn idle_targets_are_few_on_every_draw(#[case] near: f64, #[case] all: f64, #[case] most: f64) {
+    let allowance = dispatch::idle_allowance(near, all);
+    assert!((0.8 * most..=1.05 * most).contains(&allowance), "{allowance}");
+}
+
 /// The host that is responsible for a target asks first, and no other one asks a doubted target.
 #[rstest]
 #[case::owner(true, 1000, Standing::InUse, true)]
@@ -128,7 +154,7 @@
     let evidence_age = Some(Duration::from_millis(idle_ms));
     let idle = Candidate { owned, risk: 0.3, evidence_age, ..candidate(0, true, standing) };
     let mut candidates = [idle, candidate(1, true, Standing::InUse)];
-    dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>());
+    dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>(), 20.0);
     let chosen = choose(&candidates, request(Repeat::Once));
     assert_eq!(chosen, Some(if is_asked { 0 } else { 1 }));
 }
@@ -143,7 +169,7 @@
     let new = Candidate { owned, risk: 0.2, evidence_age: None, ..in_use };
     let mut candidates = [candidate(1, true, Standing::InUse); 20];
     candidates[7] = new;
-    dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>());
+    dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>(), 20.0);
     assert_eq!(choose(&candidates, request(Repeat::Once)) == Some(7), owned);
 }
 
--- a/chicoryloom_policy/tests/gray.rs
+++ b/chicoryloom_policy/tests/gray.rs
@@ -53,6 +53,10 @@
 const MAX_WAIT: Duration = Duration::from_millis(440);
 /// Span in which operators expect each target that is not held back to get a request.
 const IDLE_SPAN: Duration = Duration::from_secs(2);
+/// Draws for each span, and the share of the healthy targets that is drawn: links of the others may be
+/// disturbed, so that operators don't count them.
+const DRAWS: usize = 20;
+const DRAWN_SHARE: f64 = 0.2;
 /// One step of the simulation.
 const TICK: Duration = Duration::from_millis(2);
 
@@ -67,6 +71,9 @@
     spans: u32,
     /// Spans in which more than three healthy targets in ten got no request.
     narrow_spans: u32,
+    /// Draws of a few of the healthy targets, and those in which more than three in ten got no request.
+    draws: u32,
+    narrow_draws: u32,
 }
 
 impl AddAssign for Tally {
@@ -76,6 +83,8 @@
         self.refused += other.refused;
         self.spans += other.spans;
         self.narrow_spans += other.narrow_spans;
+        self.draws += other.draws;
+        self.narrow_draws += other.narrow_draws;
     }
 }
 
@@ -121,6 +130,7 @@
     /// Simulates requests that run once, at a rate.
     fn simulate(&self, per_second: f64, mut decider: Decider) -> Tally {
         let mut rng = Pcg64::seed_from_u64(self.seed ^ 1);
+        let mut draws = Pcg64::seed_from_u64(self.seed ^ 2);
         let mut tally = Tally::default();
         let mut in_flight = vec![0u32; self.targets];
         // Requests at targets: end, target, whether it fails, send time.
@@ -137,6 +147,13 @@
                 let idle = sound.iter().filter(|target| !span.1[**target]).count();
                 tally.spans += 1;
                 tally.narrow_spans += u32::from(idle * 10 > sound.len() * 3);
+                for _ in 0..DRAWS {
+                    let is_drawn = |_: &&usize| draws.random_bool(DRAWN_SHARE);
+                    let drawn: Vec<_> = sound.iter().filter(is_drawn).collect();
+                    let idle = drawn.iter().filter(|target| !span.1[***target]).count();
+                    tally.draws += 1;
+                    tally.narrow_draws += u32::from(idle * 10 > drawn.len() * 3);
+                }
                 span = (now, vec![false; self.targets]);
             }
             let (over, still): (Vec<_>, Vec<_>) = sent.into_iter().partition(|(at, ..)| *at <= now);
@@ -222,7 +239,8 @@
             })
             .collect();
         if let Decider::Estimator(_) = decider {
-            dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>());
+            let healthy = candidates.iter().map(|one| 1.0 - one.doubt).sum();
+            dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>(), healthy);
         }
         let request = Request { can_retry: false, waited, time: Duration::from_secs(3) };
         let balance = Balance { rule: Rule::Least, is_informed: true };
@@ -257,6 +275,28 @@
     assert_eq!(with.narrow_spans, 0, "{with:?}");
 }
 
+/// Where links of most targets are disturbed, few count as sound, and any of them may be idle. Of these
+/// draws at most one in a hundred has more than three idle targets in ten.
+#[rstest]
+#[case::many_in_use(40, 4, 10, 160.0)]
+#[case::few_in_use(60, 4, 15, 120.0)]
+#[case::few(22, 4, 9, 85.0)]
+fn few_sound_targets_are_not_left_idle(
+    #[case] targets: usize,
+    #[case] slots: u32,
+    #[case] segment: u64,
+    #[case] per_second: f64,
+) {
+    let mut tally = Tally::default();
+    for seed in 1..=4 {
+        let service = Service::new(targets, slots, Duration::from_secs(segment), seed);
+        tally += service.simulate(per_second, Decider::Estimator(Estimator::default()));
+    }
+    let share = f64::from(tally.narrow_draws) / f64::from(tally.draws);
+    println!("{share} of the draws, {tally:?}");
+    assert!(share <= 0.01, "{share} of the draws, {tally:?}");
+}
+
 /// Targets that fail one request in a hundred are in use nearly all the time.
 #[test]
 fn isolated_failures_cost_little_capacity() {
