--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -30,9 +30,10 @@
 const IDLE_AFTER: Duration = Duration::from_millis(800);
 /// The same for hosts that aren't responsible for the target.
 const IDLE_ELSEWHERE_AFTER: Duration = Duration::from_millis(1300);
-/// Time without an outcome after which a target gets a request whatever its doubt, so that the same ones
-/// don't stay idle while others take turns.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
+/// Time without an outcome after which a target gets a request whatever its doubt. Operators count a target
+/// that failed as sound again two seconds later, and as starved after two more; the host that is responsible
+/// for it needs part of this time to have a request to send.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(3500);
 /// Share of the healthy targets that may be sound as operators see it, while links of the others are
 /// disturbed.
 const SOUND_SHARE: f64 = 0.1;
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -115,8 +115,8 @@
 /// A target that has been idle for long gets a request whatever its doubt, so that no target is left out
 /// for good.
 #[rstest]
-#[case(7900, false)]
-#[case(8000, true)]
+#[case(3400, false)]
+#[case(3500, true)]
 fn target_that_was_idle_for_long_gets_a_request(#[case] idle_ms: u64, #[case] is_due: bool) {
     let evidence_age = Some(Duration::from_millis(idle_ms));
     let doubted =
