--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -34,8 +34,6 @@
 /// that failed as sound again two seconds later, and as starved after two more; the host that is responsible
 /// for it needs part of this time to have a request to send.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(3500);
-/// The same for hosts that aren't responsible for the target: the one that is may have no request to send.
-const MAX_IDLE_TIME_ELSEWHERE: Duration = Duration::from_millis(3800);
 /// Share of the healthy targets that may be sound as operators see it, while links of the others are
 /// disturbed.
 const SOUND_SHARE: f64 = 0.1;
@@ -94,12 +92,6 @@
         self.in_flight == 0 && is_old
     }
 
-    /// Returns whether it has been idle for so long that this host sends it a request whatever its doubt.
-    fn is_overdue(&self) -> bool {
-        let limit = if self.owned { MAX_IDLE_TIME } else { MAX_IDLE_TIME_ELSEWHERE };
-        self.evidence_age.is_some_and(|age| age >= limit)
-    }
-
     fn risk_step(&self) -> usize {
         RISK_STEPS.iter().take_while(|limit| self.risk > **limit).count()
     }
@@ -159,9 +151,7 @@
     }
     match one.standing {
         Standing::InUse if one.due => Some(0),
-        Standing::Trial(_) | Standing::Spare if one.due && (one.owned || one.is_overdue()) => {
-            Some(0)
-        }
+        Standing::Trial(_) | Standing::Spare if one.due && one.owned => Some(0),
         Standing::InUse => Some(IN_USE),
         Standing::Trial(_) if request.can_retry && one.owned && one.in_flight == 0 => Some(0),
         Standing::Trial(_) if request.can_retry || request.waited >= TRIAL_WAIT => Some(2),
@@ -198,6 +188,7 @@
     let mut allowance = idle_allowance(healthy, all_healthy);
     for one in idle {
         allowance -= 1.0 - one.doubt;
-        one.due = allowance < 0.0 || one.evidence_age.is_none() || one.is_overdue();
+        let is_overdue = one.evidence_age.is_none_or(|age| age >= MAX_IDLE_TIME);
+        one.due = allowance < 0.0 || is_overdue;
     }
 }
