--- a/chicoryloom_policy/src/rollout.rs
+++ b/chicoryloom_policy/src/rollout.rs
@@ -1,10 +1,10 @@
 //! Which versions of the configuration other hosts have, and how long a host serves by an older one.
 //!
 //! Hosts announce the version that they hold. A host that hears of a later one gets it from one of
-//! them, and takes no requests once that takes too long. So a change is in force in time, however
-//! large the configuration is and however slow and busy the host's link: it is not in force only
-//! where no request is handled. While the platform is away nobody holds a later version, and all
-//! hosts go on. The load is one announcement for each heartbeat and one decision for each request.
+//! them, and takes no requests once that takes too long. So no request is handled by a version that is
+//! out of date, however large the configuration is and however slow and busy the host's link. While the
+//! platform is away nobody holds a later version, and all hosts go on. The load is one announcement for
+//! each heartbeat and one decision for each request.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
