--- a/chicoryloom_policy/src/retry.rs
+++ b/chicoryloom_policy/src/retry.rs
@@ -57,8 +57,9 @@
 }
 
 impl Default for Budget {
+    /// Returns a full budget of one process, whose burst no other one shares.
     fn default() -> Self {
-        Self::new(DEFAULT_SHARE, DEFAULT_BURST)
+        Self { left: DEFAULT_BURST, ..Self::new(DEFAULT_SHARE, DEFAULT_BURST) }
     }
 }
 
