--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -218,7 +218,11 @@
     /// Returns the targets that may be tried: those that take requests and have no limit, or all that
     /// are not leaving if there is none, since a host that can't try any would stay cut off.
     fn checked_endpoints(state: &State, now: Moment) -> Vec<Arc<Endpoint>> {
-        let all = state.services.values().flat_map(|service| &service.targets);
+        // Before the configuration is known, nobody knows which request is a check of a target's health.
+        let Some(catalog) = &state.catalog else { return Vec::new() };
+        let services =
+            state.services.iter().filter(|(name, _)| catalog.services.contains_key(*name));
+        let all = services.flat_map(|(_, service)| &service.targets);
         let is_free = |endpoint: &&Arc<Endpoint>| {
             Self::availability(state, endpoint, now) == Availability::Now
                 && state.throttle.limit(&endpoint.process(), now).is_none()
