--- a/chicoryloom/src/gateway/fleet/maintenance.rs
+++ b/chicoryloom/src/gateway/fleet/maintenance.rs
@@ -16,7 +16,6 @@
 use crate::gateway::members::REMOTE_HEARTBEAT_INTERVAL;
 use crate::gateway::message::Body;
 use crate::gateway::mirror::Mirror;
-use crate::gateway::versions::Holding;
 
 /// Interval between two rounds of maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(50);
@@ -42,7 +41,6 @@
         let (mut entries_at, mut swept_at) = (Moment::ZERO, Moment::ZERO);
         let (mut was_entry, mut was_watcher, mut was_cut) = (false, false, false);
         let mut announce_until = Moment::ZERO;
-        let mut announced = None;
         loop {
             tokio::select! {
                 _ = ticks.tick() => {}
@@ -76,10 +74,8 @@
             // Others follow a host, and stop watching, as long as they take it for a watcher.
             let is_watcher = me.watches && me.fresh;
             let has_changed = std::mem::replace(&mut was_watcher, is_watcher) != is_watcher;
-            // Hosts that learn a version from the platform tell all others of it at once; those learn
-            // of it in time also where their own data centre has lost its watchers.
-            let held = self.versions.holding().map(Holding::version);
-            let has_news = me.watches && std::mem::replace(&mut announced, held) != held;
+            // The others learn of a version in time also where their data centre has lost its watchers.
+            let has_news = self.versions.take_news();
             if now.since(local_at) >= interval || is_new || has_changed || has_news {
                 local_at = now;
                 let to_remote = is_entry && now.since(remote_at) >= REMOTE_HEARTBEAT_INTERVAL;
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -29,6 +29,7 @@
 use chicoryloom_policy::replica::Record;
 use chicoryloom_policy::replica::Replica;
 use chicoryloom_policy::replica::Update;
+use chicoryloom_policy::rollout::Origin;
 use serde_json::json;
 use smol_str::SmolStr;
 use tokio::sync::watch;
@@ -381,7 +382,7 @@
         }
         let era = state.replica.era();
         self.era.send_if_modified(|known| std::mem::replace(known, era) != era);
-        self.apply_changes(&mut state, &changes, &source.to_string());
+        self.apply_changes(&mut state, &changes, Some(source));
         if accepted
             && kind == Kind::Evacuation
             && !self.knows_evacuations.swap(true, Ordering::Relaxed)
@@ -397,10 +398,17 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let changes = state.replica.expire(now);
-        self.apply_changes(&mut state, &changes, "grace over");
+        self.apply_changes(&mut state, &changes, None);
     }
 
-    fn apply_changes(&self, state: &mut State, changes: &Changes, source: &str) {
+    /// Applies changes of the copy; they come from `source`, or from the end of a grace period.
+    fn apply_changes(&self, state: &mut State, changes: &Changes, source: Option<Source>) {
+        let origin = match source {
+            Some(Source::Platform) => Origin::Platform,
+            Some(Source::Host(_)) | None => Origin::Host,
+        };
+        let source = source.map_or_else(|| "grace over".to_owned(), |source| source.to_string());
+        let source = source.as_str();
         for name in &changes.lapsed {
             self.events.emit("object_kept", json!({ "name": name.as_str(), "from": source }));
         }
@@ -415,7 +423,7 @@
                 && let Some(contents) = &record.value
             {
                 self.archive().add(contents.clone());
-                self.versions.hold(Version(record.generation.number));
+                self.versions.hold(Version(record.generation.number), origin);
             }
         }
         if changes.evacuations {
--- a/chicoryloom/src/gateway/versions.rs
+++ b/chicoryloom/src/gateway/versions.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use chicoryloom_policy::catalog::Version;
+use chicoryloom_policy::rollout::Origin;
 use chicoryloom_policy::rollout::Rollout;
 use serde::Deserialize;
 use serde::Serialize;
@@ -68,8 +69,13 @@
     }
 
     /// Records the version that this host holds.
-    pub(super) fn hold(&self, version: Version) {
-        self.lock().hold(version, self.clock.now());
+    pub(super) fn hold(&self, version: Version, origin: Origin) {
+        self.lock().hold(version, origin, self.clock.now());
+    }
+
+    /// Returns whether the whole fleet must be told at once of the version that this host holds.
+    pub(super) fn take_news(&self) -> bool {
+        self.lock().take_news()
     }
 
     /// Returns the announcement to other hosts.
--- a/chicoryloom_policy/src/rollout.rs
+++ b/chicoryloom_policy/src/rollout.rs
@@ -4,7 +4,8 @@
 //! them, and takes no requests once that takes too long. So no request is handled by a version that is
 //! out of date, however large the configuration is and however slow and busy the host's link. While the
 //! platform is away nobody holds a later version, and all hosts go on. The load is one announcement for
-//! each heartbeat and one decision for each request.
+//! each heartbeat, one to the whole fleet from each host that gets a version from the platform, and one
+//! decision for each request.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -31,11 +32,20 @@
     announced: Moment,
 }
 
+/// Where this host got a version from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    Platform,
+    Host,
+}
+
 /// The configuration's versions as this host knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Rollout {
     /// Version that this host holds, and since when.
     held: Option<(Version, Moment)>,
+    /// Whether that came from the platform and the other hosts have not been told of it yet.
+    is_news: bool,
     /// Versions above it.
     later: BTreeMap<Version, Later>,
 }
@@ -63,11 +73,12 @@
     }
 
     /// Records the version that this host holds; an older one than before changes nothing.
-    pub fn hold(&mut self, version: Version, now: Moment) {
+    pub fn hold(&mut self, version: Version, origin: Origin, now: Moment) {
         if self.held.is_some_and(|(held, _)| version <= held) {
             return;
         }
         self.held = Some((version, now));
+        self.is_news = origin == Origin::Platform;
         self.later.retain(|later, _| *later > version);
     }
 
@@ -76,6 +87,12 @@
         self.held
     }
 
+    /// Returns whether this host must tell the whole fleet at once of the version that it holds; it is once
+    /// for each version that came from the platform.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.is_news)
+    }
+
     /// Returns the latest version that this host lacks.
     pub fn missing(&self, now: Moment) -> Option<Version> {
         let is_announced = |later: &Later| now.since(later.announced) < ANNOUNCEMENT_TTL;
--- a/chicoryloom_policy/tests/rollout.rs
+++ b/chicoryloom_policy/tests/rollout.rs
@@ -5,6 +5,7 @@
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Version;
 use chicoryloom_policy::rollout::MAX_LAG;
+use chicoryloom_policy::rollout::Origin;
 use chicoryloom_policy::rollout::Rollout;
 use proptest::prelude::*;
 
@@ -53,7 +54,7 @@
             acknowledged.push(at);
         }
         let mut rollout = Rollout::default();
-        rollout.hold(Version(1), Moment::from_millis(500));
+        rollout.hold(Version(1), Origin::Host, Moment::from_millis(500));
         let mut on_the_way: Vec<(u64, Version, u64)> = Vec::new();
         for step in 0..(at + 6000) / STEP {
             let now = step * STEP;
@@ -65,7 +66,7 @@
                     continue;
                 }
                 if change.slow.is_some_and(|slow| now >= first + slow) {
-                    rollout.hold(version, instant);
+                    rollout.hold(version, Origin::Host, instant);
                 }
                 if (now - first) % ANNOUNCE_INTERVAL < STEP {
                     let sent = ((now - first) / ANNOUNCE_INTERVAL) as usize;
@@ -100,7 +101,7 @@
 fn version_that_nobody_announces_any_more_is_forgotten() {
     let mut rollout = Rollout::default();
     let start = Moment::from_millis(1000);
-    rollout.hold(Version(3), start);
+    rollout.hold(Version(3), Origin::Host, start);
     assert!(rollout.announce(Version(5), Duration::ZERO, start));
     assert!(!rollout.announce(Version(5), Duration::ZERO, start));
     assert_eq!(rollout.missing(start), Some(Version(5)));
@@ -117,12 +118,27 @@
 fn time_counts_from_the_first_host_that_got_the_version() {
     let mut rollout = Rollout::default();
     let start = Moment::from_millis(5000);
-    rollout.hold(Version(3), start);
+    rollout.hold(Version(3), Origin::Host, start);
     rollout.announce(Version(4), Duration::from_millis(100), start);
     rollout.announce(Version(4), Duration::from_secs(2), start);
     assert!(rollout.is_behind(start));
-    rollout.hold(Version(4), start);
+    rollout.hold(Version(4), Origin::Host, start);
     assert!(!rollout.is_behind(start));
-    rollout.hold(Version(3), start);
+    rollout.hold(Version(3), Origin::Host, start);
     assert_eq!(rollout.held(), Some((Version(4), start)));
 }
+
+/// Many hosts begin to watch at once when a data centre loses its watchers.
+#[test]
+fn fleet_is_told_at_once_only_of_versions_that_came_from_the_platform() {
+    let mut rollout = Rollout::default();
+    let now = Moment::from_millis(1000);
+    assert!(!rollout.take_news());
+    rollout.hold(Version(3), Origin::Host, now);
+    assert!(!rollout.take_news());
+    rollout.hold(Version(3), Origin::Platform, now);
+    assert!(!rollout.take_news());
+    rollout.hold(Version(4), Origin::Platform, now);
+    assert!(rollout.take_news());
+    assert!(!rollout.take_news());
+}
