--- a/chicoryloom/src/gateway/dispatcher/service.rs
+++ b/chicoryloom/src/gateway/dispatcher/service.rs
@@ -21,9 +21,6 @@
 
 /// Weight of the newest sample in the smoothed latency of a route.
 const LATENCY_WEIGHT: f64 = 0.05;
-/// Time after its start in which a host may not know all others: they send heartbeats to the whole fleet
-/// at this interval.
-const ACQUAINTANCE_TIME: Duration = Duration::from_secs(5);
 /// Time without a request after which operators count a healthy target as idle.
 const IDLE_SPAN: Duration = Duration::from_secs(2);
 
@@ -53,7 +50,7 @@
             entry_hosts: state.entry_hosts.len(),
             is_entry: state.entry_hosts.iter().any(|(host, _)| *host == self.me),
             visible_part: state.visible_part,
-            is_new: self.clock.now().since(self.started) < ACQUAINTANCE_TIME,
+            uptime: self.clock.now().since(self.started),
         };
         fleet.part(self.bounds.retry_burst)
     }
--- a/chicoryloom_policy/src/retry.rs
+++ b/chicoryloom_policy/src/retry.rs
@@ -6,6 +6,11 @@
 //! saved up are at most the burst. The load is one deposit for each request and one withdrawal for
 //! each retry.
 
+use std::time::Duration;
+
+/// Time after its start in which a host may not know all others: they send heartbeats to the whole fleet
+/// at this interval.
+pub const ACQUAINTANCE_TIME: Duration = Duration::from_secs(5);
 /// Retries that each first attempt allows by default.
 const DEFAULT_SHARE: f64 = 0.1;
 /// Unused retries that can accumulate by default.
@@ -25,14 +30,14 @@
     pub is_entry: bool,
     /// Part of the known hosts that are heard, from 0 to 1; the others may live on the other side of a cut.
     pub visible_part: f64,
-    /// Whether this host has run for so short a time that it may not know the others.
-    pub is_new: bool,
+    /// Time for which this host has run.
+    pub uptime: Duration,
 }
 
 impl Fleet {
     /// Returns this host's part of a burst.
     pub fn part(&self, burst: f64) -> f64 {
-        if self.is_new || !self.is_entry {
+        if self.uptime < ACQUAINTANCE_TIME || !self.is_entry {
             return MIN_PART;
         }
         let part =
--- a/chicoryloom_policy/tests/retry.rs
+++ b/chicoryloom_policy/tests/retry.rs
@@ -1,5 +1,7 @@
 //! Fleets whose hosts share a budget of retries.
 
+use std::time::Duration;
+
 use chicoryloom_policy::retry::Budget;
 use chicoryloom_policy::retry::Fleet;
 use proptest::prelude::*;
@@ -8,11 +10,16 @@
 use rand_pcg::Pcg64;
 
 const SHARE: f64 = 0.2;
-/// Steps in a window in which retries are counted; a step is a tenth of a second.
+const STEP: Duration = Duration::from_millis(100);
+/// Steps in a window in which retries are counted.
 const WINDOW: usize = 100;
 const STEPS: usize = 600;
 /// Steps after its start in which a host doesn't know all others.
 const NEW: usize = 50;
+/// Most steps after which a host notices that another entry host is away or back.
+const MAX_NOTICE: usize = 8;
+/// Steps for which callers stay with a host that is no entry host any more.
+const CALLERS_STAY: usize = 30;
 
 #[test]
 fn retries_stay_within_a_tenth_and_the_burst() {
@@ -65,7 +72,7 @@
                 entry_hosts: heard,
                 is_entry: true,
                 visible_part: heard as f64 / known as f64,
-                is_new: age < NEW,
+                uptime: STEP * u32::try_from(age).unwrap(),
             };
             let budget = &mut budgets[host];
             budget.set_burst(fleet.part(burst));
@@ -130,3 +137,117 @@
     let (still, rolling) = (retries(trouble), retries(restarting));
     assert!(rolling * 20 >= still * 19, "{rolling} of {still}");
 }
+
+/// A host of a fleet in which each host has a view of its own of who is alive.
+#[derive(Clone, Debug)]
+struct Host {
+    budget: Budget,
+    started: usize,
+    /// Step up to which it is down or stopped.
+    away_until: usize,
+    /// Steps after which it notices that each other host is away or back.
+    lags: Vec<usize>,
+    is_entry: bool,
+    /// Step at which it last was an entry host, after which its callers leave it little by little.
+    was_entry: usize,
+}
+
+/// Counts of each step with `entries` entry hosts and as many others that take over from them.
+fn simulate_takeovers(
+    entries: usize,
+    burst: f64,
+    rate: f64,
+    away: f64,
+    seed: u64,
+) -> Vec<(u32, u32)> {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let count = 2 * entries;
+    let mut hosts: Vec<_> = (0..count)
+        .map(|_| Host {
+            budget: Budget::new(SHARE, burst),
+            started: 0,
+            away_until: 0,
+            lags: (0..count).map(|_| rng.random_range(0..=MAX_NOTICE)).collect(),
+            is_entry: false,
+            was_entry: 0,
+        })
+        .collect();
+    // Whether each host ran at each step.
+    let mut ran: Vec<Vec<bool>> = Vec::new();
+    let mut counts = Vec::new();
+    for step in 1..STEPS {
+        for host in &mut hosts {
+            if step >= host.away_until && rng.random_bool(away) {
+                host.away_until = step + rng.random_range(3..60);
+                // A stopped process keeps what it has saved up, and one that starts has nothing.
+                if rng.random_bool(0.5) {
+                    host.started = host.away_until;
+                    host.budget = Budget::new(SHARE, burst);
+                }
+            }
+        }
+        ran.push(hosts.iter().map(|host| step >= host.away_until).collect());
+        let (mut requests, mut retries) = (0, 0);
+        for at in 0..count {
+            if !ran[step - 1][at] {
+                continue;
+            }
+            let host = &hosts[at];
+            let hears = |other: usize| {
+                other == at || ran[(step - 1).saturating_sub(host.lags[other])][other]
+            };
+            let heard: Vec<_> = (0..count).filter(|other| hears(*other)).collect();
+            let chosen = &heard[..entries.min(heard.len())];
+            let host = &mut hosts[at];
+            host.is_entry = chosen.contains(&at);
+            host.was_entry = if host.is_entry { step } else { host.was_entry };
+            let fleet = Fleet {
+                entry_hosts: chosen.len(),
+                is_entry: host.is_entry,
+                visible_part: heard.len() as f64 / count as f64,
+                uptime: STEP * u32::try_from(step.saturating_sub(host.started)).unwrap(),
+            };
+            host.budget.set_burst(fleet.part(burst));
+            // Callers go on for a while with the hosts that they were told of.
+            if host.was_entry == 0 || step - host.was_entry > CALLERS_STAY {
+                continue;
+            }
+            let expected = rate / entries as f64;
+            let arrivals = expected as u32 + u32::from(rng.random_bool(expected.fract()));
+            let is_paused = (step / 100).is_multiple_of(2);
+            for _ in 0..arrivals {
+                requests += 1;
+                host.budget.deposit();
+                while !is_paused && rng.random_bool(0.9) && host.budget.take() {
+                    retries += 1;
+                }
+            }
+        }
+        counts.push((requests, retries));
+    }
+    counts
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Hosts that are lost, stopped and back at any moment, so that others take over and hosts disagree on
+    /// who is an entry host, send no more together.
+    #[test]
+    fn retries_stay_within_the_burst_while_hosts_disagree_on_who_is_there(
+        entries in prop::sample::select(vec![2usize, 4, 16, 24]),
+        slack in 3.0f64..8.0,
+        rate in 5.0f64..180.0,
+        away in prop::sample::select(vec![0.0, 0.002, 0.01, 0.03]),
+        seed in any::<u64>(),
+    ) {
+        let burst = slack * entries as f64;
+        let counts = simulate_takeovers(entries, burst, rate, away, seed);
+        for window in counts.windows(WINDOW) {
+            let requests: u32 = window.iter().map(|(requests, _)| requests).sum();
+            let retries: u32 = window.iter().map(|(_, retries)| retries).sum();
+            let allowed = SHARE * f64::from(requests) + burst;
+            prop_assert!(f64::from(retries) <= allowed, "{retries} of {requests}, {allowed} allowed");
+        }
+    }
+}
