--- a/chicoryloom/src/gateway/versions.rs
+++ b/chicoryloom/src/gateway/versions.rs
@@ -47,7 +47,8 @@
     clock: Arc<dyn Clock>,
     /// Relay that left out the configuration from its latest response.
     omitted_by: Mutex<Option<SocketAddr>>,
-    /// Notified when there may be something to fetch.
+    /// Notified when there may be something to fetch, or this host holds another version. Only the task that
+    /// fetches configurations waits for it.
     news: Notify,
 }
 
@@ -71,6 +72,12 @@
     /// Records the version that this host holds.
     pub(super) fn hold(&self, version: Version, origin: Origin) {
         self.lock().hold(version, origin, self.clock.now());
+        self.news.notify_one();
+    }
+
+    /// Returns whether this host holds a version or a later one.
+    pub(super) fn holds(&self, version: Version) -> bool {
+        self.lock().held().is_some_and(|(held, _)| held >= version)
     }
 
     /// Returns whether the whole fleet must be told at once of the version that this host holds.
@@ -106,6 +113,20 @@
         self.news.notify_one();
     }
 
+    /// Waits until this host holds a version or a later one.
+    pub(super) async fn wait_for(&self, version: Version) {
+        while !self.holds(version) {
+            self.news.notified().await;
+        }
+    }
+
+    /// Waits until this host lacks a version that others hold.
+    pub(super) async fn wait_for_missing(&self) {
+        while self.missing().is_none() {
+            self.news.notified().await;
+        }
+    }
+
     /// Waits until this host lacks something.
     pub(super) async fn wait_for_lack(&self) -> Lack {
         loop {
