--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -28,6 +28,7 @@
 use futures::stream::FuturesUnordered;
 use serde_json::json;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
 use super::events::Events;
@@ -63,6 +64,7 @@
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which it is noticed that this process was stopped.
 const BEAT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Whether this host watches the platform: for the kinds that all builds relay, and for evacuations.
 #[derive(Debug)]
 struct Sources {
@@ -156,16 +158,10 @@
                 .clamp(MIN_FOLLOW_WAIT, FOLLOW_WAIT);
             let until_due = takeover::due_age(place).saturating_sub(age);
             let is_receiving = AtomicBool::new(false);
-            let due = async {
-                tokio::time::sleep(until_due).await;
-                while is_receiving.load(Ordering::Relaxed) {
-                    tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
-                }
-            };
             let followed = tokio::select! {
                 followed = self.follow(&mut follower, relay.peer, wait, &is_receiving) => followed,
                 // A relay that does not respond must not delay the takeover.
-                () = due, if !is_watching => {
+                () = wait_until_due(until_due, &is_receiving), if !is_watching => {
                     self.set_watching(&sources, true, true);
                     source = None;
                     self.emit_source(None, None);
@@ -365,3 +361,16 @@
         copied_from.is_some()
     }
 }
+
+/// Waits until this host is due to watch the platform; while a response of its relay arrives, it waits
+/// longer, but not for good.
+async fn wait_until_due(until_due: Duration, is_receiving: &AtomicBool) {
+    tokio::time::sleep(until_due).await;
+    let latest = Instant::now() + takeover::MAX_RECEIVING;
+    while is_receiving.load(Ordering::Relaxed) && Instant::now() < latest {
+        tokio::time::sleep(SOURCE_CHECK_INTERVAL).await;
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/chicoryloom_policy/src/takeover.rs
+++ b/chicoryloom_policy/src/takeover.rs
@@ -19,6 +19,10 @@
 /// before a change must be in force.
 const MAX_TAKEOVER_STEPS: usize = 6;
 
+/// Longest time for which a host goes on to receive a response of its relay when it is due to watch
+/// the platform instead. A relay that is so slow would hold up the departure of targets.
+pub const MAX_RECEIVING: Duration = Duration::from_secs(2);
+
 /// Returns the age of its copy at which the host at a place in the order watches the platform,
 /// whatever it waits for.
 pub fn due_age(place: usize) -> Duration {
