--- a/chicoryloom/src/gateway/dispatcher/board.rs
+++ b/chicoryloom/src/gateway/dispatcher/board.rs
@@ -84,7 +84,7 @@
                 || state.throttle.warming.limit(&endpoint.process(), now).is_some(),
             standing: view.standing,
             owned: state.trial_targets.contains(&endpoint.target.instance),
-            due: false,
+            due_for: None,
             doubt: view.doubt,
             risk: view.risk,
             evidence_age: view.evidence_age,
--- a/chicoryloom/src/gateway/dispatcher/slot.rs
+++ b/chicoryloom/src/gateway/dispatcher/slot.rs
@@ -24,7 +24,8 @@
 impl Choice {
     /// Returns the choice for an event.
     pub(in crate::gateway) fn to_json(&self) -> Value {
-        let Candidate { in_flight, near, standing, risk, evidence_age, due, .. } = self.candidate;
+        let Candidate { in_flight, near, standing, risk, evidence_age, due_for, .. } =
+            self.candidate;
         let standing = match standing {
             Standing::InUse => "in use",
             Standing::Spare => "spare",
@@ -32,7 +33,7 @@
             Standing::HeldBack => "held back",
         };
         json!({
-            "target": self.target.as_str(), "standing": standing, "due": due, "near": near,
+            "target": self.target.as_str(), "standing": standing, "due": due_for.is_some(), "near": near,
             "risk": (risk * 1000.0).round() / 1000.0, "in_flight": in_flight,
             "evidence_age_ms": evidence_age.map(|age| age.as_millis() as u64),
             "waited_ms": self.waited.as_millis() as u64,
--- a/chicoryloom/src/gateway/dispatcher/waiter.rs
+++ b/chicoryloom/src/gateway/dispatcher/waiter.rs
@@ -151,7 +151,7 @@
         state.spread.count(candidate);
         candidate.in_flight += 1;
         candidate.own += 1;
-        candidate.due = false;
+        candidate.due_for = None;
         if let Standing::Trial(_) = candidate.standing {
             state.estimator.begin_trial(&choice.target, now);
             candidate.standing = Standing::HeldBack;
--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -6,6 +6,7 @@
 //! guarantee that they have not run.
 
 use std::cmp::Ordering;
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use rand::Rng;
@@ -34,6 +35,9 @@
 /// that failed as sound again two seconds later, and as starved after two more; the host that is responsible
 /// for it needs part of this time to have a request to send.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(3500);
+/// Difference in the expected time for which two targets have been due and healthy from which one gets the
+/// next request before the other.
+const TURN_STEP: Duration = Duration::from_millis(400);
 /// Share of the healthy targets that may be sound as operators see it, while links of the others are
 /// disturbed.
 const SOUND_SHARE: f64 = 0.1;
@@ -74,8 +78,8 @@
     pub risk: f64,
     /// Time since the latest outcome of a request there; `None` if none is known.
     pub evidence_age: Option<Duration>,
-    /// Whether it should get the next request even if others have less risk.
-    pub due: bool,
+    /// Time for which it has been due to get the next request even if others have less risk.
+    pub due_for: Option<Duration>,
 }
 
 impl Candidate {
@@ -86,12 +90,24 @@
 
     fn is_idle(&self) -> bool {
         let is_old = match self.evidence_age {
-            Some(age) => age >= if self.owned { IDLE_AFTER } else { IDLE_ELSEWHERE_AFTER },
+            Some(age) => age >= self.idle_limit(),
             None => self.owned,
         };
         self.in_flight == 0 && is_old
     }
 
+    fn idle_limit(&self) -> Duration {
+        if self.owned { IDLE_AFTER } else { IDLE_ELSEWHERE_AFTER }
+    }
+
+    /// Returns its place among targets that are due: the longer it has been so and the more likely it is healthy,
+    /// the higher. If there are fewer requests than such targets, those with the least risk would get all of
+    /// them otherwise.
+    fn turn(&self) -> u128 {
+        let healthy_time = |time: Duration| time.mul_f64(1.0 - self.doubt.clamp(0.0, 1.0));
+        self.due_for.map_or(0, |time| healthy_time(time).as_millis() / TURN_STEP.as_millis() + 1)
+    }
+
     fn risk_step(&self) -> usize {
         RISK_STEPS.iter().take_while(|limit| self.risk > **limit).count()
     }
@@ -137,7 +153,7 @@
         let one = &candidates[at];
         let risk = if request.can_retry { 0 } else { one.risk_step() };
         let place = rule.place(one, rng);
-        ((risk, !one.near, place, (at + offset) % candidates.len()), at)
+        ((Reverse(one.turn()), risk, !one.near, place, (at + offset) % candidates.len()), at)
     };
     let places = allowed.into_iter().map(order);
     let first = places.min_by(|one, other| one.partial_cmp(other).unwrap_or(Ordering::Equal));
@@ -150,8 +166,8 @@
         return None;
     }
     match one.standing {
-        Standing::InUse if one.due => Some(0),
-        Standing::Trial(_) | Standing::Spare if one.due && one.owned => Some(0),
+        Standing::InUse if one.due_for.is_some() => Some(0),
+        Standing::Trial(_) | Standing::Spare if one.due_for.is_some() && one.owned => Some(0),
         Standing::InUse => Some(IN_USE),
         Standing::Trial(_) if request.can_retry && one.owned && one.in_flight == 0 => Some(0),
         Standing::Trial(_) if request.can_retry || request.waited >= TRIAL_WAIT => Some(2),
@@ -188,7 +204,8 @@
     let mut allowance = idle_allowance(healthy, all_healthy);
     for one in idle {
         allowance -= 1.0 - one.doubt;
-        let is_overdue = one.evidence_age.is_none_or(|age| age >= MAX_IDLE_TIME);
-        one.due = allowance < 0.0 || is_overdue;
+        let idle = one.evidence_age.unwrap_or(MAX_IDLE_TIME);
+        let limit = if allowance < 0.0 { one.idle_limit() } else { MAX_IDLE_TIME };
+        one.due_for = idle.checked_sub(limit);
     }
 }
--- a/chicoryloom_policy/tests/balance.rs
+++ b/chicoryloom_policy/tests/balance.rs
@@ -148,7 +148,7 @@
             doubt: 0.0,
             risk: 0.0,
             evidence_age: Some(Duration::ZERO),
-            due: false,
+            due_for: None,
         };
         let candidates: Vec<_> = (0..names.len()).map(candidate).collect();
         let request = Request { can_retry: true, waited, time: Duration::from_millis(PATIENCE_MS) };
@@ -376,7 +376,7 @@
         doubt: 0.0,
         risk: 0.0,
         evidence_age: Some(Duration::ZERO),
-        due: false,
+        due_for: None,
     }
 }
 
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -35,7 +35,7 @@
         doubt: 0.0,
         risk: 0.0,
         evidence_age: Some(Duration::ZERO),
-        due: false,
+        due_for: None,
     }
 }
 
@@ -107,8 +107,8 @@
     let [a, b, c, d] = doubts.map(idle);
     let mut candidates = [a, b, c, d, busy, busy];
     dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>(), 20.0);
-    assert_eq!(candidates.map(|one| one.due)[..4], due);
-    assert!(!candidates[4].due && !candidates[5].due);
+    assert_eq!(candidates.map(|one| one.due_for.is_some())[..4], due);
+    assert!(candidates[4..].iter().all(|one| one.due_for.is_none()));
     assert!(due[choose(&candidates, request(Repeat::Once)).unwrap()]);
 }
 
@@ -124,7 +124,28 @@
     let mut candidates = [candidate(1, true, Standing::InUse); 20];
     candidates[3] = doubted;
     dispatch::mark_due(&mut candidates.iter_mut().collect::<Vec<_>>(), 20.0);
-    assert_eq!(candidates[3].due, is_due);
+    assert_eq!(candidates[3].due_for.is_some(), is_due);
+}
+
+/// If there are fewer requests than targets that are due, those that failed nothing lately must not get
+/// all of them.
+#[rstest]
+#[case::same_doubt([0.1, 0.1], [100, 900], 1)]
+#[case::a_little_longer([0.1, 0.15], [900, 1000], 0)]
+#[case::long_in_doubt([0.1, 0.6], [100, 2500], 1)]
+#[case::healthy_ones_first([0.1, 0.9], [900, 2500], 0)]
+fn target_that_has_been_due_for_longest_gets_the_next_request(
+    #[case] doubts: [f64; 2],
+    #[case] due_ms: [u64; 2],
+    #[case] expected: usize,
+) {
+    let due = |at: usize| Candidate {
+        doubt: doubts[at],
+        risk: 0.8 * doubts[at],
+        due_for: Some(Duration::from_millis(due_ms[at])),
+        ..candidate(0, true, Standing::InUse)
+    };
+    assert_eq!(choose(&[due(0), due(1)], request(Repeat::Once)), Some(expected));
 }
 
 /// No more than a share of the healthy targets is idle, and less where there are many in a data centre.
--- a/chicoryloom_policy/tests/gray.rs
+++ b/chicoryloom_policy/tests/gray.rs
@@ -235,7 +235,7 @@
                 doubt: views[target].doubt,
                 risk: views[target].risk,
                 evidence_age: views[target].evidence_age,
-                due: false,
+                due_for: None,
             })
             .collect();
         if let Decider::Estimator(_) = decider {
@@ -281,6 +281,8 @@
 #[case::many_in_use(40, 4, 10, 160.0)]
 #[case::few_in_use(60, 4, 15, 120.0)]
 #[case::few(22, 4, 9, 85.0)]
+#[case::few_requests(60, 4, 9, 42.0)]
+#[case::few_requests_for_many(90, 4, 12, 55.0)]
 fn few_sound_targets_are_not_left_idle(
     #[case] targets: usize,
     #[case] slots: u32,
