--- a/chicoryloom/src/gateway/dispatcher/listing.rs
+++ b/chicoryloom/src/gateway/dispatcher/listing.rs
@@ -90,11 +90,12 @@
         }
     }
 
-    /// Sets the hosts that callers are sent to, the number of live hosts, and that of all known ones
-    /// that are not leaving.
+    /// Sets the hosts that callers are sent to, how many of them this host has lost sight of, the number of
+    /// live hosts, and that of all known ones that are not leaving.
     pub(in crate::gateway) fn set_fleet(
         &self,
         entry_hosts: Vec<(id::Host, id::DataCentre)>,
+        lost_entry_hosts: usize,
         hosts: usize,
         known: usize,
     ) {
@@ -107,13 +108,14 @@
         }
         state.visible_part = (hosts as f64 / known.max(1) as f64).min(1.0);
         state.host_count = u32::try_from(hosts).unwrap_or(u32::MAX);
+        state.lost_entry_hosts = lost_entry_hosts;
         let burst = self.retry_burst(&state);
         if burst != state.retry_burst {
             state.retry_burst = burst;
             let is_entry = state.entry_hosts.iter().any(|(host, _)| *host == self.me);
             let fields = json!({
-                "burst": burst, "entry_hosts": state.entry_hosts.len(), "is_entry": is_entry,
-                "hosts": hosts, "known": known,
+                "burst": burst, "entry_hosts": state.entry_hosts.len(),
+                "lost_entry_hosts": lost_entry_hosts, "is_entry": is_entry,
             });
             self.events.emit("retry_burst", fields);
         }
--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -92,6 +92,8 @@
     catalog: Option<Arc<Catalog>>,
     /// Part of the known hosts that are alive, from 0 to 1.
     visible_part: f64,
+    /// Entry hosts that this host has lost sight of.
+    lost_entry_hosts: usize,
     /// This host's share of the burst of retries, as of the latest change of the fleet.
     retry_burst: f64,
     /// Leaving targets that are not yet reported to the other hosts.
@@ -191,6 +193,7 @@
                 losses: Losses::default(),
                 catalog: None,
                 visible_part: 1.0,
+                lost_entry_hosts: 0,
                 retry_burst: 0.0,
                 departures: Vec::new(),
                 reported_departures: Vec::new(),
--- a/chicoryloom/src/gateway/dispatcher/service.rs
+++ b/chicoryloom/src/gateway/dispatcher/service.rs
@@ -49,7 +49,7 @@
         let fleet = retry::Fleet {
             entry_hosts: state.entry_hosts.len(),
             is_entry: state.entry_hosts.iter().any(|(host, _)| *host == self.me),
-            visible_part: state.visible_part,
+            lost_entry_hosts: state.lost_entry_hosts,
             uptime: self.clock.now().since(self.started),
         };
         fleet.part(self.bounds.retry_burst)
--- a/chicoryloom/src/gateway/fleet/maintenance.rs
+++ b/chicoryloom/src/gateway/fleet/maintenance.rs
@@ -123,6 +123,7 @@
         entries.sort();
         let hosts = members.all_alive(now).count() + 1;
         let known = members.all().filter(|member| !member.leaving).count() + 1;
+        let lost = members.lost_entries(now);
         me.entry = is_entry;
         drop(me);
         members.set_entry(is_entry);
@@ -132,6 +133,6 @@
         let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
         allowance.set_hosts(entries.len().max(needed));
         drop(allowance);
-        self.dispatcher.set_fleet(entries, hosts, known);
+        self.dispatcher.set_fleet(entries, lost, hosts, known);
     }
 }
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -231,6 +231,14 @@
         alive.map(|peer| &peer.member)
     }
 
+    /// Returns how many hosts advertised themselves as entry hosts when they were last heard, and have not been
+    /// heard for too long to count as alive.
+    pub(super) fn lost_entries(&self, now: Moment) -> usize {
+        let is_lost =
+            |peer: &&Peer| peer.member.entry && !peer.member.leaving && !self.is_alive(peer, now);
+        self.peers.values().filter(is_lost).count()
+    }
+
     /// Returns up to `count` live hosts whose copy of the platform's objects was fresh at their latest
     /// heartbeat.
     ///
--- a/chicoryloom_policy/src/retry.rs
+++ b/chicoryloom_policy/src/retry.rs
@@ -28,8 +28,8 @@
     pub entry_hosts: usize,
     /// Whether this host is one of them.
     pub is_entry: bool,
-    /// Part of the known hosts that are heard, from 0 to 1; the others may live on the other side of a cut.
-    pub visible_part: f64,
+    /// Hosts that were among them when they were last heard; they may live on the other side of a cut.
+    pub lost_entry_hosts: usize,
     /// Time for which this host has run.
     pub uptime: Duration,
 }
@@ -40,8 +40,8 @@
         if self.uptime < ACQUAINTANCE_TIME || !self.is_entry {
             return MIN_PART;
         }
-        let part =
-            burst * (1.0 - RESERVED_SHARE) * self.visible_part / self.entry_hosts.max(1) as f64;
+        let sharers = (self.entry_hosts + self.lost_entry_hosts).max(1);
+        let part = burst * (1.0 - RESERVED_SHARE) / sharers as f64;
         part.max(MIN_PART)
     }
 }
--- a/chicoryloom_policy/tests/retry.rs
+++ b/chicoryloom_policy/tests/retry.rs
@@ -71,7 +71,7 @@
             let fleet = Fleet {
                 entry_hosts: heard,
                 is_entry: true,
-                visible_part: heard as f64 / known as f64,
+                lost_entry_hosts: known - heard,
                 uptime: STEP * u32::try_from(age).unwrap(),
             };
             let budget = &mut budgets[host];
@@ -198,13 +198,15 @@
             };
             let heard: Vec<_> = (0..count).filter(|other| hears(*other)).collect();
             let chosen = &heard[..entries.min(heard.len())];
+            let lost = (0..count).filter(|other| !heard.contains(other) && hosts[*other].is_entry);
+            let lost = lost.count();
             let host = &mut hosts[at];
             host.is_entry = chosen.contains(&at);
             host.was_entry = if host.is_entry { step } else { host.was_entry };
             let fleet = Fleet {
                 entry_hosts: chosen.len(),
                 is_entry: host.is_entry,
-                visible_part: heard.len() as f64 / count as f64,
+                lost_entry_hosts: lost,
                 uptime: STEP * u32::try_from(step.saturating_sub(host.started)).unwrap(),
             };
             host.budget.set_burst(fleet.part(burst));
