--- a/chicoryloom_policy/src/dispatch.rs
+++ b/chicoryloom_policy/src/dispatch.rs
@@ -50,7 +50,9 @@
 /// Healthy targets that may stay idle in a data centre within that share: less than one, so that only
 /// doubted ones do.
 const FREE_ALLOWANCE: f64 = 0.9;
-/// Preference class of targets in use; see [`tier`].
+/// Preference class of targets that should get the next request; see [`tier`].
+const DUE: u8 = 0;
+/// Preference class of targets in use.
 const IN_USE: u8 = 1;
 
 /// A target to choose from.
@@ -153,7 +155,9 @@
         let one = &candidates[at];
         let risk = if request.can_retry { 0 } else { one.risk_step() };
         let place = rule.place(one, rng);
-        ((Reverse(one.turn()), risk, !one.near, place, (at + offset) % candidates.len()), at)
+        // Those that are taken for want of others get no turns.
+        let turn = if best == DUE { one.turn() } else { 0 };
+        ((Reverse(turn), risk, !one.near, place, (at + offset) % candidates.len()), at)
     };
     let places = allowed.into_iter().map(order);
     let first = places.min_by(|one, other| one.partial_cmp(other).unwrap_or(Ordering::Equal));
@@ -166,10 +170,10 @@
         return None;
     }
     match one.standing {
-        Standing::InUse if one.due_for.is_some() => Some(0),
-        Standing::Trial(_) | Standing::Spare if one.due_for.is_some() && one.owned => Some(0),
+        Standing::InUse if one.due_for.is_some() => Some(DUE),
+        Standing::Trial(_) | Standing::Spare if one.due_for.is_some() && one.owned => Some(DUE),
         Standing::InUse => Some(IN_USE),
-        Standing::Trial(_) if request.can_retry && one.owned && one.in_flight == 0 => Some(0),
+        Standing::Trial(_) if request.can_retry && one.owned && one.in_flight == 0 => Some(DUE),
         Standing::Trial(_) if request.can_retry || request.waited >= TRIAL_WAIT => Some(2),
         Standing::Spare if request.can_retry || request.waited >= SPARE_WAIT => Some(3),
         Standing::Trial(_) | Standing::Spare | Standing::HeldBack => None,
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -148,6 +148,21 @@
     assert_eq!(choose(&[due(0), due(1)], request(Repeat::Once)), Some(expected));
 }
 
+/// A request that waits for want of others goes to the target with the least risk, whichever of them is due at
+/// the host that is responsible for it.
+#[test]
+fn target_in_doubt_is_taken_for_want_of_others_by_its_risk() {
+    let doubted = |risk, due_ms| Candidate {
+        owned: false,
+        doubt: risk,
+        risk,
+        due_for: Some(Duration::from_millis(due_ms)),
+        ..candidate(0, true, Standing::Trial(Duration::ZERO))
+    };
+    let waited = Request { waited: Duration::from_millis(100), ..request(Repeat::Once) };
+    assert_eq!(choose(&[doubted(0.6, 2500), doubted(0.4, 100)], waited), Some(1));
+}
+
 /// No more than a share of the healthy targets is idle, and less where there are many in a data centre.
 #[rstest]
 #[case::small_service(4.0, 8.0, 0.6)]
