Make review case 1 independent of the size of socket buffers

Claimed as before: answers in transit are cut 1 s before a stop's grace period ends. The clients' links now carry 64 Mbit/s instead of 40, so that more is in transit at the exit than a socket's buffer holds.

--- a/review/standin/src/stop.rs
+++ b/review/standin/src/stop.rs
@@ -12,8 +12,8 @@
 use crate::fleet::exchange;
 use crate::record::Record;
 
-/// What a client's link carries a second: 40 Mbit/s.
-const RATE: f64 = 5_000_000.0;
+/// What a client's link carries a second: 64 Mbit/s.
+const RATE: f64 = 8_000_000.0;
 /// When each client sends its request, in seconds from the stop signal.
 const STARTS: [f64; 3] = [-0.5, 0.5, 1.5];
 /// When a client with such a link has the whole answer, in seconds from the stop signal.
