--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -61,6 +61,15 @@
         Ok(())
     }
 
+    /// Kills the process and starts it again, as the platform does with one that is lost.
+    pub fn restart(&mut self) -> bool {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.spawn().is_ok()
+    }
+
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
             let _ =
--- a/review/standin/src/names.rs
+++ b/review/standin/src/names.rs
@@ -15,6 +15,8 @@
 /// `configApplyMs` and `stableWindowMs` in seconds.
 const CONFIG_APPLY: f64 = 2.0;
 const STABLE_WINDOW: f64 = 3.0;
+/// Time for which a machine has run that was killed and started after the change.
+const RESTART_WAIT: Duration = Duration::from_secs(10);
 /// Requests of each kind after the change.
 const ROUNDS: usize = 20;
 
@@ -81,6 +83,14 @@
     if let Some(line) = log.lines().find(|line| line.contains("configuration_invalid")) {
         record.say(format!("a machine's log: {line}"));
     }
+    // No part of the verdict: what a machine that starts now makes of the configuration.
+    if has_trouble && fleet.gateways[0].restart() {
+        std::thread::sleep(RESTART_WAIT);
+        let is_ready = fleet.gateways[0].is_ready();
+        record.say(format!(
+            "a machine that was killed is ready {RESTART_WAIT:?} after its start: {is_ready}"
+        ));
+    }
     fleet.end(false);
     record.say(format!(
         "of {ROUNDS} requests each, {stale} with the withdrawn key were run, {unknown} on the added route got 404"
