--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -32,6 +32,14 @@
 const SERVER_PORT: u16 = 8080;
 pub const KEY: &str = "key-of-prairie";
 
+/// Signals that the platform sends, with their numbers on Linux.
+#[derive(Clone, Copy, Debug)]
+pub enum Signal {
+    Hup = 1,
+    Kill = 9,
+    Term = 15,
+}
+
 /// A gateway process; killed when dropped.
 pub struct Gateway {
     pub name: String,
@@ -70,10 +78,18 @@
         self.spawn().is_ok()
     }
 
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ =
-                Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+    /// Sends a signal to the process, which the case has started.
+    pub fn signal(&self, signal: Signal) {
+        unsafe extern "C" {
+            fn kill(process: i32, signal: i32) -> i32;
+        }
+        if self.ended.is_none()
+            && let Some(child) = &self.child
+            && let Ok(process) = i32::try_from(child.id())
+        {
+            // SAFETY: a plain call of the C library. The child has not been waited for, so that its id is
+            // not another process's.
+            unsafe { kill(process, signal as i32) };
         }
     }
 
--- a/review/standin/src/silent_pause.rs
+++ b/review/standin/src/silent_pause.rs
@@ -6,6 +6,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::KEY;
 use crate::fleet::Request;
+use crate::fleet::Signal;
 use crate::fleet::exchange;
 use crate::record::Record;
 
@@ -61,7 +62,7 @@
     std::thread::sleep(Duration::from_millis(500));
     let signalled = record.now();
     if has_trouble {
-        fleet.gateways[index].signal("HUP");
+        fleet.gateways[index].signal(Signal::Hup);
         record.say(format!("SIGHUP to {}", fleet.gateways[index].name));
     }
     let answers: Vec<_> = clients.into_iter().filter_map(|one| one.join().ok().flatten()).collect();
--- a/review/standin/src/stop.rs
+++ b/review/standin/src/stop.rs
@@ -9,6 +9,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::KEY;
 use crate::fleet::Request;
+use crate::fleet::Signal;
 use crate::fleet::exchange;
 use crate::record::Record;
 
@@ -77,7 +78,7 @@
     wait(at(0.0));
     let stopped = record.now();
     if has_trouble {
-        fleet.gateways[index].signal("TERM");
+        fleet.gateways[index].signal(Signal::Term);
         record.say(format!("SIGTERM to {}", fleet.gateways[index].name));
     }
     // The platform kills the process at the end of the grace period, and starts it again.
@@ -88,7 +89,7 @@
         std::thread::sleep(Duration::from_millis(5));
     }
     if has_trouble && !fleet.gateways[index].has_ended(record) {
-        fleet.gateways[index].signal("KILL");
+        fleet.gateways[index].signal(Signal::Kill);
         record.say("SIGKILL at the end of the grace period");
     }
     let answers: Vec<_> = clients.into_iter().filter_map(|one| one.join().ok().flatten()).collect();
--- a/review/standin/src/stop_late.rs
+++ b/review/standin/src/stop_late.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::KEY;
 use crate::fleet::Request;
+use crate::fleet::Signal;
 use crate::fleet::exchange;
 use crate::http::Connection;
 use crate::record::Record;
@@ -115,7 +116,7 @@
         for index in 0..count {
             let is_due = STOPS[index].is_some_and(|after| now >= begun + after);
             if has_trouble && stopped[index].is_infinite() && is_due {
-                fleet.gateways[index].signal("TERM");
+                fleet.gateways[index].signal(Signal::Term);
                 stopped[index] = now;
                 record.say(format!("SIGTERM to {}", fleet.gateways[index].name));
             }
@@ -123,7 +124,7 @@
                 && !fleet.gateways[index].has_ended(record)
                 && now >= stopped[index] + GRACE
             {
-                fleet.gateways[index].signal("KILL");
+                fleet.gateways[index].signal(Signal::Kill);
                 record.say("SIGKILL at the end of the grace period");
             }
         }
