Add review case 5: a GET loses a body that comes in chunks

A GET request whose body comes in chunks runs at a server without its body, and the client gets 200 with the server's seal.

The stand-in of the store now hands out an object's bytes as they were written, and runs are recorded with the time and the body.

--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -110,7 +110,7 @@
     pub fn body(&mut self, head: &Head, end: Instant, rate: Option<f64>) -> (Vec<u8>, End) {
         let is_chunked = head
             .get("transfer-encoding")
-            .is_some_and(|value| value.to_ascii_lowercase() == "chunked");
+            .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
         let length: Option<usize> = head.get("content-length").and_then(|value| value.parse().ok());
         if is_chunked {
             return self.chunks(end, rate);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,7 +1,9 @@
 //! Cases of the review: `review-case NAME FOLDER`. Exits with 1 if the rule was broken, with 0 if it
 //! held, and with 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod chunks;
 mod fleet;
+mod foreign;
 mod http;
 mod names;
 mod record;
@@ -34,6 +36,8 @@
     let record = Record::new();
     record.say(format!("case {name}, trouble: {has_trouble}"));
     let verdict = match name.as_str() {
+        "foreign" => foreign::run(&record, has_trouble),
+        "chunks" => chunks::run(&record, has_trouble),
         "stop" => stop::run(&record, has_trouble),
         "names" => names::run(&record, has_trouble),
         "stop-late" => stop_late::run(&record, has_trouble),
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -25,6 +25,10 @@
 pub struct Run {
     pub id: String,
     pub server: String,
+    /// When the request reached the server.
+    pub reached: f64,
+    /// Body of the request as the server got it.
+    pub body: Vec<u8>,
     /// When the whole answer was handed to the connection; `None` if it broke before.
     pub sent: Option<f64>,
     /// When the work itself was done.
@@ -130,8 +134,9 @@
             let Ok(head) = connection.head(Instant::now() + Duration::from_secs(10)) else {
                 return;
             };
-            let (_, ended) = connection.body(&head, Instant::now() + Duration::from_secs(20), None);
-            if ended != End::Whole || !self.handle(&mut connection, &head) {
+            let (body, ended) =
+                connection.body(&head, Instant::now() + Duration::from_secs(20), None);
+            if ended != End::Whole || !self.handle(&mut connection, &head, body) {
                 return;
             }
         }
@@ -143,8 +148,8 @@
     }
 
     /// Handles a request; returns whether the connection can be used again.
-    fn handle(&self, connection: &mut Connection, head: &Head) -> bool {
-        let name = self.name();
+    fn handle(&self, connection: &mut Connection, head: &Head, body: Vec<u8>) -> bool {
+        let (name, reached) = (self.name(), self.0.record.now());
         if head.word(1) == "/health" {
             let text = format!(
                 "HTTP/1.1 200 OK\r\nX-Chicoryloom-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
@@ -175,7 +180,14 @@
         drop(working);
         let index = {
             let mut runs = self.0.runs.lock().unwrap();
-            runs.push(Run { id: id.clone(), server: name.clone(), sent: None, worked: None });
+            runs.push(Run {
+                id: id.clone(),
+                server: name.clone(),
+                reached,
+                body,
+                sent: None,
+                worked: None,
+            });
             runs.len() - 1
         };
         self.0.record.add(format!("server {name} runs {id}"));
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -15,9 +15,9 @@
 struct State {
     revision: u64,
     /// Objects by kind and name, each as its fields besides the metadata, and its revision.
-    objects: BTreeMap<(String, String), (u64, String)>,
+    objects: BTreeMap<(String, String), (u64, Vec<u8>)>,
     /// Changes: revision, kind, name, fields, and whether the object was deleted.
-    history: Vec<(u64, String, String, String, bool)>,
+    history: Vec<(u64, String, String, Vec<u8>, bool)>,
 }
 
 #[derive(Clone)]
@@ -26,11 +26,13 @@
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
-fn object(name: &str, revision: u64, fields: &str) -> String {
-    format!(
+/// Returns an object with the bytes that its writer gave for its fields, whatever they are.
+fn object(name: &str, revision: u64, fields: &[u8]) -> Vec<u8> {
+    let metadata = format!(
         "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision},\"createdAt\":1,\
-         \"finalizers\":[],\"deleting\":false}},{fields}}}"
-    )
+         \"finalizers\":[],\"deleting\":false}},"
+    );
+    [metadata.as_bytes(), fields, b"}"].concat()
 }
 
 /// Returns the text of a string field.
@@ -75,7 +77,8 @@
     }
 
     /// Writes an object; `fields` are its fields besides the metadata, as JSON without the braces.
-    pub fn put(&self, kind: &str, name: &str, fields: &str) -> u64 {
+    pub fn put(&self, kind: &str, name: &str, fields: impl AsRef<[u8]>) -> u64 {
+        let fields = fields.as_ref();
         let mut state = self.state.0.lock().unwrap();
         state.revision += 1;
         let revision = state.revision;
@@ -96,16 +99,16 @@
             // The store takes 4 ms for an answer.
             std::thread::sleep(Duration::from_millis(4));
             let text = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 answer.len()
             );
-            if !connection.send(text.as_bytes()) {
+            if !connection.send(&[text.as_bytes(), &answer].concat()) {
                 return;
             }
         }
     }
 
-    fn answer(&self, method: &str, target: &str, body: &str) -> (u16, String) {
+    fn answer(&self, method: &str, target: &str, body: &str) -> (u16, Vec<u8>) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -124,22 +127,22 @@
             },
             "POST" | "PUT" => {
                 let Some(name) = string(body, "name").or(Some(name.to_owned())) else {
-                    return (400, "{}".into());
+                    return (400, b"{}".into());
                 };
                 let known = (kind.to_owned(), name.clone());
                 if method == "POST" && self.state.0.lock().unwrap().objects.contains_key(&known) {
-                    return (409, "{}".into());
+                    return (409, b"{}".into());
                 }
                 let specification = nested(body, "specification").unwrap_or_else(|| "null".into());
                 let fields = format!("\"specification\":{specification},\"status\":null");
                 let revision = self.put(kind, &name, &fields);
-                (200, object(&name, revision, &fields))
+                (200, object(&name, revision, fields.as_bytes()))
             }
-            _ => (404, "{}".into()),
+            _ => (404, b"{}".into()),
         }
     }
 
-    fn list(&self, kind: &str, after: &str) -> (u16, String) {
+    fn list(&self, kind: &str, after: &str) -> (u16, Vec<u8>) {
         const PAGE: usize = 50;
         let state = self.state.0.lock().unwrap();
         let all =
@@ -148,11 +151,12 @@
             all.take(PAGE + 1).map(|((_, name), (at, fields))| object(name, *at, fields)).collect();
         let more = items.len() > PAGE;
         items.truncate(PAGE);
-        let (items, at) = (items.join(","), state.revision);
-        (200, format!("{{\"items\":[{items}],\"more\":{more},\"asOf\":{at}}}"))
+        let items = items.join(&b","[..]);
+        let end = format!("],\"more\":{more},\"asOf\":{}}}", state.revision);
+        (200, [b"{\"items\":[", &items[..], end.as_bytes()].concat())
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, String) {
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, Vec<u8>) {
         let end = Instant::now() + wait;
         let mut state = self.state.0.lock().unwrap();
         loop {
@@ -161,14 +165,15 @@
                 .iter()
                 .filter(|(at, of, ..)| *at > after && of == kind)
                 .map(|(at, _, name, fields, deleted)| {
-                    let object = object(name, *at, fields);
-                    format!("{{\"deleted\":{deleted},\"object\":{object}}}")
+                    let begin = format!("{{\"deleted\":{deleted},\"object\":");
+                    [begin.as_bytes(), &object(name, *at, fields), b"}"].concat()
                 })
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let (events, at) = (events.join(","), state.revision);
-                return (200, format!("{{\"events\":[{events}],\"asOf\":{at}}}"));
+                let events = events.join(&b","[..]);
+                let end = format!("],\"asOf\":{}}}", state.revision);
+                return (200, [b"{\"events\":[", &events[..], end.as_bytes()].concat());
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
