--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,4 +8,4 @@
     echo "build the gateway and run review/build.sh first"
     exit 2
 fi
-exec "$program" names "$here"
+exec "$program" stop-late "$here"
