--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -48,6 +48,7 @@
 use crate::target::Answer;
 use crate::target::Body;
 use crate::target::Failure;
+use crate::target::Lease;
 use crate::target::exchange;
 
 /// Targets tried within one attempt while none of them runs the request, such as when they refuse
@@ -154,21 +155,21 @@
                         running.push(self.attempt().boxed());
                     }
                 }
-                () = self.gateway.wait_until_due(self.deadline) => {
+                () = self.gateway.wait_to_give_up(self.demand.deadline) => {
                     return self.conclude(last.or(Some(Attempt::NoResponse(Failure::Deadline))));
                 }
             }
         }
     }
 
-    /// Returns when the caller gets a response at the latest.
-    fn due(&self) -> Instant {
-        self.gateway.due(self.deadline)
+    /// Returns the time that a target gets to answer.
+    fn time_left(&self) -> Duration {
+        self.gateway.target_time(self.demand.deadline)
     }
 
-    /// Returns the time until then, which bounds the pauses of a response as well.
-    fn time_left(&self) -> Duration {
-        self.due().saturating_duration_since(Instant::now())
+    /// Returns the longest pause of a response: the deadline bounds all of it.
+    fn pause_limit(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
     }
 
     /// Returns whether the request may be run more than once and its body can be sent again.
@@ -189,7 +190,7 @@
     }
 
     fn may_retry(&self, last: Option<&Attempt>) -> bool {
-        if Instant::now() >= self.due()
+        if self.time_left().is_zero()
             || self.gateway.dispatcher.held_for(self.fingerprint).is_some()
         {
             return false;
@@ -336,12 +337,10 @@
     async fn send(&self, slot: Slot) -> Result<Attempt, Failure> {
         let endpoint = slot.endpoint.clone();
         let begun = self.gateway.clock.now();
-        let lease = tokio::time::timeout_at(self.deadline, endpoint.backend.lease());
-        let lease = match self.gateway.unless_stopped(self.demand, lease).await {
+        let lease = match self.connect(endpoint.backend.lease()).await {
             Ok(lease) => lease,
             Err(refusal) => return Ok(Attempt::Refused(refusal)),
         };
-        let lease = lease.unwrap_or(Err(Failure::Connect("deadline".to_owned())));
         if matches!(lease, Err(Failure::Connect(_))) {
             self.gateway.dispatcher.record_opening(&endpoint, begun, false);
         }
@@ -359,12 +358,17 @@
         let request = self.target_request(&endpoint).ok_or(Failure::Unsent)?;
         self.gateway.dispatcher.count_send(&endpoint);
         let mut answer = self
-            .await_response(exchange(lease, request, self.time_left(), protocol), &endpoint)
+            .await_response(exchange(lease, request, self.pause_limit(), protocol), &endpoint)
             .await;
         // The target closed an idle connection, which is no sign of bad health.
         if matches!(answer, Err(Failure::Unsent)) && !is_fresh && self.payload.is_available() {
-            let lease =
-                endpoint.backend.lease_new().await.inspect_err(|_| self.clear_may_have_run())?;
+            let lease = match self.connect(endpoint.backend.lease_new()).await {
+                Ok(lease) => lease.inspect_err(|_| self.clear_may_have_run())?,
+                Err(refusal) => {
+                    self.clear_may_have_run();
+                    return Ok(Attempt::Refused(refusal));
+                }
+            };
             if self.gateway.dispatcher.is_withdrawn(&endpoint) {
                 self.clear_may_have_run();
                 return Err(Failure::Withdrawn);
@@ -373,7 +377,7 @@
             is_fresh = true;
             opened = self.gateway.clock.now();
             answer = self
-                .await_response(exchange(lease, request, self.time_left(), protocol), &endpoint)
+                .await_response(exchange(lease, request, self.pause_limit(), protocol), &endpoint)
                 .await;
         }
         // A connection that breaks on a request was open: that may be the fault of the request.
@@ -401,6 +405,17 @@
         self.handle_response(answer, slot, opened, sent, started).await
     }
 
+    /// Opens a connection to a target in time; refuses the request if the host stops meanwhile and
+    /// can't finish it any more.
+    async fn connect(
+        &self,
+        lease: impl Future<Output = Result<Lease, Failure>>,
+    ) -> Result<Result<Lease, Failure>, Refusal> {
+        let lease = tokio::time::timeout_at(self.deadline, lease);
+        let lease = self.gateway.unless_stopped(self.demand, lease).await?;
+        Ok(lease.unwrap_or(Err(Failure::Connect("deadline".to_owned()))))
+    }
+
     /// Clears the mark that the request may have run, unless another attempt may have run.
     fn clear_may_have_run(&self) {
         let is_first = self.progress.tried().is_empty();
@@ -483,7 +498,7 @@
             dispatcher.observe(&endpoint, outcome, sent);
             let (dispatcher, clock) = (dispatcher.clone(), self.gateway.clock.clone());
             let on_overrun = move || dispatcher.observe(&endpoint, Outcome::Silent, clock.now());
-            let body = StreamedBody::new(body, slot, self.due(), on_overrun).boxed_unsync();
+            let body = StreamedBody::new(body, slot, self.deadline, on_overrun).boxed_unsync();
             return Ok(Attempt::Response(Response::from_parts(parts, body)));
         }
         let body = match Limited::new(body, MAX_BUFFERED_RESPONSE).collect().await {
--- a/chicoryloom/src/gateway/stop.rs
+++ b/chicoryloom/src/gateway/stop.rs
@@ -1,9 +1,10 @@
 //! Requests of a host that stops.
 
+use std::time::Duration;
+
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::stop::Demand;
 use chicoryloom_policy::stop::Schedule;
-use tokio::time::Instant;
 
 use super::Gateway;
 use super::refusal::Reason;
@@ -15,21 +16,18 @@
         self.stop.borrow().is_some()
     }
 
-    /// Returns when a request with the given deadline is answered at the latest.
-    pub(super) fn due(&self, deadline: Instant) -> Instant {
+    /// Returns the time that a target gets for a request with the given deadline.
+    pub(super) fn target_time(&self, deadline: Moment) -> Duration {
         let stop = *self.stop.borrow();
-        let due = stop.map(|schedule| self.instant(schedule.answers_due()));
-        due.map_or(deadline, |due| due.min(deadline))
+        let until = stop.map_or(deadline, |schedule| schedule.target_deadline(deadline));
+        until.since(self.clock.now())
     }
 
-    /// Waits until a request with the given deadline has to be answered.
-    pub(super) async fn wait_until_due(&self, deadline: Instant) {
+    /// Waits until a target that was sent a request with the given deadline is given up.
+    pub(super) async fn wait_to_give_up(&self, deadline: Moment) {
         tokio::select! {
-            () = tokio::time::sleep_until(deadline) => {}
-            schedule = self.wait_for_stop() => {
-                let due = self.instant(schedule.answers_due()).min(deadline);
-                tokio::time::sleep_until(due).await;
-            }
+            () = self.sleep_until(deadline) => {}
+            schedule = self.wait_for_stop() => self.sleep_until(schedule.give_up(deadline)).await,
         }
     }
 
@@ -50,10 +48,7 @@
     async fn refuse_when_stopped(&self, demand: Demand) -> Refusal {
         let schedule = self.wait_for_stop().await;
         let latest = schedule.latest_start(demand);
-        // A timer that is due still waits for its next tick.
-        if self.clock.now() < latest {
-            tokio::time::sleep_until(self.instant(latest)).await;
-        }
+        self.sleep_until(latest).await;
         let wait = schedule.retry_after(self.clock.now(), self.fleet.has_others());
         Refusal::new(Reason::Leaving, "this host is stopping").retry_after(wait)
     }
@@ -71,7 +66,11 @@
         }
     }
 
-    fn instant(&self, moment: Moment) -> Instant {
-        Instant::now() + moment.since(self.clock.now())
+    async fn sleep_until(&self, moment: Moment) {
+        let left = moment.since(self.clock.now());
+        // A timer that is due still waits for its next tick.
+        if !left.is_zero() {
+            tokio::time::sleep(left).await;
+        }
     }
 }
--- a/chicoryloom_policy/src/stop.rs
+++ b/chicoryloom_policy/src/stop.rs
@@ -17,7 +17,7 @@
 /// What a request needs to be finished.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Demand {
-    /// When its caller gets a response at the latest.
+    /// When its caller gets the head of a response at the latest.
     pub deadline: Moment,
     /// Time after which a response is late at the service's usual speed.
     pub usual: Duration,
@@ -26,8 +26,9 @@
 /// Stages of one shutdown.
 ///
 /// During the handover, callers learn that the host stops: it takes what usually ends in time. Then
-/// it takes only requests whose own deadline comes before responses are due. All that it has taken
-/// is answered by then, the connections are closed, and the process exits within its grace period.
+/// it takes only requests whose own deadline comes before responses are due. Targets are told to
+/// answer by then, and may do so until connections close; the process exits, within its grace period,
+/// once callers have read their answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Schedule {
     /// No later than [`Self::answers_due`].
@@ -59,9 +60,15 @@
         }
     }
 
-    /// Returns when all requests have been answered.
-    pub const fn answers_due(&self) -> Moment {
-        self.answers_due
+    /// Returns the deadline that a target is told for a request.
+    pub fn target_deadline(&self, deadline: Moment) -> Moment {
+        deadline.min(self.answers_due)
+    }
+
+    /// Returns until when a target that was sent a request may answer it; then its caller gets an
+    /// error instead.
+    pub fn give_up(&self, deadline: Moment) -> Moment {
+        deadline.min(self.close)
     }
 
     /// Returns when no further request is read and connections are closed.
--- a/chicoryloom_policy/tests/stop.rs
+++ b/chicoryloom_policy/tests/stop.rs
@@ -16,6 +16,11 @@
     Schedule::new(BEGUN, grace, NOTICE)
 }
 
+/// Returns when targets are told to answer at the latest.
+fn answers_due(schedule: &Schedule) -> Moment {
+    schedule.target_deadline(Moment::from_millis(u64::MAX / 2))
+}
+
 fn demand(deadline: Moment, usual_ms: u64) -> Demand {
     Demand { deadline, usual: Duration::from_millis(usual_ms) }
 }
@@ -34,19 +39,30 @@
         let now = BEGUN.after(Duration::from_millis(at_ms));
         let demand = demand(now.after(Duration::from_millis(timeout_ms)), usual_ms);
         if now < schedule.latest_start(demand) {
-            let ends_in_time = demand.deadline <= schedule.answers_due();
-            let ends_usually = now.after(demand.usual) <= schedule.answers_due();
+            let ends_in_time = demand.deadline <= answers_due(&schedule);
+            let ends_usually = now.after(demand.usual) <= answers_due(&schedule);
             let is_handover = now.since(BEGUN) <= NOTICE.min(grace / 2);
             prop_assert!(ends_in_time || (ends_usually && is_handover));
         }
     }
 
+    /// A target's answer that came after answers were due, and before connections were closed, was
+    /// not waited for.
+    #[test]
+    fn request_at_a_target_is_left_to_end(grace_ms in 50_u64..120_000, timeout_ms in 0_u64..240_000) {
+        let schedule = schedule(Duration::from_millis(grace_ms));
+        let deadline = BEGUN.after(Duration::from_millis(timeout_ms));
+        prop_assert!(schedule.target_deadline(deadline) <= schedule.give_up(deadline));
+        prop_assert!(schedule.target_deadline(BEGUN.after(Duration::from_secs(240))) < schedule.close());
+        prop_assert_eq!(schedule.give_up(deadline), deadline.min(schedule.close()));
+    }
+
     #[test]
     fn stages_follow_each_other_within_any_grace_period(grace_ms in 0_u64..600_000) {
         let grace = Duration::from_millis(grace_ms);
         let schedule = schedule(grace);
-        prop_assert!(BEGUN <= schedule.answers_due());
-        prop_assert!(schedule.answers_due() <= schedule.close());
+        prop_assert!(BEGUN <= answers_due(&schedule));
+        prop_assert!(answers_due(&schedule) <= schedule.close());
         prop_assert!(schedule.earliest_exit() <= schedule.close());
         prop_assert!(schedule.close() <= schedule.exit());
         prop_assert!(schedule.exit() <= BEGUN.after(grace));
@@ -56,8 +72,8 @@
     #[test]
     fn request_whose_deadline_comes_first_is_taken(grace_ms in 100_u64..120_000, usual_ms in 0_u64..60_000) {
         let schedule = schedule(Duration::from_millis(grace_ms));
-        let demand = demand(schedule.answers_due(), usual_ms);
-        prop_assert!(schedule.latest_start(demand) == schedule.answers_due());
+        let demand = demand(answers_due(&schedule), usual_ms);
+        prop_assert!(schedule.latest_start(demand) == answers_due(&schedule));
     }
 }
 
