--- a/chicoryloom/src/gateway/answer.rs
+++ b/chicoryloom/src/gateway/answer.rs
@@ -19,8 +19,17 @@
 /// nearly at once, also if a slow caller held it up.
 const LATE_WAIT: Duration = Duration::from_millis(250);
 
-/// Called once if the body is ended at its deadline.
-type Callback = Box<dyn FnOnce() + Send>;
+/// How a body ended, other than by an error of its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    /// All of it was passed on.
+    Whole,
+    /// It was incomplete after its deadline, and was cut off.
+    Overdue,
+}
+
+/// Called once with the end of the body.
+type Callback = Box<dyn FnOnce(End) + Send>;
 
 /// Body of a target's response; frees the request's slot at the target when it ends.
 ///
@@ -36,7 +45,7 @@
     waiting_since: Option<Instant>,
     /// Ends the wait; set when it begins.
     timer: Pin<Box<Sleep>>,
-    on_overrun: Option<Callback>,
+    on_end: Option<Callback>,
 }
 
 impl StreamedBody {
@@ -44,7 +53,7 @@
         body: AnswerBody,
         slot: Slot,
         deadline: Instant,
-        on_overrun: impl FnOnce() + Send + 'static,
+        on_end: impl FnOnce(End) + Send + 'static,
     ) -> Self {
         Self {
             body,
@@ -53,7 +62,7 @@
             late_wait: LATE_WAIT,
             waiting_since: None,
             timer: Box::pin(tokio::time::sleep_until(deadline)),
-            on_overrun: Some(Box::new(on_overrun)),
+            on_end: Some(Box::new(on_end)),
         }
     }
 
@@ -75,11 +84,15 @@
         now >= self.deadline && hyper::body::Body::size_hint(&self.body).exact().is_none()
     }
 
-    fn end_overdue(&mut self) -> BodyError {
+    fn end(&mut self, end: End) {
         self.slot = None;
-        if let Some(on_overrun) = self.on_overrun.take() {
-            on_overrun();
+        if let Some(on_end) = self.on_end.take() {
+            on_end(end);
         }
+    }
+
+    fn end_overdue(&mut self) -> BodyError {
+        self.end(End::Overdue);
         BodyError::Deadline
     }
 }
@@ -96,11 +109,12 @@
             return self.poll_overrun(context).map(|()| Some(Err(self.end_overdue())));
         };
         let is_overdue = self.is_overdue();
-        let is_over = !matches!(frame, Some(Ok(_))) || hyper::body::Body::is_end_stream(&self.body);
-        if is_over {
-            self.slot = None;
-        } else if is_overdue {
-            return Poll::Ready(Some(Err(self.end_overdue())));
+        match &frame {
+            Some(Err(_)) => self.slot = None,
+            None => self.end(End::Whole),
+            Some(Ok(_)) if hyper::body::Body::is_end_stream(&self.body) => self.end(End::Whole),
+            Some(Ok(_)) if is_overdue => return Poll::Ready(Some(Err(self.end_overdue()))),
+            Some(Ok(_)) => {}
         }
         Poll::Ready(frame)
     }
--- a/chicoryloom/src/gateway/dispatcher/service.rs
+++ b/chicoryloom/src/gateway/dispatcher/service.rs
@@ -19,7 +19,7 @@
 use super::State;
 use super::waiter::Waiter;
 
-/// Weight of the newest sample in the smoothed latency of a route.
+/// Weight of the newest sample in the smoothed times of a route.
 const LATENCY_WEIGHT: f64 = 0.05;
 /// Time without a request after which operators count a healthy target as idle.
 const IDLE_SPAN: Duration = Duration::from_secs(2);
@@ -32,6 +32,9 @@
     pub(super) budget: Option<Budget>,
     /// Smoothed time from sending a request to the head of its response, in seconds, by route.
     pub(super) latencies: HashMap<id::Route, f64>,
+    /// Smoothed time from sending a request to the last byte of its response as its caller took it, in
+    /// seconds, by route.
+    pub(super) durations: HashMap<id::Route, f64>,
 }
 
 impl Service {
@@ -100,10 +103,29 @@
         took: Duration,
     ) {
         let mut state = self.lock();
-        let latency = &mut state.services.entry(service.clone()).or_default().latencies;
-        let took = took.as_secs_f64();
-        let known = latency.entry(route.clone()).or_insert(took);
-        *known += LATENCY_WEIGHT * (took - *known);
+        smooth(&mut state.services.entry(service.clone()).or_default().latencies, route, took);
+    }
+
+    /// Records the time to the last byte of a successful response.
+    pub(in crate::gateway) fn record_duration(
+        &self,
+        service: &id::Service,
+        route: &id::Route,
+        took: Duration,
+    ) {
+        let mut state = self.lock();
+        smooth(&mut state.services.entry(service.clone()).or_default().durations, route, took);
+    }
+
+    /// Returns the smoothed time to the last byte of a response, if any was recorded.
+    pub(in crate::gateway) fn duration(
+        &self,
+        service: &id::Service,
+        route: &id::Route,
+    ) -> Option<Duration> {
+        let state = self.lock();
+        let duration = state.services.get(service)?.durations.get(route)?;
+        Some(Duration::from_secs_f64(*duration))
     }
 
     /// Returns the smoothed time to the head of a response, if any was recorded.
@@ -117,3 +139,9 @@
         Some(Duration::from_secs_f64(*latency))
     }
 }
+
+fn smooth(times: &mut HashMap<id::Route, f64>, route: &id::Route, took: Duration) {
+    let took = took.as_secs_f64();
+    let known = times.entry(route.clone()).or_insert(took);
+    *known += LATENCY_WEIGHT * (took - *known);
+}
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -35,6 +35,7 @@
 use super::Gateway;
 use super::LATE_GRACE;
 use super::SHORT_RETRY_AFTER;
+use super::answer;
 use super::answer::StreamedBody;
 use super::dispatcher::Choice;
 use super::dispatcher::Endpoint;
@@ -497,8 +498,16 @@
         if !is_buffered {
             dispatcher.observe(&endpoint, outcome, sent);
             let (dispatcher, clock) = (dispatcher.clone(), self.gateway.clock.clone());
-            let on_overrun = move || dispatcher.observe(&endpoint, Outcome::Silent, clock.now());
-            let body = StreamedBody::new(body, slot, self.deadline, on_overrun).boxed_unsync();
+            let (service, route) = (self.service.clone(), self.route.name.clone());
+            let on_end = move |end| match end {
+                answer::End::Whole => {
+                    dispatcher.record_duration(&service, &route, started.elapsed());
+                }
+                answer::End::Overdue => {
+                    dispatcher.observe(&endpoint, Outcome::Silent, clock.now());
+                }
+            };
+            let body = StreamedBody::new(body, slot, self.deadline, on_end).boxed_unsync();
             return Ok(Attempt::Response(Response::from_parts(parts, body)));
         }
         let body = match Limited::new(body, MAX_BUFFERED_RESPONSE).collect().await {
@@ -510,6 +519,9 @@
             }
         };
         dispatcher.observe(&endpoint, outcome, sent);
+        if !is_failure {
+            dispatcher.record_duration(&self.service, &self.route.name, started.elapsed());
+        }
         drop(slot);
         let response = Response::from_parts(parts, full(body));
         Ok(if is_failure { Attempt::Failed(response) } else { Attempt::Response(response) })
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -226,7 +226,7 @@
         let timeout = self.timeout(&request, &route);
         let deadline = started + timeout;
         let demand =
-            Demand { deadline: arrived.after(timeout), usual: self.late_threshold(&route) };
+            Demand { deadline: arrived.after(timeout), usual: self.usual_time(&route) };
         let limits = catalog.limits;
         let (parts, body) = request.into_parts();
         let body = body::bounded(body, limits.body_bytes, limits.idle_timeout);
@@ -393,11 +393,11 @@
         asked.map_or(route.timeout, |asked| asked.min(route.timeout))
     }
 
-    /// Returns the time after which a response is late.
-    fn late_threshold(&self, route: &Route) -> Duration {
+    /// Returns the time after which the last byte of a response is late.
+    fn usual_time(&self, route: &Route) -> Duration {
         let services = route.destinations.iter().map(|destination| &destination.service);
-        let latency = services.filter_map(|service| self.dispatcher.latency(service, &route.name));
-        latency.max().unwrap_or(route.target_latency).mul_f64(LATE_FACTOR) + LATE_GRACE
+        let times = services.filter_map(|service| self.dispatcher.duration(service, &route.name));
+        times.max().unwrap_or(route.target_latency).mul_f64(LATE_FACTOR) + LATE_GRACE
     }
 
     /// Selects the service for the next request of a route by the weights of its split.
--- a/chicoryloom_policy/src/stop.rs
+++ b/chicoryloom_policy/src/stop.rs
@@ -19,7 +19,7 @@
 pub struct Demand {
     /// When its caller gets the head of a response at the latest.
     pub deadline: Moment,
-    /// Time after which a response is late at the service's usual speed.
+    /// Time after which the last byte of a response is late at the usual speed of service and callers.
     pub usual: Duration,
 }
 
