--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -22,6 +22,7 @@
 use chicoryloom_policy::gray::Notice;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
+use chicoryloom_policy::stop::Others;
 use chicoryloom_policy::withdrawal::Process;
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -184,10 +185,9 @@
         found.iter().map(|member| member.caller).collect()
     }
 
-    /// Returns whether another host takes requests of callers.
-    pub(super) fn has_others(&self) -> bool {
-        let members = self.members();
-        members.all_alive(self.clock.now()).any(|member| member.ready && !member.leaving)
+    /// Returns the other hosts that callers may turn to.
+    pub(super) fn others(&self) -> Others {
+        self.members().others(self.clock.now())
     }
 
     /// Returns whether this host still got heartbeats of others while its copy was old, and some
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -11,6 +11,7 @@
 use chicoryloom_policy::catalog::Version;
 use chicoryloom_policy::entry;
 use chicoryloom_policy::id;
+use chicoryloom_policy::stop::Others;
 
 use super::message::Member;
 
@@ -239,6 +240,17 @@
         self.peers.values().filter(is_lost).count()
     }
 
+    /// Returns the other hosts that callers may know of.
+    pub(super) fn others(&self, now: Moment) -> Others {
+        let mut others = Others::default();
+        for peer in self.peers.values() {
+            let takes = peer.member.ready && !peer.member.leaving && self.is_alive(peer, now);
+            others.taking += usize::from(takes);
+            others.gone += usize::from(!takes);
+        }
+        others
+    }
+
     /// Returns up to `count` live hosts whose copy of the platform's objects was fresh at their latest
     /// heartbeat.
     ///
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 use chicoryloom_policy::allowance::Excess;
 use chicoryloom_policy::allowance::Limiter;
 use chicoryloom_policy::catalog::Catalog;
+use chicoryloom_policy::catalog::Repeat;
 use chicoryloom_policy::catalog::Route;
 use chicoryloom_policy::catalog::Workspace;
 use chicoryloom_policy::holdback::Fingerprint;
@@ -225,8 +226,11 @@
         summary.version = Some(catalog.version.0);
         let timeout = self.timeout(&request, &route);
         let deadline = started + timeout;
-        let demand =
-            Demand { deadline: arrived.after(timeout), usual: self.usual_time(&route) };
+        let demand = Demand {
+            deadline: arrived.after(timeout),
+            usual: self.usual_time(&route),
+            is_repeatable: route.repeat == Repeat::Safe,
+        };
         let limits = catalog.limits;
         let (parts, body) = request.into_parts();
         let body = body::bounded(body, limits.body_bytes, limits.idle_timeout);
--- a/chicoryloom/src/gateway/stop.rs
+++ b/chicoryloom/src/gateway/stop.rs
@@ -47,9 +47,9 @@
 
     async fn refuse_when_stopped(&self, demand: Demand) -> Refusal {
         let schedule = self.wait_for_stop().await;
-        let latest = schedule.latest_start(demand);
+        let latest = schedule.latest_start(demand, self.fleet.others());
         self.sleep_until(latest).await;
-        let wait = schedule.retry_after(self.clock.now(), self.fleet.has_others());
+        let wait = schedule.retry_after(self.clock.now(), self.fleet.others());
         Refusal::new(Reason::Leaving, "this host is stopping").retry_after(wait)
     }
 
--- a/chicoryloom_policy/src/stop.rs
+++ b/chicoryloom_policy/src/stop.rs
@@ -21,16 +21,38 @@
     pub deadline: Moment,
     /// Time after which the last byte of a response is late at the usual speed of service and callers.
     pub usual: Duration,
+    /// Whether it may run again elsewhere if its response is lost.
+    pub is_repeatable: bool,
+}
+
+/// Other hosts that callers know of.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Others {
+    /// Hosts that take requests and aren't stopping.
+    pub taking: usize,
+    /// Hosts that are stopping or were lost lately; callers may still try them.
+    pub gone: usize,
+}
+
+impl Others {
+    /// Returns whether a caller that turns to any of the hosts it knows, other than the one that is
+    /// stopping, mostly finds one that takes its request.
+    const fn are_found(self) -> bool {
+        self.taking > self.gone
+    }
 }
 
 /// Stages of one shutdown.
 ///
-/// During the handover, callers learn that the host stops: it takes what usually ends in time. Then
-/// it takes only requests whose own deadline comes before responses are due. Targets are told to
+/// A request whose own deadline comes before responses are due is taken at any time. During the
+/// handover, in which callers learn that the host stops, it also takes requests that usually end in
+/// time, except for those that run once and find another host: a target that hangs would make their
+/// outcome unknown. Targets are told to
 /// answer by then, and may do so until connections close; the process exits, within its grace period,
 /// once callers have read their answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Schedule {
+    begun: Moment,
     /// No later than [`Self::answers_due`].
     handover_end: Moment,
     /// Before [`Self::close`].
@@ -52,6 +74,7 @@
         let exit = now.after(grace.saturating_sub(margin));
         let close = exit.before(margin / 2);
         Self {
+            begun: now,
             handover_end: now.after(handover),
             answers_due: close.before(margin / 2),
             close,
@@ -87,10 +110,13 @@
     }
 
     /// Returns when a request may last be passed on to a target; later it is refused.
-    pub fn latest_start(&self, demand: Demand) -> Moment {
+    pub fn latest_start(&self, demand: Demand, others: Others) -> Moment {
         if demand.deadline <= self.answers_due {
             return demand.deadline;
         }
+        if !demand.is_repeatable && others.are_found() {
+            return self.begun;
+        }
         self.handover_end.min(self.answers_due.before(demand.usual))
     }
 
@@ -98,7 +124,7 @@
     ///
     /// Other hosts, if there are any, take it at once; otherwise none does before this one has
     /// exited.
-    pub fn retry_after(&self, now: Moment, has_others: bool) -> Duration {
-        if has_others { Duration::ZERO } else { self.exit.since(now) }
+    pub fn retry_after(&self, now: Moment, others: Others) -> Duration {
+        if others.taking > 0 { Duration::ZERO } else { self.exit.since(now) }
     }
 }
--- a/chicoryloom_policy/tests/stop.rs
+++ b/chicoryloom_policy/tests/stop.rs
@@ -4,6 +4,7 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::stop::Demand;
+use chicoryloom_policy::stop::Others;
 use chicoryloom_policy::stop::Schedule;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -22,9 +23,11 @@
 }
 
 fn demand(deadline: Moment, usual_ms: u64) -> Demand {
-    Demand { deadline, usual: Duration::from_millis(usual_ms) }
+    Demand { deadline, usual: Duration::from_millis(usual_ms), is_repeatable: true }
 }
 
+const ALONE: Others = Others { taking: 0, gone: 0 };
+
 proptest! {
     /// A host took requests late in its grace period that it then cut at its exit.
     #[test]
@@ -38,7 +41,7 @@
         let schedule = schedule(grace);
         let now = BEGUN.after(Duration::from_millis(at_ms));
         let demand = demand(now.after(Duration::from_millis(timeout_ms)), usual_ms);
-        if now < schedule.latest_start(demand) {
+        if now < schedule.latest_start(demand, ALONE) {
             let ends_in_time = demand.deadline <= answers_due(&schedule);
             let ends_usually = now.after(demand.usual) <= answers_due(&schedule);
             let is_handover = now.since(BEGUN) <= NOTICE.min(grace / 2);
@@ -73,7 +76,7 @@
     fn request_whose_deadline_comes_first_is_taken(grace_ms in 100_u64..120_000, usual_ms in 0_u64..60_000) {
         let schedule = schedule(Duration::from_millis(grace_ms));
         let demand = demand(answers_due(&schedule), usual_ms);
-        prop_assert!(schedule.latest_start(demand) == answers_due(&schedule));
+        prop_assert!(schedule.latest_start(demand, ALONE) == answers_due(&schedule));
     }
 }
 
@@ -95,13 +98,33 @@
     let now = BEGUN.after(Duration::from_millis(at_ms));
     let demand = demand(now.after(Duration::from_millis(timeout_ms)), usual_ms);
     let schedule = schedule(Duration::from_secs(6));
-    assert_eq!(now < schedule.latest_start(demand), is_taken);
+    assert_eq!(now < schedule.latest_start(demand, ALONE), is_taken);
 }
 
 #[test]
 fn last_host_asks_callers_to_return_after_its_exit() {
     let schedule = schedule(Duration::from_secs(6));
     let now = BEGUN.after(Duration::from_secs(4));
-    assert_eq!(schedule.retry_after(now, true), Duration::ZERO);
-    assert_eq!(now.after(schedule.retry_after(now, false)), schedule.exit());
+    let few = Others { taking: 1, gone: 9 };
+    assert_eq!(schedule.retry_after(now, few), Duration::ZERO);
+    assert_eq!(now.after(schedule.retry_after(now, ALONE)), schedule.exit());
+}
+
+/// A request that runs once was taken by its service's usual speed, and its outcome was unknown when
+/// its target hung.
+#[rstest]
+#[case::others_take_it(Others { taking: 31, gone: 0 }, false)]
+#[case::few_left(Others { taking: 4, gone: 27 }, true)]
+#[case::last_host(ALONE, true)]
+fn request_that_runs_once_is_risked_only_if_no_other_host_is_found(
+    #[case] others: Others,
+    #[case] is_taken: bool,
+) {
+    let now = BEGUN.after(Duration::from_millis(100));
+    let demand =
+        Demand { is_repeatable: false, ..demand(now.after(Duration::from_secs(12)), 1_500) };
+    let schedule = schedule(Duration::from_secs(6));
+    assert_eq!(now < schedule.latest_start(demand, others), is_taken);
+    let short = Demand { deadline: now.after(Duration::from_secs(4)), ..demand };
+    assert!(now < schedule.latest_start(short, others), "one that can be finished is taken");
 }
