--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -503,11 +503,13 @@
                 answer::End::Whole => {
                     dispatcher.record_duration(&service, &route, started.elapsed());
                 }
-                answer::End::Overdue => {
+                answer::End::Overdue { is_targets_fault: true } => {
                     dispatcher.observe(&endpoint, Outcome::Silent, clock.now());
                 }
+                answer::End::Overdue { is_targets_fault: false } => {}
             };
-            let body = StreamedBody::new(body, slot, self.deadline, on_end).boxed_unsync();
+            let (deadline, clock) = (self.demand.deadline, self.gateway.clock.clone());
+            let body = StreamedBody::new(body, slot, deadline, clock, on_end).boxed_unsync();
             return Ok(Attempt::Response(Response::from_parts(parts, body)));
         }
         let body = match Limited::new(body, MAX_BUFFERED_RESPONSE).collect().await {
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -29,7 +29,6 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
-use tokio::time::Instant;
 use tokio::time::Sleep;
 
 use super::pool::Backend;
@@ -328,19 +327,15 @@
     on_abort: Option<Callback>,
     /// Released once the whole body has arrived; otherwise dropped, which closes the connection.
     lease: Option<Lease>,
+    /// Longest pause of the target.
     idle: Duration,
-    timer: Pin<Box<Sleep>>,
+    /// Ends the pause; set while the next frame is awaited, so that a slow caller's pauses don't count.
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl AnswerBody {
     fn new(body: Incoming, lease: Lease, idle: Duration) -> Self {
-        let mut answer = Self {
-            body,
-            on_abort: None,
-            lease: Some(lease),
-            idle,
-            timer: Box::pin(tokio::time::sleep(idle)),
-        };
+        let mut answer = Self { body, on_abort: None, lease: Some(lease), idle, timer: None };
         answer.finish_if_ended();
         answer
     }
@@ -375,9 +370,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = &mut *self;
-        match Pin::new(&mut this.body).poll_frame(context) {
+        let frame = Pin::new(&mut this.body).poll_frame(context);
+        if frame.is_ready() {
+            this.timer = None;
+        }
+        match frame {
             Poll::Ready(Some(Ok(frame))) => {
-                this.timer.as_mut().reset(Instant::now() + this.idle);
                 this.finish_if_ended();
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -391,13 +389,15 @@
                 }
                 Poll::Ready(None)
             }
-            Poll::Pending => match this.timer.as_mut().poll(context) {
-                Poll::Ready(()) => {
-                    this.abort();
-                    Poll::Ready(Some(Err(BodyError::Idle)))
+            Poll::Pending => {
+                let idle = this.idle;
+                let timer = this.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(idle)));
+                if timer.as_mut().poll(context).is_pending() {
+                    return Poll::Pending;
                 }
-                Poll::Pending => Poll::Pending,
-            },
+                this.abort();
+                Poll::Ready(Some(Err(BodyError::Idle)))
+            }
         }
     }
 
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod split;
 pub mod stop;
 pub mod suspicion;
+pub mod tail;
 pub mod takeover;
 pub mod throttle;
 pub mod unit;
