--- a/chicoryloom/src/gateway/dispatcher/links.rs
+++ b/chicoryloom/src/gateway/dispatcher/links.rs
@@ -7,7 +7,9 @@
 use chicoryloom_policy::catalog::Target;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
+use chicoryloom_policy::loss;
 use chicoryloom_policy::loss::Answer;
+use chicoryloom_policy::loss::Over;
 use chicoryloom_policy::reach::Listed;
 use chicoryloom_policy::withdrawal::Availability;
 use rand::seq::IteratorRandom;
@@ -27,16 +29,6 @@
 
 /// Targets with losses that are tried at a time.
 const MAX_SUSPECTS: usize = 3;
-/// Other targets that are tried then, over old connections and over new ones.
-const PROOF_TARGETS: usize = 2;
-
-/// The connection over which a target is tried.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Over {
-    New,
-    /// One that is open already, if there is any.
-    Idle,
-}
 
 impl Dispatcher {
     /// Records that a target answered, whatever it said, over a connection that was opened at
@@ -207,10 +199,11 @@
             spawn(endpoint, Over::New);
         }
         if !suspects.is_empty() {
-            let others = endpoints.iter().filter(|endpoint| !is_suspect(endpoint));
-            for endpoint in others.choose_multiple(&mut rand::rng(), PROOF_TARGETS) {
-                spawn(endpoint, Over::Idle);
-                spawn(endpoint, Over::New);
+            let others: Vec<_> =
+                endpoints.iter().filter(|endpoint| !is_suspect(endpoint)).collect();
+            let have_idle: Vec<_> = others.iter().map(|one| one.backend.has_idle()).collect();
+            for (index, over) in loss::witnesses(&have_idle, &mut rand::rng()) {
+                spawn(others[index], over);
             }
         }
     }
--- a/chicoryloom_policy/src/loss.rs
+++ b/chicoryloom_policy/src/loss.rs
@@ -9,6 +9,9 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
 use crate::Moment;
 use crate::holdback::Fingerprint;
 use crate::id;
@@ -27,8 +30,12 @@
 const UNPROVEN_TIME: Duration = Duration::from_secs(1);
 /// Time after a loss from which targets are asked for a proof, unless one came meanwhile.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
-/// Shortest time between two such checks.
+/// Shortest time between two such checks, and time until a loss is checked again, which doubles with
+/// each check: losses come with each lost request at each host, and what two checks don't prove a third
+/// seldom does.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Targets without losses that are tried at a check.
+const WITNESSES: usize = 2;
 /// Maximum number of losses that wait for judgement; later ones are dropped.
 const MAX_PENDING: usize = 1024;
 
@@ -106,6 +113,33 @@
     is_absent: bool,
     /// Whether only the target's absence can still prove the loss.
     is_dismissed: bool,
+    /// When it is to be checked next.
+    next_check: Moment,
+    /// Time from that check to the one after it.
+    check_interval: Duration,
+}
+
+/// The connection over which a target is tried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Over {
+    New,
+    /// One that is open already.
+    Idle,
+}
+
+/// Returns which of the targets without losses to try, given whether each has an idle connection, and
+/// how.
+///
+/// An old connection that answers shows that the link outlived the loss; new ones are opened to the
+/// targets of the losses anyway, so that these are tried only where no connection is open.
+pub fn witnesses<R: Rng + ?Sized>(have_idle: &[bool], rng: &mut R) -> Vec<(usize, Over)> {
+    let idle = (0..have_idle.len()).filter(|index| have_idle[*index]);
+    let chosen = idle.choose_multiple(rng, WITNESSES);
+    if !chosen.is_empty() {
+        return chosen.into_iter().map(|index| (index, Over::Idle)).collect();
+    }
+    let any = (0..have_idle.len()).choose_multiple(rng, WITNESSES);
+    any.into_iter().map(|index| (index, Over::New)).collect()
 }
 
 /// A target that failed since the latest answer.
@@ -166,6 +200,8 @@
             is_renewed: false,
             is_absent: false,
             is_dismissed: false,
+            next_check: loss.at.after(CHECK_DELAY),
+            check_interval: CHECK_INTERVAL,
             loss,
         });
     }
@@ -204,19 +240,25 @@
     }
 
     /// Returns the targets of losses to be proved if a check is due, and records the check. These
-    /// targets are to be tried over new connections, and others over old and over new ones.
+    /// targets are to be tried over new connections, and others as [`witnesses`] tells.
     pub fn check(&mut self, now: Moment) -> Vec<id::Instance> {
         if self.pending.is_empty() {
             return Vec::new();
         }
         self.pending.retain(|one| now.since(one.loss.at) < MAX_AGE);
-        let is_due = self.pending.iter().any(|one| now.since(one.loss.at) >= CHECK_DELAY);
-        if !is_due || self.checked.is_some_and(|at| now.since(at) < CHECK_INTERVAL) {
+        if self.checked.is_some_and(|at| now.since(at) < CHECK_INTERVAL) {
             return Vec::new();
         }
-        self.checked = Some(now);
-        let targets: HashSet<_> = self.pending.iter().map(|one| &one.loss.target).collect();
-        targets.into_iter().cloned().collect()
+        let mut targets = HashSet::new();
+        for one in self.pending.iter_mut().filter(|one| one.next_check <= now) {
+            one.next_check = now.after(one.check_interval);
+            one.check_interval *= 2;
+            targets.insert(one.loss.target.clone());
+        }
+        if !targets.is_empty() {
+            self.checked = Some(now);
+        }
+        targets.into_iter().collect()
     }
 
     /// Records that a target answered; returns the losses that it proves to be the fault of a target or
--- a/chicoryloom_policy/tests/loss.rs
+++ b/chicoryloom_policy/tests/loss.rs
@@ -11,12 +11,13 @@
 use chicoryloom_policy::loss::Answer;
 use chicoryloom_policy::loss::Loss;
 use chicoryloom_policy::loss::Losses;
+use chicoryloom_policy::loss::Over;
 use chicoryloom_policy::loss::Proof;
 use chicoryloom_policy::loss::Stage;
+use chicoryloom_policy::loss::witnesses;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rand::seq::index;
 use rstest::rstest;
 
 const START: Moment = Moment::from_millis(1000);
@@ -184,6 +185,32 @@
     assert!(answer(&mut losses, 9, OLD, 4000).is_empty());
 }
 
+/// Hosts with losses that nothing proved checked their targets every 0.3 s, at over three checks a
+/// target and second over the fleet.
+#[test]
+fn loss_without_a_proof_is_checked_a_few_times() {
+    let mut losses = witnessed(&[(1, 7, 0)]);
+    let checks: Vec<_> = (0..4000).filter(|at| !losses.check(after(*at)).is_empty()).collect();
+    assert!((3..=4).contains(&checks.len()), "checked at {checks:?}");
+    assert!(checks[0] <= 100 && checks[1] <= 500, "checked at {checks:?}");
+}
+
+/// A check of losses asked each other target over an old and over a new connection.
+#[rstest]
+#[case::connections_are_open(&[false, true, true, false, true], Over::Idle)]
+#[case::one_is_open(&[false, false, true], Over::Idle)]
+#[case::none_is_open(&[false; 5], Over::New)]
+fn few_other_targets_are_asked_for_a_proof(#[case] have_idle: &[bool], #[case] expected: Over) {
+    for seed in 0..50 {
+        let chosen = witnesses(have_idle, &mut StdRng::seed_from_u64(seed));
+        assert!((1..=2).contains(&chosen.len()));
+        for (index, over) in chosen {
+            assert_eq!(over, expected);
+            assert_eq!(have_idle[index], over == Over::Idle);
+        }
+    }
+}
+
 /// What a simulated fleet of four hosts and eight targets goes through.
 #[derive(Clone, Copy, Debug)]
 struct Scenario {
@@ -233,15 +260,17 @@
         if suspects.is_empty() {
             return;
         }
-        let others = index::sample(rng, 8, 3).into_iter().map(|target| target as u8);
-        let others: Vec<_> = others.filter(|one| !suspects.contains(&name(*one))).collect();
+        let others: Vec<_> = (0..8).filter(|one| !suspects.contains(&name(*one))).collect();
+        let have_idle: Vec<_> = others.iter().map(|one| self.opened.contains_key(one)).collect();
+        let chosen = witnesses(&have_idle, rng).into_iter();
+        let chosen = chosen.map(|(index, over)| (others[index], over));
         let suspects = (0..8).filter(|one| suspects.contains(&name(*one)));
-        for (at, target) in suspects.chain(others).enumerate() {
+        for (target, over) in suspects.map(|one| (one, Over::New)).chain(chosen) {
             if self.is_cut || down.get(&target).is_some_and(|until| now < *until) {
                 self.losses.record_unopened(&name(target), after(now));
                 continue;
             }
-            if at % 2 == 0 {
+            if over == Over::New {
                 self.opened.remove(&target);
             }
             self.answer(fleet, target, None, now);
