--- a/chicoryloom/src/gateway/fleet/maintenance.rs
+++ b/chicoryloom/src/gateway/fleet/maintenance.rs
@@ -124,6 +124,7 @@
         let hosts = members.all_alive(now).count() + 1;
         let known = members.all().filter(|member| !member.leaving).count() + 1;
         let lost = members.lost_entries(now);
+        let island = members.neighbours(now).island(mirror.age());
         me.entry = is_entry;
         drop(me);
         members.set_entry(is_entry);
@@ -131,7 +132,9 @@
         // A host that has just started knows few others, but can tell how many the grants need.
         let needed = (granted / capacity.max(1.0)).ceil() as usize;
         let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
-        allowance.set_hosts(entries.len().max(needed));
+        let admitting = entries.len() + if island.is_some() { lost } else { 0 };
+        allowance.set_hosts(admitting.max(needed));
+        allowance.set_island(island, now);
         drop(allowance);
         self.dispatcher.set_fleet(entries, lost, hosts, known);
     }
--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
+use chicoryloom_policy::allowance::Neighbours;
 use chicoryloom_policy::catalog::Version;
 use chicoryloom_policy::entry;
 use chicoryloom_policy::id;
@@ -240,6 +241,25 @@
         self.peers.values().filter(is_lost).count()
     }
 
+    /// Returns the other entry hosts of this data centre, or all others if there are none; hosts of other
+    /// data centres are heard too seldom to be missed soon.
+    pub(super) fn neighbours(&self, now: Moment) -> Neighbours {
+        let is_near = |peer: &&Peer| {
+            peer.member.data_centre == self.data_centre
+                && !peer.member.leaving
+                && peer.last_heartbeat.is_some()
+        };
+        let near: Vec<_> = self.peers.values().filter(is_near).collect();
+        let has_entries = near.iter().any(|peer| peer.member.entry);
+        let mut neighbours = Neighbours::default();
+        for peer in near.iter().filter(|peer| peer.member.entry || !has_entries) {
+            let is_alive = self.is_alive(peer, now);
+            neighbours.alive += usize::from(is_alive);
+            neighbours.lost += usize::from(!is_alive);
+        }
+        neighbours
+    }
+
     /// Returns the other hosts that callers may know of.
     pub(super) fn others(&self, now: Moment) -> Others {
         let mut others = Others::default();
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -47,6 +47,9 @@
 const MAX_WAIT_SHARE: f64 = 0.25;
 /// Largest debt, in sizes of the bucket; debt beyond that has left every window.
 const MAX_DEBT_BUCKETS: f64 = 2.0;
+/// Time after which the copy of the platform's objects is confirmed again while the platform, or a host
+/// that reaches it, is in reach.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(1);
 /// Time within which admissions share one entry.
 const GRANULARITY: Duration = Duration::from_millis(20);
 
@@ -113,6 +116,35 @@
     }
 }
 
+/// Other hosts of a host's data centre that were heard and did not say that they leave.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Neighbours {
+    pub alive: usize,
+    pub lost: usize,
+}
+
+impl Neighbours {
+    /// Returns how many hosts a host still hears of, itself included, if it seems to be cut off from the
+    /// others: most of them fell silent, and its copy of the platform's objects is not confirmed.
+    ///
+    /// One that is wrong about this, as the others crashed while the platform was away, serves too little
+    /// of the grants until the platform is back.
+    pub fn island(self, copy_age: Duration) -> Option<usize> {
+        let is_cut_off = self.lost > self.alive && copy_age >= CONFIRMATION_TIME;
+        is_cut_off.then_some(self.alive + 1)
+    }
+}
+
+/// Part of a grant that a host may use while it can't know what others admit.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    /// Part of the rate at which buckets fill until then.
+    rate_share: f64,
+    /// Part of a bucket's size.
+    bucket_share: f64,
+    until: Moment,
+}
+
 /// Admissions of one workspace.
 #[derive(Clone, Debug, Default)]
 struct Meter {
@@ -193,6 +225,8 @@
     discovery_share: f64,
     /// Hosts that are expected to admit requests.
     hosts: usize,
+    /// Hosts that this one still hears of, itself included, while it is cut off from the others.
+    island: Option<usize>,
     meters: HashMap<id::Workspace, Meter>,
 }
 
@@ -205,6 +239,7 @@
             last_tick: started,
             discovery_share: MAX_DISCOVERY_SHARE,
             hosts: 1,
+            island: None,
             meters: HashMap::new(),
         }
     }
@@ -220,6 +255,29 @@
         self.hosts
     }
 
+    /// Sets how many hosts this one still hears of, itself included, if it is cut off from the others; to
+    /// be called often.
+    ///
+    /// The others count it as gone and go on to admit all of a grant. Callers that still reach it get
+    /// the part of these hosts in the rate and burst, so that hosts that are cut off exceed a grant by their
+    /// share of the fleet. Afterwards the limiter starts over, as it has missed what others admitted.
+    pub fn set_island(&mut self, island: Option<usize>, now: Moment) {
+        if self.island.is_some() && island.is_none() {
+            self.restart(now);
+        }
+        self.island = island;
+    }
+
+    /// Returns the part of a grant that this host may use, and until when.
+    fn part(&self, now: Moment) -> Part {
+        if let Some(island) = self.island {
+            let share = (island as f64 / self.hosts as f64).min(1.0);
+            return Part { rate_share: share, bucket_share: share, until: now.after(self.window) };
+        }
+        let until = self.started.after(DISCOVERY_TIME);
+        Part { rate_share: self.discovery_share, bucket_share: 1.0, until }
+    }
+
     /// Detects that this host was suspended; to be called often. After a suspension, the limiter
     /// starts over with empty buckets, since it does not know what other hosts admitted meanwhile.
     ///
@@ -283,10 +341,9 @@
         self.tick(now);
         let Some(grant) = Grant::of(workspace) else { return Ok(()) };
         let window = self.window;
-        let discovery_end = self.started.after(DISCOVERY_TIME);
-        let share = self.discovery_share;
+        let part = self.part(now);
         let meter = self.meter(&workspace.name);
-        meter.refill(grant, discovery_end, share, now);
+        meter.refill(grant, part, now);
         let projected = meter.projected(now);
         meter.remaining = meter.remaining(now, window) - projected;
         let needed = 1.0 + grant.rate * reserve.as_secs_f64();
@@ -294,9 +351,8 @@
             return Ok(());
         }
         let remaining = meter.remaining;
-        let discovery = discovery_end.since(now);
         let interval = Duration::try_from_secs_f64(1.0 / grant.rate).unwrap_or(window).min(window);
-        let wait = meter.wait(needed + projected, discovery, share, now, window);
+        let wait = meter.wait(needed + projected, part, now, window);
         Err(Excess { remaining, wait, interval })
     }
 
@@ -366,18 +422,18 @@
 }
 
 impl Meter {
-    /// Updates the grant and refills the bucket, at `share` of the rate until `discovery_end`.
-    fn refill(&mut self, grant: Grant, discovery_end: Moment, share: f64, now: Moment) {
+    /// Updates the grant and refills the bucket.
+    fn refill(&mut self, grant: Grant, part: Part, now: Moment) {
         let is_known = self.grant.rate > 0.0;
         if is_known && (grant.rate < self.grant.rate || grant.burst < self.grant.burst) {
             self.lowered = Some((now, self.grant));
         }
         self.grant = grant;
         let span = now.since(self.refilled);
-        let discovery = span.saturating_sub(now.since(discovery_end));
-        let span = (span - discovery).as_secs_f64() + share * discovery.as_secs_f64();
+        let partial = span.saturating_sub(now.since(part.until));
+        let span = (span - partial).as_secs_f64() + part.rate_share * partial.as_secs_f64();
         self.refilled = now;
-        let size = grant.bucket();
+        let size = (grant.bucket() * part.bucket_share).max(1.0);
         self.level = (self.level + grant.rate * span).clamp(-MAX_DEBT_BUCKETS * size, size);
     }
 
@@ -434,16 +490,8 @@
     }
 
     /// Returns the time until `needed` requests may be admitted: until enough of the counted ones
-    /// leave the window and the bucket has the tokens. For `discovery`, the bucket fills at `share`
-    /// of the rate.
-    fn wait(
-        &self,
-        needed: f64,
-        discovery: Duration,
-        share: f64,
-        now: Moment,
-        window: Duration,
-    ) -> Duration {
+    /// leave the window and the bucket has the tokens.
+    fn wait(&self, needed: f64, part: Part, now: Moment, window: Duration) -> Duration {
         let lacking = needed - self.remaining_in_window(now, window);
         let by_window = if lacking > 0.0 {
             let mut leaving = 0.0;
@@ -456,11 +504,12 @@
             Duration::ZERO
         };
         let lacking = (needed - self.level).max(0.0);
-        let slow_rate = share * self.grant.rate;
-        let seconds = if lacking <= slow_rate * discovery.as_secs_f64() {
+        let partial = part.until.since(now).as_secs_f64();
+        let slow_rate = part.rate_share * self.grant.rate;
+        let seconds = if lacking <= slow_rate * partial {
             lacking / slow_rate
         } else {
-            discovery.as_secs_f64() * (1.0 - share) + lacking / self.grant.rate
+            partial * (1.0 - part.rate_share) + lacking / self.grant.rate
         };
         by_window.max(Duration::try_from_secs_f64(seconds).unwrap_or(window)).min(window)
     }
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -4,6 +4,7 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::allowance::Limiter;
+use chicoryloom_policy::allowance::Neighbours;
 use chicoryloom_policy::allowance::Report;
 use chicoryloom_policy::allowance::Status;
 use chicoryloom_policy::catalog::Workspace;
@@ -53,6 +54,8 @@
     paused: Vec<usize>,
     /// Hosts that get no requests and no reports, since others don't send callers to them.
     cut: Vec<usize>,
+    /// Hosts that get requests, while messages from and to them are lost.
+    islands: Vec<usize>,
     /// Whether all messages are lost.
     drops_messages: bool,
     /// Steps that must lie between two messages to the data centre of a host, and to the others.
@@ -74,6 +77,7 @@
             reported: [vec![0; hosts], vec![0; hosts]],
             paused: Vec::new(),
             cut: Vec::new(),
+            islands: Vec::new(),
             drops_messages: false,
             message_steps: [URGENT_CHECK_STEPS; 2],
             unknown_until: vec![now; hosts],
@@ -135,6 +139,8 @@
                 let is_known = |host: &usize| self.now >= self.unknown_until[*host];
                 let receivers = receivers.filter(|host| !self.paused.contains(host));
                 let receivers = receivers.filter(|host| !self.cut.contains(host));
+                let is_island = |host: &usize| self.islands.contains(host);
+                let receivers = receivers.filter(|host| !is_island(host) && !is_island(&sender));
                 let receivers = receivers.filter(|host| is_known(host) && is_known(&sender));
                 for host in receivers.filter(|host| is_far(host) == far) {
                     let name = Self::name(sender);
@@ -341,6 +347,55 @@
     assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
 }
 
+/// Hosts that were cut off from all others went on to admit all of a grant that pressing callers asked
+/// them for, as did the others. The callers press from the cut on, or for a second before.
+#[rstest]
+#[case::one_of_eight(8, 1, 3.0)]
+#[case::sixth_of_the_fleet(32, 5, 3.0)]
+#[case::sixth_of_a_large_one(110, 18, 3.0)]
+#[case::pressed(32, 5, 7.5)]
+fn grant_holds_while_hosts_are_cut_off(
+    #[case] host_count: usize,
+    #[case] islands: usize,
+    #[case] times: f64,
+    #[values(0, 100)] steps_before: usize,
+    #[values(3, 5, 9)] seed: u64,
+) {
+    let mut fleet = Fleet::new(host_count);
+    fleet.hosts.iter_mut().for_each(|host| host.set_hosts(host_count));
+    fleet.run(800, RATE * 0.4, 10, Duration::from_millis(1), seed);
+    fleet.run(steps_before, RATE * times, 10, Duration::from_millis(1), seed);
+    fleet.islands = (0..islands).collect();
+    // Time in which a host notices that it is cut off.
+    fleet.run(100, RATE * times, 10, Duration::from_millis(1), seed + 1);
+    let now = fleet.now;
+    fleet.hosts[..islands].iter_mut().for_each(|host| host.set_island(Some(1), now));
+    fleet.run(450, RATE * times, 10, Duration::from_millis(1), seed + 2);
+    fleet.islands.clear();
+    let now = fleet.now;
+    fleet.hosts[..islands].iter_mut().for_each(|host| host.set_island(None, now));
+    fleet.run(600, RATE * times, 10, Duration::from_millis(1), seed + 3);
+    assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
+    assert!(fleet.admitted.len() as f64 >= RATE * 11.5 * 0.8, "{}", fleet.admitted.len());
+}
+
+#[rstest]
+#[case::cut_off_alone(0, 7, 1500, Some(1))]
+#[case::cut_off_together(1, 2, 1500, Some(2))]
+#[case::others_crashed(0, 7, 300, None)]
+#[case::one_crashed_while_the_platform_is_away(3, 1, 9000, None)]
+#[case::platform_is_away(7, 0, 9000, None)]
+#[case::only_host(0, 0, 9000, None)]
+fn host_is_cut_off_if_most_fall_silent_and_its_copy_grows_old(
+    #[case] alive: usize,
+    #[case] lost: usize,
+    #[case] copy_age_ms: u64,
+    #[case] island: Option<usize>,
+) {
+    let copy_age = Duration::from_millis(copy_age_ms);
+    assert_eq!(Neighbours { alive, lost }.island(copy_age), island);
+}
+
 /// After a restart of the whole fleet, hosts don't receive each other's reports for a while.
 #[rstest]
 #[case(7)]
