Count only hosts that callers were directed to as gone at a stop

Cause: found by reading before it was seen: a host counts those of other data centres that are no entry hosts as gone, as it seldom hears them, so that a stop in a large fleet would take every request for want of others.

Change: a host is gone if it leaves, or was lost as an entry host. Hosts that take requests count as before.

Result: 39 tests of stops, leaving and lifecycle pass.

--- a/chicoryloom/src/gateway/members.rs
+++ b/chicoryloom/src/gateway/members.rs
@@ -264,9 +264,11 @@
     pub(super) fn others(&self, now: Moment) -> Others {
         let mut others = Others::default();
         for peer in self.peers.values() {
-            let takes = peer.member.ready && !peer.member.leaving && self.is_alive(peer, now);
-            others.taking += usize::from(takes);
-            others.gone += usize::from(!takes);
+            let Member { ready, leaving, entry, .. } = peer.member;
+            let is_alive = self.is_alive(peer, now);
+            others.taking += usize::from(is_alive && ready && !leaving);
+            // Callers were not directed to hosts that are no entry hosts, which may be heard seldom.
+            others.gone += usize::from(leaving || (entry && !is_alive));
         }
         others
     }
