--- a/chicoryloom/src/gateway/fleet/maintenance.rs
+++ b/chicoryloom/src/gateway/fleet/maintenance.rs
@@ -6,6 +6,7 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::takeover::MAX_FRESH_AGE;
+use serde_json::json;
 use tokio::time::MissedTickBehavior;
 
 use super::Fleet;
@@ -134,8 +135,12 @@
         let mut allowance = self.allowance.lock().expect("no holder of the lock panics");
         let admitting = entries.len() + if island.is_some() { lost } else { 0 };
         allowance.set_hosts(admitting.max(needed));
-        allowance.set_island(island, now);
+        let is_news = allowance.set_island(island, now);
         drop(allowance);
+        if is_news {
+            let fields = json!({ "heard": island, "hosts": admitting });
+            self.events.emit("island", fields);
+        }
         self.dispatcher.set_fleet(entries, lost, hosts, known);
     }
 }
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -261,11 +261,13 @@
     /// The others count it as gone and go on to admit all of a grant. Callers that still reach it get
     /// the part of these hosts in the rate and burst, so that hosts that are cut off exceed a grant by their
     /// share of the fleet. Afterwards the limiter starts over, as it has missed what others admitted.
-    pub fn set_island(&mut self, island: Option<usize>, now: Moment) {
+    ///
+    /// Returns whether this is news.
+    pub fn set_island(&mut self, island: Option<usize>, now: Moment) -> bool {
         if self.island.is_some() && island.is_none() {
             self.restart(now);
         }
-        self.island = island;
+        std::mem::replace(&mut self.island, island) != island
     }
 
     /// Returns the part of a grant that this host may use, and until when.
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -369,11 +369,11 @@
     // Time in which a host notices that it is cut off.
     fleet.run(100, RATE * times, 10, Duration::from_millis(1), seed + 1);
     let now = fleet.now;
-    fleet.hosts[..islands].iter_mut().for_each(|host| host.set_island(Some(1), now));
+    fleet.hosts[..islands].iter_mut().for_each(|host| assert!(host.set_island(Some(1), now)));
     fleet.run(450, RATE * times, 10, Duration::from_millis(1), seed + 2);
     fleet.islands.clear();
     let now = fleet.now;
-    fleet.hosts[..islands].iter_mut().for_each(|host| host.set_island(None, now));
+    fleet.hosts[..islands].iter_mut().for_each(|host| assert!(host.set_island(None, now)));
     fleet.run(600, RATE * times, 10, Duration::from_millis(1), seed + 3);
     assert!(fleet.worst() as f64 <= allowed(), "{} of {}", fleet.worst(), allowed());
     assert!(fleet.admitted.len() as f64 >= RATE * 11.5 * 0.8, "{}", fleet.admitted.len());
