Hold back targets that hang soon after the head of an answer (LOST)

What callers saw: after a target had hung in an answer until the time-out, the next requests went to it as well.

Cause: pauses of a body were bounded by the time that was left when its request was sent. If the head came soon, that bound ended the body before the wait after the deadline did, and as an error that says nothing of the target. Found by reading.

Change: the gateway sets no bound on pauses, as the deadline and the wait after it bound the body. The older path keeps its own.

--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -168,11 +168,6 @@
         self.gateway.target_time(self.demand.deadline)
     }
 
-    /// Returns the longest pause of a response: the deadline bounds all of it.
-    fn pause_limit(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
     /// Returns whether the request may be run more than once and its body can be sent again.
     fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Safe && self.payload.is_replayable()
@@ -358,9 +353,8 @@
         let protocol = self.gateway.dialect.protocol();
         let request = self.target_request(&endpoint).ok_or(Failure::Unsent)?;
         self.gateway.dispatcher.count_send(&endpoint);
-        let mut answer = self
-            .await_response(exchange(lease, request, self.pause_limit(), protocol), &endpoint)
-            .await;
+        let mut answer =
+            self.await_response(exchange(lease, request, None, protocol), &endpoint).await;
         // The target closed an idle connection, which is no sign of bad health.
         if matches!(answer, Err(Failure::Unsent)) && !is_fresh && self.payload.is_available() {
             let lease = match self.connect(endpoint.backend.lease_new()).await {
@@ -377,9 +371,7 @@
             let request = self.target_request(&endpoint).ok_or(Failure::Unsent)?;
             is_fresh = true;
             opened = self.gateway.clock.now();
-            answer = self
-                .await_response(exchange(lease, request, self.pause_limit(), protocol), &endpoint)
-                .await;
+            answer = self.await_response(exchange(lease, request, None, protocol), &endpoint).await;
         }
         // A connection that breaks on a request was open: that may be the fault of the request.
         if is_fresh && !matches!(answer, Err(Failure::Body(_) | Failure::Lost(_))) {
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -104,7 +104,8 @@
         self.check_key()?;
         let started = Instant::now();
         let mut late = false;
-        let exchange = exchange(lease, request, self.proxy.settings.idle_timeout, Protocol::own());
+        let exchange =
+            exchange(lease, request, Some(self.proxy.settings.idle_timeout), Protocol::own());
         let sent = self.await_answer(member, exchange, started, &mut late).await;
         match sent {
             Ok(mut answer) => {
--- a/chicoryloom/src/proxy/forward.rs
+++ b/chicoryloom/src/proxy/forward.rs
@@ -69,7 +69,7 @@
         parts.uri = origin_form(&parts.uri)?;
         parts.version = Version::HTTP_11;
         let request = Request::from_parts(parts, body);
-        let sent = exchange(lease, request, self.settings.idle_timeout, Protocol::own());
+        let sent = exchange(lease, request, Some(self.settings.idle_timeout), Protocol::own());
         match tokio::time::timeout(deadline, sent).await {
             Ok(Ok(answer)) => {
                 let mut response = answer.map(BodyExt::boxed_unsync);
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -198,11 +198,12 @@
 /// An answer whose body returns its connection to the pool at the end.
 pub(crate) type Answer = Response<AnswerBody>;
 
-/// Sends a request over a leased connection and waits for the head of the answer.
+/// Sends a request over a leased connection and waits for the head of the answer. Its body may pause
+/// for `idle`, if that is set.
 pub(crate) async fn exchange(
     mut lease: Lease,
     request: Request<Body>,
-    idle: Duration,
+    idle: Option<Duration>,
     protocol: &Protocol,
 ) -> Result<Answer, Failure> {
     let id = request.headers().get(&protocol.request_id).cloned();
@@ -327,14 +328,14 @@
     on_abort: Option<Callback>,
     /// Released once the whole body has arrived; otherwise dropped, which closes the connection.
     lease: Option<Lease>,
-    /// Longest pause of the target.
-    idle: Duration,
+    /// Longest pause of the target, if it is bounded here.
+    idle: Option<Duration>,
     /// Ends the pause; set while the next frame is awaited, so that a slow caller's pauses don't count.
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl AnswerBody {
-    fn new(body: Incoming, lease: Lease, idle: Duration) -> Self {
+    fn new(body: Incoming, lease: Lease, idle: Option<Duration>) -> Self {
         let mut answer = Self { body, on_abort: None, lease: Some(lease), idle, timer: None };
         answer.finish_if_ended();
         answer
@@ -390,7 +391,7 @@
                 Poll::Ready(None)
             }
             Poll::Pending => {
-                let idle = this.idle;
+                let Some(idle) = this.idle else { return Poll::Pending };
                 let timer = this.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(idle)));
                 if timer.as_mut().poll(context).is_pending() {
                     return Poll::Pending;
