--- a/chicoryloom_policy/src/stop.rs
+++ b/chicoryloom_policy/src/stop.rs
@@ -44,12 +44,11 @@
 
 /// Stages of one shutdown.
 ///
-/// A request whose own deadline comes before responses are due is taken at any time. During the
+/// A request whose own deadline comes before answers are due is taken at any time. During the
 /// handover, in which callers learn that the host stops, it also takes requests that usually end in
 /// time, except for those that run once and find another host: a target that hangs would make their
-/// outcome unknown. Targets are told to
-/// answer by then, and may do so until connections close; the process exits, within its grace period,
-/// once callers have read their answers.
+/// outcome unknown. Targets are told to answer when answers are due, and may do so until connections
+/// close. The process exits once callers have read their answers, within its grace period.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Schedule {
     begun: Moment,
