review: downloads of slow readers are cut at a stop

Claim: LOST is broken when a machine is stopped while clients that read more slowly than others of the route download: it takes requests that don't fit into its grace period and cuts their answers at its exit.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -52,6 +52,7 @@
             rule("r-book", "unsafe", "/book/"),
             rule("r-read", "safe", "/read/"),
             rule("r-send", "upload", "/send/"),
+            rule("r-load", "download", "/load/"),
         ];
         format!(
             r#"{{"version":"r{version}","limits":{{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"prairie","apiKeys":[{keys}],"priority":1,"requestsPerS":0,"burstSize":0}}{tenants}],"listeners":[{{"host":"{HOST}","ruleSet":[{}]}}],"clusters":[{{"name":"registrar","healthCheckPath":"/health","maxConnections":360,"protocol":"h1","tls":false}}]}}"#,
@@ -212,6 +213,78 @@
     Ok((!lost.is_empty()).then_some(seen))
 }
 
+/// A machine is stopped while clients of a slower link than the others' download from it.
+pub fn slow_reader(trouble: bool, record: &Record) -> Verdict {
+    /// Of the sheet of the large deployment, for downloads.
+    const DEADLINE: Duration = Duration::from_millis(10_720);
+    /// 12 Mbit/s.
+    const RATE: usize = 1_500_000;
+    const SIZES: std::ops::RangeInclusive<usize> = 8..=14;
+    let servers: Vec<_> = (1..=4).map(|index| plan(index, 6, Duration::from_millis(130))).collect();
+    let config = Config { timeout_ms: 10_720, ..Config::new(7) };
+    let mut fleet = start(2, GRACE, &servers, &config, record)?;
+    let load = |id: String, bytes: usize| Request {
+        deadline: DEADLINE,
+        ..request(id, "GET", &format!("/load/{bytes}"), "key-a")
+    };
+    let caller = fleet.machines[0].caller;
+    // What is usual on this route: clients that read as fast as the answers come.
+    let mut fast = Connection::open(caller, record)?;
+    for index in 0..30 {
+        if fast.call(&load(format!("fast-{index}"), 10_000_000)).status != Some(200) {
+            return Err(io::Error::other("a download before the stop was not served"));
+        }
+    }
+    let mut clients = Vec::new();
+    for size in SIZES {
+        let mut connection = Connection::open(caller, record)?;
+        if connection.call(&load(format!("first-{size}"), 1000)).status != Some(200) {
+            return Err(io::Error::other("a download before the stop was not served"));
+        }
+        let asked = load(format!("slow-{size}"), size * 1_000_000);
+        clients.push(thread::spawn(move || {
+            thread::sleep(Duration::from_millis(1000));
+            (connection.call_slowly(&asked, RATE), Instant::now())
+        }));
+    }
+    let grace = Duration::from_secs(GRACE.grace_s);
+    let stopped = Instant::now();
+    if trouble {
+        fleet.machines[0].signal("TERM");
+        while stopped.elapsed() < grace && !fleet.machines[0].has_ended() {
+            thread::sleep(Duration::from_millis(10));
+        }
+        record.add(format!(
+            "frontend-north-1: it has ended, or gets SIGKILL, {:?} after",
+            stopped.elapsed()
+        ));
+        fleet.machines[0].kill();
+    }
+    let ends: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let arrivals: Vec<_> = fleet.servers.iter().flat_map(|server| server.arrivals()).collect();
+    // A server that is at work in the last sixth of the grace period excuses a cut.
+    let last_sixth = stopped + grace * 5 / 6;
+    let mut lost = Vec::new();
+    for ((outcome, arrived), ended) in &ends {
+        let Some(sent) = outcome.sent else { continue };
+        let answered =
+            arrivals.iter().find(|one| one.id == outcome.id).and_then(|one| one.answered);
+        if outcome.status.is_none()
+            && *ended < sent + DEADLINE
+            && answered.is_some_and(|answered| answered < last_sixth)
+        {
+            lost.push(format!("{} after {arrived} bytes", outcome.id));
+        }
+    }
+    let seen = format!(
+        "{} of {} answers that servers had handed over before the last sixth of the grace period were cut: {}",
+        lost.len(),
+        ends.len(),
+        lost.join(", ")
+    );
+    Ok((!lost.is_empty()).then_some(seen))
+}
+
 /// The platform's store moves to another address, and SIGHUP says that the settings have changed.
 pub fn store_moved(trouble: bool, record: &Record) -> Verdict {
     let servers = [plan(1, 4, Duration::from_millis(60)), plan(2, 4, Duration::from_millis(60))];
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -13,6 +13,8 @@
 
 /// Time in which a connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes that a slow reader takes at a time.
+const READ_PIECE: usize = 16 * 1024;
 /// Host name of all routes.
 pub const HOST: &str = "trial.example";
 
@@ -83,6 +85,34 @@
         Ok(head.word(1).parse().ok())
     }
 
+    /// Sends a request and reads its answer at a rate in bytes per second; returns how much of the body
+    /// arrived beside the outcome.
+    pub fn call_slowly(&mut self, request: &Request, rate: usize) -> (Outcome, usize) {
+        let sent = self.write(request).is_ok().then(Instant::now);
+        let _ = self.stream.set_read_timeout(Some(request.deadline + Duration::from_secs(2)));
+        let mut arrived = 0;
+        let status = self.read_slowly(rate, &mut arrived).ok().flatten();
+        let seen = status.map_or("no whole answer".to_owned(), |status| status.to_string());
+        self.record.add(format!("client: {} ends with {seen} after {arrived} bytes", request.id));
+        (Outcome { id: request.id.clone(), sent, status }, arrived)
+    }
+
+    fn read_slowly(&mut self, rate: usize, arrived: &mut usize) -> io::Result<Option<u16>> {
+        let Some(head) = Head::read(&mut self.stream)? else { return Ok(None) };
+        let (begun, mut piece) = (Instant::now(), vec![0; READ_PIECE]);
+        while *arrived < head.length() {
+            let due = Duration::from_secs_f64(*arrived as f64 / rate as f64);
+            std::thread::sleep(due.saturating_sub(begun.elapsed()));
+            let most = piece.len().min(head.length() - *arrived);
+            let count = self.stream.read(&mut piece[..most])?;
+            if count == 0 {
+                return Ok(None);
+            }
+            *arrived += count;
+        }
+        Ok(head.word(1).parse().ok())
+    }
+
     /// Sends a request, and closes the connection after a time if it has no answer by then; returns when
     /// it was closed.
     pub fn call_until(mut self, request: &Request, patience: Duration) -> Option<Instant> {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -34,6 +34,7 @@
         "priority" => cases::priority,
         "grace" => cases::grace,
         "store-moved" => cases::store_moved,
+        "slow-reader" => cases::slow_reader,
         "upload-given-up" => cases::upload_given_up,
         _ => {
             eprintln!("review-case: no case {case}");
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -42,6 +42,8 @@
     pub at: Instant,
     /// Whether the server began to work on it.
     pub has_run: bool,
+    /// When the server had handed over the last byte of its answer.
+    pub answered: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -130,7 +132,7 @@
         let index = {
             let mut state = self.state.lock().unwrap();
             let at = Instant::now();
-            state.arrivals.push(Arrival { id: id.clone(), at, has_run: false });
+            state.arrivals.push(Arrival { id: id.clone(), at, has_run: false, answered: None });
             state.arrivals.len() - 1
         };
         let body = head.read_body(stream)?;
@@ -147,16 +149,21 @@
             self.record.add(format!("{own}: {id} is dropped, as its connection was closed"));
             return Ok(false);
         }
-        self.record.add(format!("{own}: {id} has run"));
         let leaving =
             if self.is_leaving.load(Ordering::Relaxed) { "Server-Leaving: 1\r\n" } else { "" };
-        let text = format!("for {id}");
-        write!(
-            stream,
+        // The last part of the path tells the length of the answer, if it is a number.
+        let length = head.word(1).rsplit('/').next().and_then(|part| part.parse().ok());
+        let body =
+            length.map_or_else(|| format!("for {id}").into_bytes(), |length| vec![b'x'; length]);
+        let head = format!(
             "HTTP/1.1 200 OK\r\nX-Chicoryloom-Attempt-Id: {id}\r\n\
-             X-Chicoryloom-Response-Seal: seal-{id}\r\n{leaving}Content-Length: {}\r\n\r\n{text}",
-            text.len()
-        )?;
+             X-Chicoryloom-Response-Seal: seal-{id}\r\n{leaving}Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes())?;
+        stream.write_all(&body)?;
+        self.state.lock().unwrap().arrivals[index].answered = Some(Instant::now());
+        self.record.add(format!("{own}: {id} is answered whole, {} bytes", body.len()));
         Ok(true)
     }
 
