Let tenants have any name (CONFIG)

Cause: the adapter parsed a tenant's name as id::Workspace, which takes 1 to 63 characters of a-z, 0-9 and -, and one name that failed to parse refused the whole configuration.

Change: a workspace has a name, any text, and an id. Targets, events and metric labels get the name; grants and messages between hosts use the id, which is the name where it is valid and an alias of it otherwise.

--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -318,7 +318,7 @@
         let Some(workspace) = &self.workspace else { return Ok(()) };
         let catalog = self.gateway.mirror.catalog();
         let holder = self.key.as_ref().and_then(|key| catalog.as_ref()?.keys.get(key).cloned());
-        if holder.is_none_or(|holder| holder.name != workspace.name) {
+        if holder.is_none_or(|holder| holder.id != workspace.id) {
             return Err(Refusal::new(Reason::Key, "the key was withdrawn"));
         }
         if self.progress.is_counted.swap(true, Ordering::Relaxed) {
@@ -446,7 +446,7 @@
         let instance = HeaderValue::from_str(endpoint.target.instance.as_str()).ok()?;
         parts.headers.insert(names.instance.clone(), instance);
         if let Some(workspace) = &self.workspace {
-            let name = HeaderValue::from_str(workspace.name.as_str()).ok()?;
+            let name = HeaderValue::from_bytes(workspace.name.as_bytes()).ok()?;
             parts.headers.insert(names.workspace.clone(), name);
         }
         if !self.payload.is_sized() {
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -77,6 +77,7 @@
 use self::refusal::Reason;
 use self::refusal::Refusal;
 use crate::clock::Clock;
+use crate::metrics;
 use crate::metrics::Labels;
 use crate::metrics::Metrics;
 use crate::proxy::body;
@@ -136,7 +137,7 @@
 struct Summary {
     route: Option<Arc<Route>>,
     service: Option<id::Service>,
-    workspace: Option<id::Workspace>,
+    workspace: Option<Arc<Workspace>>,
     version: Option<u64>,
     tried: Vec<Choice>,
     repeats: u32,
@@ -185,7 +186,7 @@
                 "detail": refusal.as_ref().map(|refusal| refusal.detail.as_str()),
                 "route": summary.route.as_ref().map(|route| route.name.as_str()),
                 "service": summary.service.as_ref().map(id::Service::as_str),
-                "workspace": summary.workspace.as_ref().map(id::Workspace::as_str),
+                "workspace": summary.workspace.as_ref().map(|workspace| workspace.name.as_str()),
                 "targets": tried, "repeats": summary.repeats, "configuration": summary.version,
                 "copy_age_ms": self.mirror.age().as_millis().min(u128::from(u32::MAX)) as u64,
             })
@@ -206,7 +207,8 @@
         if let (Some(route), Some(service)) = (&summary.route, &summary.service)
             && let Ok(class) = route.name.as_str().parse()
         {
-            let workspace = summary.workspace.clone();
+            let workspace = summary.workspace.as_ref();
+            let workspace = workspace.map(|one| metrics::workspace_label(&one.id, &one.name));
             let labels = Labels { service: service.clone(), workspace, class };
             self.metrics.request(&labels, status, took);
         }
@@ -222,7 +224,7 @@
         let resolved = self.resolve(&request).await?;
         let Resolved { catalog, route, workspace, key } = resolved;
         summary.route = Some(route.clone());
-        summary.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
+        summary.workspace.clone_from(&workspace);
         summary.version = Some(catalog.version.0);
         let timeout = self.timeout(&request, &route);
         let deadline = started + timeout;
@@ -254,7 +256,7 @@
         let id = parts.headers.get(&self.dialect.headers().request_id).cloned();
         let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
         let fingerprint = Fingerprint::of(
-            summary.workspace.as_ref().map_or("", id::Workspace::as_str),
+            summary.workspace.as_ref().map_or("", |workspace| workspace.id.as_str()),
             parts.method.as_str(),
             parts.uri.path_and_query().map_or("/", PathAndQuery::as_str),
             payload.prefix(),
@@ -337,10 +339,10 @@
 
     fn with_order<T>(&self, workspace: &Workspace, run: impl FnOnce(&mut Order) -> T) -> T {
         let mut orders = self.orders.lock().expect("no holder of the lock panics");
-        if let Some(order) = orders.get_mut(&workspace.name) {
+        if let Some(order) = orders.get_mut(&workspace.id) {
             return run(order);
         }
-        run(orders.entry(workspace.name.clone()).or_default())
+        run(orders.entry(workspace.id.clone()).or_default())
     }
 
     /// Waits until a workspace's grant has room for a request of a route's priority; refuses it once
@@ -445,7 +447,7 @@
         workspace: &'a Workspace,
     ) -> Self {
         let mut waiting = grant_waiters.lock().expect("no holder of the lock panics");
-        let count = waiting.entry(workspace.name.clone()).or_default();
+        let count = waiting.entry(workspace.id.clone()).or_default();
         let ahead = *count;
         *count += 1;
         Self { grant_waiters, workspace, ahead }
@@ -455,10 +457,10 @@
 impl Drop for GrantWaiter<'_> {
     fn drop(&mut self) {
         let mut waiting = self.grant_waiters.lock().expect("no holder of the lock panics");
-        if let Some(count) = waiting.get_mut(&self.workspace.name) {
+        if let Some(count) = waiting.get_mut(&self.workspace.id) {
             *count = count.saturating_sub(1);
             if *count == 0 {
-                waiting.remove(&self.workspace.name);
+                waiting.remove(&self.workspace.id);
             }
         }
     }
--- a/chicoryloom/src/metrics.rs
+++ b/chicoryloom/src/metrics.rs
@@ -20,6 +20,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use prometheus::proto::MetricFamily;
+use smol_str::SmolStr;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
@@ -31,7 +32,7 @@
 /// Maximum number of label sets with their own workspace label; later ones share
 /// [`OTHER_WORKSPACES`].
 const MAX_SERIES: usize = 1024;
-/// Workspace label of label sets above [`MAX_SERIES`]; no workspace can have this name.
+/// Workspace label of label sets above [`MAX_SERIES`]; no workspace has it.
 const OTHER_WORKSPACES: &str = "_other";
 /// Maximum number of attribute sets of one instrument; more than [`MAX_SERIES`] times the statuses.
 const CARDINALITY_LIMIT: usize = 8 * MAX_SERIES;
@@ -60,7 +61,7 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct Labels {
     pub(crate) service: id::Service,
-    pub(crate) workspace: Option<id::Workspace>,
+    pub(crate) workspace: Option<SmolStr>,
     pub(crate) class: id::Class,
 }
 
@@ -111,7 +112,7 @@
     fn add_series(&self, labels: &Labels) -> Arc<Series> {
         let mut series = self.series.write().expect("no holder of the lock panics");
         if series.len() < MAX_SERIES {
-            let workspace = labels.workspace.as_ref().map_or("", id::Workspace::as_str);
+            let workspace = labels.workspace.as_deref().unwrap_or_default();
             return series
                 .entry(labels.clone())
                 .or_insert_with(|| attributes(labels, workspace))
@@ -194,6 +195,15 @@
     }
 }
 
+/// Returns the label of a workspace: its name, or its id where the label has another meaning.
+pub(crate) fn workspace_label(id: &id::Workspace, name: &SmolStr) -> SmolStr {
+    if name.is_empty() || name == OTHER_WORKSPACES {
+        SmolStr::from(id.clone())
+    } else {
+        name.clone()
+    }
+}
+
 fn attributes(labels: &Labels, workspace: &str) -> Arc<Series> {
     Arc::new(STATUS_CLASSES.map(|status| {
         [
@@ -218,7 +228,7 @@
         for index in 0..WORKSPACES {
             let labels = Labels {
                 service: "calendar".parse().unwrap(),
-                workspace: Some(format!("w{index}").parse().unwrap()),
+                workspace: Some(format!("w{index}").into()),
                 class: "default".parse().unwrap(),
             };
             metrics.request(&labels, 200, Duration::from_millis(1));
--- a/chicoryloom/src/proxy/mod.rs
+++ b/chicoryloom/src/proxy/mod.rs
@@ -33,6 +33,7 @@
 use http::Response;
 use http::header::CONNECTION;
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 
 pub(crate) use listener::Listener;
 
@@ -177,7 +178,7 @@
     ) -> Result<Response<Body>, Refusal> {
         let labels = Labels {
             service: routed.document.service.clone(),
-            workspace: workspace.clone(),
+            workspace: workspace.clone().map(SmolStr::from),
             class: routed.route.class.clone(),
         };
         let slot = self.slot(&mut request, routed, workspace.as_ref(), started).await?;
--- a/chicoryloom_policy/src/allowance.rs
+++ b/chicoryloom_policy/src/allowance.rs
@@ -344,7 +344,7 @@
         let Some(grant) = Grant::of(workspace) else { return Ok(()) };
         let window = self.window;
         let part = self.part(now);
-        let meter = self.meter(&workspace.name);
+        let meter = self.meter(&workspace.id);
         meter.refill(grant, part, now);
         let projected = meter.projected(now);
         meter.remaining = meter.remaining(now, window) - projected;
@@ -362,7 +362,7 @@
     pub fn admit(&mut self, workspace: &Workspace, now: Moment) -> Result<(), Excess> {
         self.check(workspace, now)?;
         let window = self.window;
-        let meter = self.meter(&workspace.name);
+        let meter = self.meter(&workspace.id);
         meter.totals.push_back((now, meter.total));
         meter.total += 1;
         meter.record(1.0, now, window);
--- a/chicoryloom_policy/src/catalog.rs
+++ b/chicoryloom_policy/src/catalog.rs
@@ -81,7 +81,10 @@
 /// A customer and its grant over all services together.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Workspace {
-    pub name: id::Workspace,
+    /// Identifies the workspace on hosts and between them.
+    pub id: id::Workspace,
+    /// Name at the platform, which may be any text that a header can carry unchanged. Targets get it.
+    pub name: SmolStr,
     /// Priority, which takes precedence over that of the route; 0 is the most urgent.
     pub priority: Option<u8>,
     /// Requests a second over all hosts together; `None` means no limit.
--- a/chicoryloom_policy/src/id.rs
+++ b/chicoryloom_policy/src/id.rs
@@ -11,6 +11,13 @@
 /// Maximum length of the name of a service, workspace, host, data centre or route, in bytes.
 pub const MAX_NAME_BYTES: usize = 63;
 
+/// Separates what an alias keeps of a name from the digest behind it.
+const ALIAS_SEPARATOR: &str = "--";
+/// Length of the digest in an alias, in hexadecimal digits.
+const ALIAS_DIGITS: usize = 32;
+/// Most characters of a name that an alias keeps.
+const ALIAS_KEPT_CHARS: usize = MAX_NAME_BYTES - ALIAS_DIGITS - ALIAS_SEPARATOR.len();
+
 /// Error for a name that is empty, too long or has a character other than `a-z`, `0-9` and `-`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct InvalidName(pub SmolStr);
@@ -33,6 +40,28 @@
     }
 }
 
+/// Returns whether a valid name has the form of an alias.
+fn is_alias(name: &str) -> bool {
+    let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    name.rsplit_once(ALIAS_SEPARATOR)
+        .is_some_and(|(_, digest)| digest.len() == ALIAS_DIGITS && digest.bytes().all(is_digit))
+}
+
+/// Returns the valid name that stands for any text: the text itself, or else what can be kept of it and its
+/// digest. A valid name in the form of an alias is replaced as well, so that no two texts share one.
+fn alias(text: &str) -> SmolStr {
+    if let Ok(name) = check_name(text)
+        && !is_alias(&name)
+    {
+        return name;
+    }
+    let kept = text.chars().filter(|char| char.is_ascii_alphanumeric() || *char == '-');
+    let kept: String = kept.take(ALIAS_KEPT_CHARS).collect();
+    let digest = Digest::of(text).to_string();
+    let (kept, digest) = (kept.to_ascii_lowercase(), &digest[..ALIAS_DIGITS]);
+    SmolStr::from(format!("{kept}{ALIAS_SEPARATOR}{digest}"))
+}
+
 /// Defines a newtype around a validated name.
 macro_rules! name {
     ($(#[$doc:meta])* $type:ident) => {
@@ -43,6 +72,13 @@
         pub struct $type(SmolStr);
 
         impl $type {
+            /// Returns the name that stands for one of another system, which may be any text. Different
+            /// texts have different names, and a valid name stands for itself unless it has the form of
+            /// an alias.
+            pub fn alias(text: &str) -> Self {
+                Self(alias(text))
+            }
+
             /// Returns the name as text.
             pub fn as_str(&self) -> &str {
                 &self.0
--- a/chicoryloom_policy/tests/allowance.rs
+++ b/chicoryloom_policy/tests/allowance.rs
@@ -35,7 +35,8 @@
 
 fn workspace() -> Workspace {
     Workspace {
-        name: "prairie".parse().unwrap(),
+        id: "prairie".parse().unwrap(),
+        name: "prairie".into(),
         priority: None,
         rate: Rate::new(RATE),
         burst: Burst(BURST),
@@ -144,7 +145,7 @@
                 let receivers = receivers.filter(|host| is_known(host) && is_known(&sender));
                 for host in receivers.filter(|host| is_far(host) == far) {
                     let name = Self::name(sender);
-                    self.hosts[host].apply_report(&name, &workspace().name, report, self.now);
+                    self.hosts[host].apply_report(&name, &workspace().id, report, self.now);
                 }
             }
             let [near_steps, far_steps] = self.message_steps;
--- a/chicoryloom_policy/tests/grant.rs
+++ b/chicoryloom_policy/tests/grant.rs
@@ -32,8 +32,13 @@
 const MIX: [f64; 3] = [0.07, 0.69, 0.24];
 
 fn workspace() -> Workspace {
-    let name = "prairie".parse().unwrap();
-    Workspace { name, priority: None, rate: Rate::new(RATE), burst: Burst(BURST) }
+    Workspace {
+        id: "prairie".parse().unwrap(),
+        name: "prairie".into(),
+        priority: None,
+        rate: Rate::new(RATE),
+        burst: Burst(BURST),
+    }
 }
 
 struct Host {
@@ -121,7 +126,7 @@
                 for index in (0..self.hosts.len()).filter(|index| *index != sender) {
                     if (index % CENTRES != sender % CENTRES) == far {
                         let limiter = &mut self.hosts[index].limiter;
-                        limiter.apply_report(&name, &workspace().name, report, now);
+                        limiter.apply_report(&name, &workspace().id, report, now);
                     }
                 }
             }
