Use servers with any id and zone

What callers saw: a server whose id or zone had other characters than a-z, 0-9 and -, or more than 63, got no requests, and an evacuation of such a zone was not followed.

Cause: both were parsed as ids, and an entry that fails to parse names no server to use.

Change: a target has a name, any text, which it gets in the header, and an instance, the name or its alias. Zones of targets, lookups and evacuations get aliases too.

--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -45,7 +45,7 @@
             self.events.emit(
                 "target",
                 json!({
-                    "target": instance.as_str(), "service": endpoint.target.service.as_str(),
+                    "target": endpoint.target.name.as_str(), "service": endpoint.target.service.as_str(),
                     "belief": state_name(notice),
                     "by": "own request", "risk": risk, "prior": prior,
                 }),
--- a/chicoryloom/src/gateway/dispatcher/withdrawal.rs
+++ b/chicoryloom/src/gateway/dispatcher/withdrawal.rs
@@ -93,7 +93,7 @@
         self.events.emit(
             "target_paused",
             json!({
-                "target": endpoint.target.instance.as_str(),
+                "target": endpoint.target.name.as_str(),
                 "service": endpoint.target.service.as_str(),
                 "pause_ms": pause.get().as_millis() as u64,
                 "until_up_s": until.since_start().as_secs_f64(),
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -443,7 +443,7 @@
         let time_left = self.time_left().as_millis();
         let time_left = u64::try_from(time_left).unwrap_or(u64::MAX);
         parts.headers.insert(names.deadline_ms.clone(), HeaderValue::from(time_left));
-        let instance = HeaderValue::from_str(endpoint.target.instance.as_str()).ok()?;
+        let instance = HeaderValue::from_bytes(endpoint.target.name.as_bytes()).ok()?;
         parts.headers.insert(names.instance.clone(), instance);
         if let Some(workspace) = &self.workspace {
             let name = HeaderValue::from_bytes(workspace.name.as_bytes()).ok()?;
@@ -560,7 +560,7 @@
         }
         self.gateway.events.emit_request("attempt", || {
             json!({
-                "id": self.id, "target": endpoint.target.instance.as_str(),
+                "id": self.id, "target": endpoint.target.name.as_str(),
                 "service": self.service.as_str(), "failure": failure.to_string(),
                 "not_run": failure.is_not_run(),
             })
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -473,19 +473,9 @@
     }
 
     fn read_evacuations(&self, state: &State, source: &str) {
-        let mut evacuated = BTreeSet::new();
-        for record in state.replica.records(Kind::Evacuation) {
-            match record.name.parse() {
-                Ok(centre) => {
-                    evacuated.insert(centre);
-                }
-                Err(error) => {
-                    let error = format!("{error}");
-                    let fields = json!({ "name": record.name.as_str(), "error": error });
-                    self.events.emit("evacuation_invalid", fields);
-                }
-            }
-        }
+        let records = state.replica.records(Kind::Evacuation);
+        let evacuated: BTreeSet<_> =
+            records.map(|record| id::DataCentre::alias(&record.name)).collect();
         let revision = state.replica.position(Kind::Evacuation).revision;
         self.dispatcher.set_evacuated(&evacuated, revision, source);
     }
@@ -502,7 +492,8 @@
         match self.dialect.target(name, &value) {
             Ok(target) => {
                 let fields = json!({
-                    "target": name.as_str(), "service": target.service.as_str(),
+                    "target": name.as_str(), "instance": target.instance.as_str(),
+                    "service": target.service.as_str(),
                     "address": target.address.to_string(), "leaving": target.leaving,
                     "born": target.born, "revision": position.revision, "era": position.era.0,
                     "from": source,
--- a/chicoryloom_policy/src/catalog.rs
+++ b/chicoryloom_policy/src/catalog.rs
@@ -138,7 +138,11 @@
 /// A target that the platform lists.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
+    /// Identifies the target on hosts and between them.
     pub instance: id::Instance,
+    /// Name at the platform, which may be any text that a header can carry unchanged. The target itself knows
+    /// this one.
+    pub name: SmolStr,
     pub service: id::Service,
     pub address: SocketAddr,
     pub data_centre: id::DataCentre,
