Start on machines with any name and zone

What callers saw: a machine whose name or zone had other characters than a-z, 0-9 and -, or more than 63, exited at its start.

Cause: the settings parsed both as ids, and the template wrote them without quotes, so that `a: b` or `017` was no text in YAML.

Change: the settings take any text, and the host's id is its name or an alias.

--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -118,7 +118,7 @@
 
         let limiter = Arc::new(Mutex::new(Limiter::new(settings.bounds.rate_window, clock.now())));
         let dispatcher = Dispatcher::new(dispatcher::Setup {
-            me: settings.name.clone(),
+            me: settings.id.clone(),
             data_centre: settings.data_centre.clone(),
             source: settings.address,
             bounds: settings.bounds,
@@ -202,7 +202,7 @@
             "start",
             json!({
                 "incarnation": incarnation.to_string(), "version": env!("CARGO_PKG_VERSION"),
-                "data_centre": settings.data_centre.as_str(),
+                "id": settings.id.as_str(), "data_centre": settings.data_centre_name.as_str(),
                 "caller": settings.listen.caller.to_string(), "store": settings.store.to_string(),
             }),
         );
@@ -451,7 +451,7 @@
     let by_core = settings.cores * REQUESTS_PER_CORE;
     let by_link = settings.link_mbps * REQUESTS_PER_MBPS;
     Member {
-        host: settings.name.clone(),
+        host: settings.id.clone(),
         incarnation,
         data_centre: settings.data_centre.clone(),
         peer,
--- a/chicoryloom/src/gateway/settings.rs
+++ b/chicoryloom/src/gateway/settings.rs
@@ -15,6 +15,7 @@
 use chicoryloom_policy::warming::Tolerance;
 use chicoryloom_wire::yaml;
 use serde::Deserialize;
+use smol_str::SmolStr;
 
 /// Settings as written in the file, before they are checked.
 #[derive(Clone, Debug, Deserialize)]
@@ -113,8 +114,13 @@
 /// Checked settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    pub name: id::Host,
+    /// Identifies the host among the others.
+    pub id: id::Host,
+    /// Name at the platform, which may be any text.
+    pub name: SmolStr,
     pub data_centre: id::DataCentre,
+    /// Name of the data centre at the platform, which may be any text.
+    pub data_centre_name: SmolStr,
     pub address: IpAddr,
     /// Processor cores available to the host; above zero.
     pub cores: f64,
@@ -195,12 +201,11 @@
 
     fn try_from(raw: Raw) -> Result<Self, Self::Error> {
         let Raw { host, listen, seeds, store, bounds, balance } = raw;
-        let name = host.name.parse().map_err(|error| ("host.name", format!("{error}")))?;
-        let data_centre =
-            host.data_centre.parse().map_err(|error| ("host.data_centre", format!("{error}")))?;
         Ok(Self {
-            name,
-            data_centre,
+            id: id::Host::alias(&host.name),
+            name: host.name.into(),
+            data_centre: id::DataCentre::alias(&host.data_centre),
+            data_centre_name: host.data_centre.into(),
             address: host.address,
             cores: above_zero("host.cores", host.cores)?,
             link_mbps: above_zero("host.link_mbps", host.link_mbps)?,
