--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 use chicoryloom_policy::stop::Demand;
 use chicoryloom_policy::stop::Schedule;
 use chicoryloom_policy::takeover::MAX_FRESH_AGE;
+use chicoryloom_policy::unit::Priority;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -330,7 +331,7 @@
     }
 
     /// Checks whether a workspace's grant has room beyond what is kept for more urgent requests.
-    fn check_grant(&self, workspace: &Workspace, priority: u8) -> Result<(), Excess> {
+    fn check_grant(&self, workspace: &Workspace, priority: Priority) -> Result<(), Excess> {
         let now = self.clock.now();
         let reserve = self.with_order(workspace, |order| order.reserve(priority, now));
         let mut limiter = self.limiter.lock().expect("no holder of the lock panics");
@@ -350,7 +351,7 @@
     async fn wait_for_grant(
         &self,
         workspace: &Workspace,
-        priority: u8,
+        priority: Priority,
         max_wait: Duration,
     ) -> Result<(), Refusal> {
         let now = self.clock.now();
--- a/chicoryloom_policy/src/admission.rs
+++ b/chicoryloom_policy/src/admission.rs
@@ -11,6 +11,7 @@
 
 use crate::Moment;
 use crate::allowance::Excess;
+use crate::unit::Priority;
 
 /// Time constant of the counts of recent requests.
 const MEMORY: Duration = Duration::from_secs(1);
@@ -41,21 +42,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Order {
     /// Recent requests by priority of their route; the lowest priority is the most urgent.
-    asked: BTreeMap<u8, Count>,
+    asked: BTreeMap<Priority, Count>,
     /// Place of the request that was refused last.
     last_place: Moment,
 }
 
 impl Order {
     /// Counts a request that asks for its grant.
-    pub fn record(&mut self, priority: u8, now: Moment) {
+    pub fn record(&mut self, priority: Priority, now: Moment) {
         self.asked.entry(priority).or_default().add(now);
     }
 
     /// Returns the time for which the grant's rate is kept for requests that are more urgent than
     /// `priority`: longer the larger their share of the recent requests is.
-    pub fn reserve(&self, priority: u8, now: Moment) -> Duration {
-        let count = |(_, count): (&u8, &Count)| count.at(now);
+    pub fn reserve(&self, priority: Priority, now: Moment) -> Duration {
+        let count = |(_, count): (&Priority, &Count)| count.at(now);
         let more_urgent: f64 = self.asked.range(..priority).map(count).sum();
         let asked = more_urgent + self.asked.range(priority..).map(count).sum::<f64>();
         if asked > 0.0 { RESERVE_TIME.mul_f64(more_urgent / asked) } else { Duration::ZERO }
--- a/chicoryloom_policy/src/catalog.rs
+++ b/chicoryloom_policy/src/catalog.rs
@@ -12,6 +12,7 @@
 use crate::id;
 use crate::unit::Burst;
 use crate::unit::Connections;
+use crate::unit::Priority;
 use crate::unit::Rate;
 use crate::unit::Slots;
 use crate::unit::Weight;
@@ -72,8 +73,7 @@
     pub timeout: Duration,
     /// Time within which an answer has its full value to the caller.
     pub target_latency: Duration,
-    /// Priority among the routes; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: Priority,
     /// Maximum number of targets that may run one request; 1 or more.
     pub max_attempts: u32,
 }
@@ -85,8 +85,8 @@
     pub id: id::Workspace,
     /// Name at the platform, which may be any text that a header can carry unchanged. Targets get it.
     pub name: SmolStr,
-    /// Priority, which takes precedence over that of the route; 0 is the most urgent.
-    pub priority: Option<u8>,
+    /// Takes precedence over the priority of the route.
+    pub priority: Option<Priority>,
     /// Requests a second over all hosts together; `None` means no limit.
     pub rate: Option<Rate>,
     /// Maximum number of requests beyond the rate that may arrive at once.
--- a/chicoryloom_policy/src/unit.rs
+++ b/chicoryloom_policy/src/unit.rs
@@ -52,11 +52,11 @@
 
 /// Defines a newtype around a whole number.
 macro_rules! count {
-    ($(#[$doc:meta])* $type:ident) => {
+    ($(#[$doc:meta])* $type:ident($number:ty)) => {
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
         #[derive(Deserialize, Serialize)]
-        pub struct $type(pub u32);
+        pub struct $type(pub $number);
 
         impl fmt::Display for $type {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -76,19 +76,23 @@
 
 count!(
     /// Requests that may arrive at once.
-    Burst
+    Burst(u32)
 );
 count!(
     /// Requests that a target processes at once.
-    Slots
+    Slots(u32)
 );
 count!(
     /// Connections that a target accepts.
-    Connections
+    Connections(u32)
 );
 count!(
     /// Weight of a workspace in the queue for slots.
-    Weight
+    Weight(u32)
+);
+count!(
+    /// Rank of a workspace or route; 0 is the most urgent.
+    Priority(u64)
 );
 
 /// A fraction of a whole, 0.0 to 1.0.
--- a/chicoryloom_policy/src/waiting.rs
+++ b/chicoryloom_policy/src/waiting.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::Moment;
+use crate::unit::Priority;
 
 /// Weight of the newest sample in the smoothed interval between two dispatches.
 const INTERVAL_WEIGHT: f64 = 0.1;
@@ -14,9 +15,9 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
     /// Priority of the workspace, or of the route where the workspace has none.
-    pub priority: u8,
+    pub priority: Priority,
     /// Priority of the route.
-    pub route: u8,
+    pub route: Priority,
 }
 
 /// Position of a request in the queue; the lowest goes first.
--- a/chicoryloom_policy/tests/dispatch.rs
+++ b/chicoryloom_policy/tests/dispatch.rs
@@ -13,6 +13,7 @@
 use chicoryloom_policy::entry;
 use chicoryloom_policy::gray::Standing;
 use chicoryloom_policy::split::Split;
+use chicoryloom_policy::unit::Priority;
 use chicoryloom_policy::unit::Weight;
 use chicoryloom_policy::waiting::Queue;
 use chicoryloom_policy::waiting::Rank;
@@ -214,7 +215,7 @@
 #[test]
 fn request_that_would_be_late_is_rejected_at_once() {
     let mut queue = Queue::default();
-    let rank = Rank { priority: 1, route: 1 };
+    let rank = Rank { priority: Priority(1), route: Priority(1) };
     let mut now = Moment::from_millis(1000);
     let far = now.after(Duration::from_secs(60));
     for _ in 0..100 {
@@ -233,21 +234,28 @@
     // A request that timed out in the queue gets the same, not the time that it waited.
     assert_eq!(queue.drain_time(now), rejection.retry_after);
     queue.enqueue(rank, now.after(Duration::from_secs(5)), now).unwrap();
-    let urgent = Rank { priority: 0, route: 1 };
+    let urgent = Rank { priority: Priority(0), route: Priority(1) };
     queue.enqueue(urgent, now.after(Duration::from_millis(500)), now).unwrap();
-    assert!(queue.tickets().next().unwrap().is_behind(Rank { priority: 0, route: 0 }));
+    assert!(
+        queue
+            .tickets()
+            .next()
+            .unwrap()
+            .is_behind(Rank { priority: Priority(0), route: Priority(0) })
+    );
 }
 
 proptest! {
     /// The more urgent request goes first, and equals go in the order of their arrival.
     #[test]
-    fn queue_is_ordered(ranks in prop::collection::vec((0u8..3, 0u8..3), 1..50)) {
+    fn queue_is_ordered(ranks in prop::collection::vec((0u64..3, 0u64..3), 1..50)) {
         let mut queue = Queue::default();
         let now = Moment::from_millis(1000);
         let later = now.after(Duration::from_secs(9));
         let mut expected = Vec::new();
         for (priority, route) in ranks {
-            let rank = Rank { priority, route };
+            // Priorities above those that have one byte.
+            let rank = Rank { priority: Priority(priority * 400), route: Priority(route * 400) };
             expected.push((rank, expected.len(), queue.enqueue(rank, later, now).unwrap()));
         }
         expected.sort_by_key(|(rank, at, _)| (*rank, *at));
--- a/chicoryloom_policy/tests/grant.rs
+++ b/chicoryloom_policy/tests/grant.rs
@@ -13,6 +13,7 @@
 use chicoryloom_policy::id;
 use chicoryloom_policy::share;
 use chicoryloom_policy::unit::Burst;
+use chicoryloom_policy::unit::Priority;
 use chicoryloom_policy::unit::Rate;
 use rand::Rng;
 use rand::SeedableRng;
@@ -147,9 +148,12 @@
         let priority = if at < MIX[0] { 0 } else { 1 + usize::from(at >= MIX[0] + MIX[1]) };
         let index = self.rng.random_range(0..self.hosts.len());
         let (host, now) = (&mut self.hosts[index], self.now);
-        host.order.record(priority as u8, now);
-        let reserve =
-            if by_priority { host.order.reserve(priority as u8, now) } else { Duration::ZERO };
+        host.order.record(Priority(priority as u64), now);
+        let reserve = if by_priority {
+            host.order.reserve(Priority(priority as u64), now)
+        } else {
+            Duration::ZERO
+        };
         result.asked[priority] += 1;
         if host.limiter.check_beyond(&workspace(), reserve, now).is_ok()
             && host.limiter.admit(&workspace(), now).is_ok()
