--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -315,8 +315,14 @@
     /// Counts the request towards its workspace's grant once over all attempts, and refuses it if
     /// the key has been withdrawn meanwhile.
     fn admit(&self) -> Result<(), Refusal> {
-        let Some(workspace) = &self.workspace else { return Ok(()) };
         let catalog = self.gateway.mirror.catalog();
+        let Some(workspace) = &self.workspace else {
+            let needs_key = catalog.is_some_and(|catalog| catalog.needs_keys);
+            if needs_key && !self.route.public {
+                return Err(Refusal::new(Reason::Key, "a key is needed meanwhile"));
+            }
+            return Ok(());
+        };
         let holder = self.key.as_ref().and_then(|key| catalog.as_ref()?.keys.get(key).cloned());
         if holder.is_none_or(|holder| holder.id != workspace.id) {
             return Err(Refusal::new(Reason::Key, "the key was withdrawn"));
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -307,7 +307,7 @@
         let Some(route) = catalog.route(host, request.uri().path()).cloned() else {
             return Err(self.refuse_unknown(Reason::NoRoute, "no route takes the request"));
         };
-        if route.public {
+        if route.public || !catalog.needs_keys {
             return Ok(Resolved { catalog, route, workspace: None, key: None });
         }
         let key = self.dialect.key(request.headers()).map(id::Digest::of);
--- a/chicoryloom_policy/src/catalog.rs
+++ b/chicoryloom_policy/src/catalog.rs
@@ -112,6 +112,8 @@
     /// Routes by host name in lower case, longest prefix first.
     pub virtual_hosts: HashMap<SmolStr, Vec<Arc<Route>>>,
     pub services: HashMap<id::Service, Service>,
+    /// Whether requests need a key unless their route is public.
+    pub needs_keys: bool,
     pub workspaces: Vec<Arc<Workspace>>,
     /// Workspaces by the digest of each of their keys.
     pub keys: HashMap<id::Digest, Arc<Workspace>>,
