Take a configuration part by part, and announce only what is in force (CONFIG)

What callers saw: any field that couldn't be taken left the whole configuration out of force, with the keys that it took away. No host refused requests for being behind, and a host that restarted never became ready.

Cause: a configuration was converted as a whole, and the copy announced the version of the object that it held, in force or not.

Change: a part that can't be taken is left out, and what it is about is refused at once as not run (503). A configuration of no use leaves the one before in force, without the keys that it no longer grants, and its version isn't announced. Events and a metric name the fields.

Before, a host cut off from the store fetched the version that no host acted on.

--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -296,6 +296,13 @@
         move || read.catalog().map_or(0, |catalog| catalog.version.0),
     );
     let read = mirror.clone();
+    metrics.register_labelled_gauge(
+        "chicory_configuration_rejected",
+        "Parts of the newest configuration that can't be taken, by field",
+        "field",
+        move || read.rejected().into_iter().map(|(field, count)| (field.into(), count)).collect(),
+    );
+    let read = mirror.clone();
     metrics.register_gauge("chicory_targets_known", "Targets in the copy", move || {
         read.target_counts().0 as u64
     });
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -1,5 +1,6 @@
 //! This host's copy of the platform's objects, and the configuration and targets read from it.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
@@ -18,7 +19,6 @@
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Catalog;
 use chicoryloom_policy::catalog::Target;
-use chicoryloom_policy::catalog::Version;
 use chicoryloom_policy::id;
 use chicoryloom_policy::outage;
 use chicoryloom_policy::position::Era;
@@ -40,6 +40,9 @@
 use super::package::Digest;
 use super::package::Package;
 use super::port::Dialect;
+use super::port::Invalid;
+use super::port::Reading;
+use super::port::Unusable;
 use super::versions::Versions;
 use crate::clock::Clock;
 
@@ -47,6 +50,9 @@
 /// configuration without them: no other host may know them, and the platform may be down.
 const MAX_EVACUATIONS_WAIT: Duration = Duration::from_secs(3);
 
+/// Most parts of one configuration that get an event of their own.
+const MAX_REJECTED_EVENTS: usize = 20;
+
 /// Origin of an update.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Source {
@@ -74,6 +80,8 @@
     source: Option<Source>,
     /// When this host got its first configuration.
     first_catalog: Option<Moment>,
+    /// Parts of the newest configuration that can't be taken, by field.
+    rejected: BTreeMap<SmolStr, u64>,
 }
 
 /// Holds the copy, and the configuration and targets read from it.
@@ -306,6 +314,11 @@
         self.corrections.load(Ordering::Relaxed)
     }
 
+    /// Returns how many parts of the newest configuration can't be taken, by field.
+    pub(super) fn rejected(&self) -> BTreeMap<SmolStr, u64> {
+        self.lock().rejected.clone()
+    }
+
     /// Returns how many targets are known, and how many of them are kept although the platform no
     /// longer lists them.
     pub(super) fn target_counts(&self) -> (usize, usize) {
@@ -419,11 +432,12 @@
             self.read_catalog(state, source);
             let records = state.replica.records(Kind::Catalog);
             let newest = records.max_by_key(|record| record.generation);
-            if let Some(record) = newest
-                && let Some(contents) = &record.value
-            {
+            if let Some(contents) = newest.and_then(|record| record.value.as_ref()) {
                 self.archive().add(contents.clone());
-                self.versions.hold(Version(record.generation.number), origin);
+            }
+            // A version that can't be taken is not held, though the copy has it.
+            if let Some(catalog) = &*self.catalog.load() {
+                self.versions.hold(catalog.version, origin);
             }
         }
         if changes.evacuations {
@@ -447,7 +461,7 @@
             return;
         };
         match self.dialect.catalog(value) {
-            Ok(catalog) => {
+            Ok(Reading { catalog, rejected }) => {
                 let known = self.catalog.load_full().map(|known| known.version);
                 let fields = json!({
                     "version": catalog.version.0, "before": known.map(|version| version.0),
@@ -458,16 +472,31 @@
                     return;
                 }
                 self.events.emit("configuration", fields);
+                for invalid in rejected.iter().take(MAX_REJECTED_EVENTS) {
+                    let fields = json!({
+                        "version": catalog.version.0, "field": invalid.field.as_str(),
+                        "error": invalid.reason, "rejected": rejected.len(),
+                    });
+                    self.events.emit("configuration_rejected", fields);
+                }
+                state.rejected = count_by_field(&rejected);
                 self.catalog.store(Some(Arc::new(catalog)));
                 state.first_catalog.get_or_insert(self.clock.now());
             }
-            Err(error) => {
-                let error = error.to_string();
+            Err(Unusable { error, granted }) => {
+                let rest = granted.as_ref().and_then(|granted| {
+                    self.catalog.load_full()?.without_withdrawn(granted).map(Arc::new)
+                });
                 let fields = json!({
-                    "revision": position.revision, "era": position.era.0, "error": error,
-                    "from": source,
+                    "revision": position.revision, "era": position.era.0,
+                    "field": error.field.as_str(), "error": error.reason, "from": source,
+                    "withdraws_keys": rest.is_some(), "are_keys_readable": granted.is_some(),
                 });
                 self.events.emit("configuration_invalid", fields);
+                state.rejected = count_by_field(&[error]);
+                if let Some(rest) = rest {
+                    self.catalog.store(Some(rest));
+                }
             }
         }
     }
@@ -513,3 +542,11 @@
         }
     }
 }
+
+fn count_by_field(rejected: &[Invalid]) -> BTreeMap<SmolStr, u64> {
+    let mut counts = BTreeMap::new();
+    for invalid in rejected {
+        *counts.entry(invalid.field.clone()).or_default() += 1;
+    }
+    counts
+}
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -307,12 +307,20 @@
         let Some(route) = catalog.route(host, request.uri().path()).cloned() else {
             return Err(self.refuse_unknown(Reason::NoRoute, "no route takes the request"));
         };
+        if route.destinations.is_empty() {
+            let detail = format!("route {} can't be taken from the configuration", route.name);
+            return Err(Refusal::new(Reason::Misconfigured, detail));
+        }
         if route.public || !catalog.needs_keys {
             return Ok(Resolved { catalog, route, workspace: None, key: None });
         }
         let key = self.dialect.key(request.headers()).map(id::Digest::of);
         let workspace = key.as_ref().and_then(|key| catalog.keys.get(key)).cloned();
         if workspace.is_none() {
+            if key.is_some_and(|key| catalog.unusable_keys.contains(&key)) {
+                let detail = "the key's workspace can't be taken from the configuration";
+                return Err(Refusal::new(Reason::Misconfigured, detail));
+            }
             return Err(
                 self.refuse_unknown(Reason::Key, "the key is missing, unknown or withdrawn")
             );
--- a/chicoryloom/src/gateway/port.rs
+++ b/chicoryloom/src/gateway/port.rs
@@ -10,6 +10,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use chicoryloom_policy::catalog::Catalog;
+use chicoryloom_policy::catalog::Granted;
 use chicoryloom_policy::catalog::Target;
 use chicoryloom_policy::id;
 use chicoryloom_policy::position::Position;
@@ -18,6 +19,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::Uri;
+use smol_str::SmolStr;
 
 use crate::target::Protocol;
 
@@ -99,10 +101,12 @@
     async fn hosts(&self) -> Result<Vec<Registration>, Error>;
 }
 
-/// Why an object of the store is invalid for its kind.
+/// Why an object of the store, or a part of it, is invalid for its kind.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Invalid {
-    pub field: &'static str,
+    /// Path of the field, without places in lists.
+    pub field: SmolStr,
+    /// Has no value that may be a key.
     pub reason: String,
 }
 
@@ -114,6 +118,22 @@
 
 impl std::error::Error for Invalid {}
 
+/// A configuration as far as it can be taken.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    pub catalog: Catalog,
+    /// What the catalog leaves out, or refuses requests for.
+    pub rejected: Vec<Invalid>,
+}
+
+/// A configuration that can't be taken.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Unusable {
+    pub error: Invalid,
+    /// Keys that it grants; `None` if not even these can be read.
+    pub granted: Option<Granted>,
+}
+
 /// A caller's lookup of the hosts to use.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Lookup {
@@ -140,7 +160,7 @@
 /// Format of the platform's objects, headers and calls.
 pub trait Dialect: fmt::Debug + Send + Sync {
     /// Parses a configuration.
-    fn catalog(&self, value: &[u8]) -> Result<Catalog, Invalid>;
+    fn catalog(&self, value: &[u8]) -> Result<Reading, Unusable>;
 
     /// Parses a target's entry.
     fn target(&self, name: &str, value: &[u8]) -> Result<Target, Invalid>;
--- a/chicoryloom/src/gateway/refusal.rs
+++ b/chicoryloom/src/gateway/refusal.rs
@@ -35,6 +35,8 @@
     /// The host has no configuration, or one that may be too old to decide by; the request has
     /// not run.
     NoConfiguration,
+    /// The request's route or workspace can't be taken from the configuration; it has not run.
+    Misconfigured,
     /// The workspace exceeds its rate and burst; the request has not run.
     Rate,
     /// No target could run the request before its deadline; it has not run.
@@ -60,6 +62,7 @@
             Self::Key => "key",
             Self::NoRoute => "no-route",
             Self::NoConfiguration => "no-configuration",
+            Self::Misconfigured => "misconfigured",
             Self::Rate => "rate",
             Self::NoTargetInTime => "no-target-in-time",
             Self::HeldBack => "held-back",
@@ -78,9 +81,11 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::Key => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::NoConfiguration | Self::NoTargetInTime | Self::HeldBack | Self::Leaving => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Misconfigured
+            | Self::NoTargetInTime
+            | Self::HeldBack
+            | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
             Self::Rate => StatusCode::TOO_MANY_REQUESTS,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/chicoryloom_policy/src/catalog.rs
+++ b/chicoryloom_policy/src/catalog.rs
@@ -2,6 +2,7 @@
 //! grants span all services.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,7 +29,8 @@
     }
 }
 
-/// Limits on the size of callers' requests and on the time that they take.
+/// Limits on the size of callers' requests and on the time that they take. The default holds for what a
+/// configuration doesn't say.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
     /// Maximum size of a request's head, in bytes.
@@ -41,6 +43,17 @@
     pub idle_timeout: Duration,
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            header_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Repeat {
@@ -67,7 +80,7 @@
     pub repeat: Repeat,
     /// Whether requests need no key.
     pub public: bool,
-    /// At least one destination.
+    /// Empty if the route can't be taken, so that its requests are refused.
     pub destinations: Vec<Destination>,
     /// Longest time until a caller gets an answer; above zero.
     pub timeout: Duration,
@@ -117,9 +130,29 @@
     pub workspaces: Vec<Arc<Workspace>>,
     /// Workspaces by the digest of each of their keys.
     pub keys: HashMap<id::Digest, Arc<Workspace>>,
+    /// Keys of workspaces that can't be taken, so that requests with these are refused.
+    pub unusable_keys: HashSet<id::Digest>,
 }
 
+/// Keys that a configuration grants, each to its workspace, or to `None` if that can't be read.
+pub type Granted = HashMap<id::Digest, Option<id::Workspace>>;
+
 impl Catalog {
+    /// Returns the configuration without the keys that a later one, which can't be taken, no longer grants to
+    /// their workspaces; `None` if it grants them all.
+    pub fn without_withdrawn(&self, granted: &Granted) -> Option<Self> {
+        let is_kept = |key: &id::Digest, workspace: &Workspace| {
+            let holder = granted.get(key);
+            holder.is_some_and(|holder| holder.as_ref().is_none_or(|it| *it == workspace.id))
+        };
+        if self.keys.iter().all(|(key, workspace)| is_kept(key, workspace)) {
+            return None;
+        }
+        let mut rest = self.clone();
+        rest.keys.retain(|key, workspace| is_kept(key, workspace));
+        Some(rest)
+    }
+
     /// Returns the route of a host name whose prefix is the longest that matches a path.
     pub fn route(&self, host_name: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host_name.rsplit_once(':').map_or(host_name, |(name, _)| name);
