Blame targets, not links, for answers that can't be read

What callers saw: while targets answered with a status such as 000, 2000 or letters, hosts refused all requests as if they reached no target, or held requests back as if these took targets down.

Cause: an answer that can't be parsed had the same failure as a connection that breaks, which is judged by checks of the link; and a check whose answer can't be parsed counted as unanswered.

Change: Failure::Malformed. The target was reached and failed, and the request may have run. A check takes such an answer, too.

--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -536,7 +536,7 @@
                 self.gateway.dispatcher.record_unreached(endpoint, begun);
             }
             Failure::Lost(_) => self.gateway.dispatcher.doubt_links(),
-            Failure::Shed(_) | Failure::Misdirected => {
+            Failure::Shed(_) | Failure::Misdirected | Failure::Malformed(_) => {
                 self.gateway.dispatcher.record_answer(endpoint, None, None);
             }
             _ => {}
@@ -556,7 +556,10 @@
                 endpoint.backend.close_idle();
                 Some(Outcome::Silent)
             }
-            Failure::Mismatched | Failure::CloseDelimited | Failure::Unsealed => {
+            Failure::Malformed(_)
+            | Failure::Mismatched
+            | Failure::CloseDelimited
+            | Failure::Unsealed => {
                 endpoint.backend.close_idle();
                 Some(Outcome::Failed)
             }
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -221,7 +221,8 @@
                 self.service.record_loss(self.fingerprint, member.target.id, now);
                 Failed::Reset
             }
-            Failure::Mismatched
+            Failure::Malformed(_)
+            | Failure::Mismatched
             | Failure::CloseDelimited
             | Failure::Unsealed
             | Failure::Misdirected => Failed::Error,
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -143,6 +143,8 @@
     Lost(String),
     /// The caller's body was cut off or exceeded a limit after part of it may have been sent.
     Body(String),
+    /// The target sent bytes that are no answer.
+    Malformed(String),
     /// The answer belongs to another request.
     Mismatched,
     /// The answer ends only with the close of the connection, so a truncated body could not be
@@ -167,6 +169,7 @@
             self,
             Self::Lost(_)
                 | Self::Body(_)
+                | Self::Malformed(_)
                 | Self::Mismatched
                 | Self::CloseDelimited
                 | Self::Unsealed
@@ -183,6 +186,7 @@
             Self::Unsent => f.write_str("closed before the request was sent"),
             Self::Lost(reason) => write!(f, "answer lost: {reason}"),
             Self::Body(reason) => f.write_str(reason),
+            Self::Malformed(reason) => write!(f, "no answer: {reason}"),
             Self::Mismatched => f.write_str("answer belongs to another request"),
             Self::CloseDelimited => f.write_str("answer without a length or chunks"),
             Self::Deadline => f.write_str("the target did not answer before the deadline"),
@@ -236,7 +240,8 @@
     ) -> Result<(Duration, Duration), Failure> {
         let mut lease = self.lease_new().await?;
         let answer = self.ask(&mut lease, path).await?;
-        let cold = warmup.and_then(|name| answer.headers().get(name));
+        let headers = answer.as_ref().map(Response::headers);
+        let cold = warmup.and_then(|name| headers?.get(name));
         let millis = cold.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
         let cold = millis.and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok());
         Ok((cold.unwrap_or_default(), lease.age()))
@@ -253,25 +258,30 @@
         Some(answer.map(|_| lease.age()))
     }
 
+    /// Returns the head of the answer, or `None` for bytes that are none: they too come from the target.
     async fn ask(
         self: &Arc<Self>,
         lease: &mut Lease,
         path: &str,
-    ) -> Result<Response<Incoming>, Failure> {
+    ) -> Result<Option<Response<Incoming>>, Failure> {
         let request = Request::get(path).header(HOST, self.target().to_string());
         let request = request.body(Empty::new().map_err(|never| match never {}).boxed_unsync());
         let request = request.map_err(|error| Failure::Connect(error.to_string()))?;
         let Some(sender) = lease.sender() else { return Err(Failure::Unsent) };
-        let answer = sender.send_request(request).await;
-        answer.map_err(|error| Failure::Lost(error.to_string()))
+        match sender.send_request(request).await {
+            Ok(answer) => Ok(Some(answer)),
+            Err(error) if error.is_parse() => Ok(None),
+            Err(error) => Err(Failure::Lost(error.to_string())),
+        }
     }
 }
 
-/// Distinguishes a failed body of the caller from a broken connection to the target.
+/// Distinguishes a failed body of the caller and bytes that are no answer from a broken connection to the target.
 fn classify_error(error: &hyper::Error) -> Failure {
     let source = std::error::Error::source(error);
     match source.and_then(|source| source.downcast_ref::<BodyError>()) {
         Some(body) => Failure::Body(body.to_string()),
+        None if error.is_parse() => Failure::Malformed(error.to_string()),
         None => Failure::Lost(error.to_string()),
     }
 }
@@ -283,7 +293,7 @@
     protocol: &Protocol,
 ) -> Result<(), Failure> {
     if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-        return Err(Failure::Lost("the target changed the protocol unasked".to_owned()));
+        return Err(Failure::Malformed("the target changed the protocol unasked".to_owned()));
     }
     let headers = response.headers();
     let echoed = headers.get(&protocol.request_id);
--- a/chicoryloom_harness/tests/edge/answer.rs
+++ b/chicoryloom_harness/tests/edge/answer.rs
@@ -29,6 +29,12 @@
         }
         "/101" => "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
         "/close" => return None,
+        "/000" => "HTTP/1.1 000 Odd\r\ncontent-length: 2\r\n\r\nok",
+        "/099" => "HTTP/1.1 099 Odd\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "/2000" => "HTTP/1.1 2000 Odd\r\ncontent-length: 2\r\n\r\nok",
+        "/20" => "HTTP/1.1 20 Odd\r\nconnection: close\r\n\r\nok",
+        "/abc" => "HTTP/1.1 abc Odd\r\ncontent-length: 2\r\n\r\nok",
+        "/742" => "HTTP/1.1 742 Odd\r\ncontent-length: 2\r\n\r\nok",
         _ => "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
     })
 }
@@ -39,6 +45,7 @@
 #[case("GET", "/304", "HTTP/1.1 304", "etag: \"1\"", "")]
 #[case("GET", "/103", "HTTP/1.1 200", "content-length: 2", "ok")]
 #[case("GET", "/redirect", "HTTP/1.1 302", "location: /other", "")]
+#[case("GET", "/742", "HTTP/1.1 742", "content-length: 2", "ok")]
 #[case("GET", "/gzip", "HTTP/1.1 200", "content-encoding: gzip", "no archiv")]
 #[tokio::test]
 async fn answer_passes_as_it_is(
@@ -81,6 +88,22 @@
     assert!(answer.contains("chicory-run: unknown"), "{answer}");
 }
 
+/// Guards against answers without a valid status that callers get as answers (MIXED).
+#[rstest]
+#[tokio::test]
+async fn answer_without_a_status_is_no_answer(
+    #[values("/000", "/099", "/2000", "/20", "/abc")] path: &str,
+    #[values("GET", "POST")] method: &str,
+) {
+    let target = Scripted::start(script).await;
+    let edge = Edge::before(&target, "", ROUTES).await;
+    let headers = "host: h\r\ncontent-length: 0\r\nconnection: close\r\n";
+    let answer = edge.raw(&format!("{method} /calendar{path} HTTP/1.1"), headers).await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(answer.contains("chicory-run: unknown"), "{answer}");
+    assert_eq!(target.heads(path).len(), 1);
+}
+
 /// The idle connection is closed by the target only once it has read the next request.
 #[tokio::test]
 async fn pooled_connection_that_the_target_closes_leads_to_no_second_run() {
