Count statuses of no known class as failures of their target

What callers saw: a target that answered with a status of 600 or more was used on as a good one, and safe requests got its answer although another target could have served them.

Cause: only 500, 502, 503 and 504 were failures.

Change: 600 and more are, too, on both paths, as RFC 9110 asks for. Where no other target can serve the request, the caller gets the answer unchanged, as before.

--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -24,7 +24,6 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::Version;
 use http::request::Parts;
 use http_body_util::BodyExt;
@@ -51,6 +50,7 @@
 use crate::target::Failure;
 use crate::target::Lease;
 use crate::target::exchange;
+use crate::target::is_failure;
 
 /// Targets tried within one attempt while none of them runs the request, such as when they refuse
 /// the connection or have no room.
@@ -590,8 +590,3 @@
         (_, second) => Some(second),
     }
 }
-
-/// Returns whether a status reports a failure of the target.
-fn is_failure(status: StatusCode) -> bool {
-    matches!(status.as_u16(), 500 | 502 | 503 | 504)
-}
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -11,7 +11,6 @@
 use chicoryloom_policy::id;
 use chicoryloom_wire::header;
 use http::Request;
-use http::StatusCode;
 use http::Version;
 use http::request::Parts;
 use tokio::time::Instant;
@@ -27,6 +26,7 @@
 use crate::target::Protocol;
 use crate::target::Service;
 use crate::target::exchange;
+use crate::target::is_failure;
 
 /// Most times that one attempt in flight is reported as late, each at twice the previous age.
 const MAX_LATE_REPORTS: u32 = 3;
@@ -183,7 +183,7 @@
         if answer.headers().contains_key(header::DRAINING) {
             self.service.mark_draining(member.target.id, self.proxy.clock.now());
         }
-        if is_error(answer.status()) {
+        if is_failure(answer.status()) {
             self.observe(member, Outcome::Failed(Failed::Error));
         } else {
             // If no timer reported an answer beyond the limit, this host delayed it.
@@ -233,8 +233,3 @@
         self.observe(member, Outcome::Failed(failed));
     }
 }
-
-/// Returns whether a status means that the target failed.
-pub(super) fn is_error(status: StatusCode) -> bool {
-    matches!(status.as_u16(), 500 | 502 | 503 | 504)
-}
--- a/chicoryloom/src/proxy/attempts.rs
+++ b/chicoryloom/src/proxy/attempts.rs
@@ -21,7 +21,6 @@
 use super::SHORT_RETRY_AFTER;
 use super::attempt::AttemptError;
 use super::attempt::Job;
-use super::attempt::is_error;
 use super::headers;
 use super::payload::Payload;
 use super::request::RoutedRequest;
@@ -31,6 +30,7 @@
 use crate::target::Failure;
 use crate::target::Member;
 use crate::target::Place;
+use crate::target::is_failure;
 
 /// Most targets that one request is sent to, hedges included.
 const MAX_TARGETS: usize = 4;
@@ -126,7 +126,7 @@
         }
         let repeatable = self.routed.route.repeatable;
         match answer {
-            Ok(answer) if repeatable && is_error(answer.status()) => {
+            Ok(answer) if repeatable && is_failure(answer.status()) => {
                 self.may_have_run.store(true, Ordering::Relaxed);
                 self.service.take_retry()
             }
@@ -199,7 +199,7 @@
 }
 
 fn is_failed(answer: &Result<Answer, AttemptError>) -> bool {
-    answer.as_ref().map_or(true, |answer| is_error(answer.status()))
+    answer.as_ref().map_or(true, |answer| is_failure(answer.status()))
 }
 
 fn prefer_success(
--- a/chicoryloom/src/target/exchange.rs
+++ b/chicoryloom/src/target/exchange.rs
@@ -286,6 +286,11 @@
     }
 }
 
+/// Returns whether a status reports a failure of the target. One of no class that HTTP has counts as 5xx.
+pub(crate) fn is_failure(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 500 | 502 | 503 | 504 | 600..)
+}
+
 fn check_response(
     response: &Response<Incoming>,
     id: Option<&HeaderValue>,
--- a/chicoryloom/src/target/mod.rs
+++ b/chicoryloom/src/target/mod.rs
@@ -27,6 +27,7 @@
 pub use exchange::Protocol;
 pub(crate) use exchange::Terms;
 pub(crate) use exchange::exchange;
+pub(crate) use exchange::is_failure;
 pub(crate) use monitor::Monitor;
 pub(crate) use monitor::Place;
 pub(crate) use pool::Backend;
