--- a/chicoryloom/src/gateway/answer.rs
+++ b/chicoryloom/src/gateway/answer.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum End {
     /// All of it was passed on.
-    Whole,
+    Whole { bytes: u64 },
     /// It was incomplete after its deadline, and was cut off.
     Overdue {
         /// Whether the target, and not the caller, held it up.
@@ -42,6 +42,8 @@
     /// Ends the wait for the target; set while it is awaited.
     timer: Option<Pin<Box<Sleep>>>,
     on_end: Option<Callback>,
+    /// Bytes passed on.
+    bytes: u64,
 }
 
 impl StreamedBody {
@@ -60,6 +62,7 @@
             tail: Tail::new(deadline, has_length),
             timer: None,
             on_end: Some(Box::new(on_end)),
+            bytes: 0,
         }
     }
 
@@ -108,12 +111,15 @@
             return Poll::Ready(Some(Err(self.end_overdue())));
         };
         self.end_wait();
+        let data = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref());
+        let bytes = data.map_or(0, Bytes::len) as u64;
+        self.bytes += bytes;
+        let whole = End::Whole { bytes: self.bytes };
         match &frame {
             Some(Err(_)) => self.slot = None,
-            None => self.end(End::Whole),
-            Some(Ok(_)) if hyper::body::Body::is_end_stream(&self.body) => self.end(End::Whole),
-            Some(Ok(frame)) => {
-                let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+            None => self.end(whole),
+            Some(Ok(_)) if hyper::body::Body::is_end_stream(&self.body) => self.end(whole),
+            Some(Ok(_)) => {
                 let now = self.clock.now();
                 if !self.tail.admit(bytes, now) {
                     return Poll::Ready(Some(Err(self.end_overdue())));
--- a/chicoryloom/src/gateway/dispatcher/service.rs
+++ b/chicoryloom/src/gateway/dispatcher/service.rs
@@ -10,6 +10,7 @@
 use chicoryloom_policy::id;
 use chicoryloom_policy::retry;
 use chicoryloom_policy::retry::Budget;
+use chicoryloom_policy::stop::Length;
 use chicoryloom_policy::waiting::Queue;
 use chicoryloom_policy::waiting::Ticket;
 use chicoryloom_policy::withdrawal::Availability;
@@ -35,6 +36,8 @@
     /// Smoothed time from sending a request to the last byte of its response as its caller took it, in
     /// seconds, by route.
     pub(super) durations: HashMap<id::Route, f64>,
+    /// Length of whole responses, by route.
+    pub(super) lengths: HashMap<id::Route, Length>,
 }
 
 impl Service {
@@ -106,15 +109,25 @@
         smooth(&mut state.services.entry(service.clone()).or_default().latencies, route, took);
     }
 
-    /// Records the time to the last byte of a successful response.
-    pub(in crate::gateway) fn record_duration(
+    /// Records the time to the last byte of a successful response, and its length in bytes.
+    pub(in crate::gateway) fn record_end(
         &self,
         service: &id::Service,
         route: &id::Route,
         took: Duration,
+        bytes: u64,
     ) {
         let mut state = self.lock();
-        smooth(&mut state.services.entry(service.clone()).or_default().durations, route, took);
+        let service = state.services.entry(service.clone()).or_default();
+        smooth(&mut service.durations, route, took);
+        service.lengths.entry(route.clone()).or_default().record(bytes);
+    }
+
+    /// Returns whether a response may be longer than what connections buffer.
+    pub(in crate::gateway) fn is_long(&self, service: &id::Service, route: &id::Route) -> bool {
+        let state = self.lock();
+        let length = state.services.get(service).and_then(|service| service.lengths.get(route));
+        length.is_some_and(|length| length.is_long())
     }
 
     /// Returns the smoothed time to the last byte of a response, if any was recorded.
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -498,8 +498,8 @@
             let (dispatcher, clock) = (dispatcher.clone(), self.gateway.clock.clone());
             let (service, route) = (self.service.clone(), self.route.name.clone());
             let on_end = move |end| match end {
-                answer::End::Whole => {
-                    dispatcher.record_duration(&service, &route, started.elapsed());
+                answer::End::Whole { bytes } => {
+                    dispatcher.record_end(&service, &route, started.elapsed(), bytes);
                 }
                 answer::End::Overdue { is_targets_fault: true } => {
                     dispatcher.observe(&endpoint, Outcome::Silent, clock.now());
@@ -520,7 +520,8 @@
         };
         dispatcher.observe(&endpoint, outcome, sent);
         if !is_failure {
-            dispatcher.record_duration(&self.service, &self.route.name, started.elapsed());
+            let (took, bytes) = (started.elapsed(), body.len() as u64);
+            dispatcher.record_end(&self.service, &self.route.name, took, bytes);
         }
         drop(slot);
         let response = Response::from_parts(parts, full(body));
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -233,6 +233,7 @@
             deadline: arrived.after(timeout),
             usual: self.usual_time(&route),
             is_repeatable: route.repeat == Repeat::Safe,
+            is_long: self.is_long(&route),
         };
         let limits = catalog.limits;
         let (parts, body) = request.into_parts();
@@ -415,6 +416,12 @@
         times.max().unwrap_or(route.target_latency).mul_f64(LATE_FACTOR) + LATE_GRACE
     }
 
+    /// Returns whether a route's responses may be longer than what connections buffer.
+    fn is_long(&self, route: &Route) -> bool {
+        let mut services = route.destinations.iter().map(|destination| &destination.service);
+        services.any(|service| self.dispatcher.is_long(service, &route.name))
+    }
+
     /// Selects the service for the next request of a route by the weights of its split.
     fn select_service(&self, route: &Route) -> Result<id::Service, Refusal> {
         let mut splits = self.splits.lock().expect("no holder of the lock panics");
--- a/chicoryloom_policy/src/stop.rs
+++ b/chicoryloom_policy/src/stop.rs
@@ -23,6 +23,9 @@
     pub usual: Duration,
     /// Whether it may run again elsewhere if its response is lost.
     pub is_repeatable: bool,
+    /// Whether its response may be longer than what connections buffer, so that the last byte comes as its own
+    /// caller reads, and not as others do.
+    pub is_long: bool,
 }
 
 /// Other hosts that callers know of.
@@ -42,12 +45,36 @@
     }
 }
 
+/// Longest response in bytes that connections buffer for certain.
+const MAX_BUFFERED: f64 = 128.0 * 1024.0;
+/// Share of the longest response of a route that is forgotten with each shorter one.
+const FORGOTTEN: f64 = 0.01;
+
+/// Length of a route's longest responses; recent ones count most.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Length {
+    bytes: f64,
+}
+
+impl Length {
+    /// Records a whole response.
+    pub fn record(&mut self, bytes: u64) {
+        self.bytes = (self.bytes * (1.0 - FORGOTTEN)).max(bytes as f64);
+    }
+
+    /// Returns whether a response may be longer than what connections buffer.
+    pub fn is_long(self) -> bool {
+        self.bytes > MAX_BUFFERED
+    }
+}
+
 /// Stages of one shutdown.
 ///
 /// A request whose own deadline comes before answers are due is taken at any time. During the
 /// handover, in which callers learn that the host stops, it also takes requests that usually end in
-/// time, except for those that run once and find another host: a target that hangs would make their
-/// outcome unknown. Targets are told to answer when answers are due, and may do so until connections
+/// time, except for some that find another host: those that run once, as a target that hangs would make
+/// their outcome unknown, and those with long responses, as a caller that reads slowly would lose the
+/// end. Targets are told to answer when answers are due, and may do so until connections
 /// close. The process exits once callers have read their answers, within its grace period.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Schedule {
@@ -113,7 +140,7 @@
         if demand.deadline <= self.answers_due {
             return demand.deadline;
         }
-        if !demand.is_repeatable && others.are_found() {
+        if (demand.is_long || !demand.is_repeatable) && others.are_found() {
             return self.begun;
         }
         self.handover_end.min(self.answers_due.before(demand.usual))
--- a/chicoryloom_policy/tests/stop.rs
+++ b/chicoryloom_policy/tests/stop.rs
@@ -4,6 +4,7 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::stop::Demand;
+use chicoryloom_policy::stop::Length;
 use chicoryloom_policy::stop::Others;
 use chicoryloom_policy::stop::Schedule;
 use proptest::prelude::*;
@@ -23,7 +24,8 @@
 }
 
 fn demand(deadline: Moment, usual_ms: u64) -> Demand {
-    Demand { deadline, usual: Duration::from_millis(usual_ms), is_repeatable: true }
+    let usual = Duration::from_millis(usual_ms);
+    Demand { deadline, usual, is_repeatable: true, is_long: false }
 }
 
 const ALONE: Others = Others { taking: 0, gone: 0 };
@@ -110,21 +112,41 @@
     assert_eq!(now.after(schedule.retry_after(now, ALONE)), schedule.exit());
 }
 
+/// A long response was remembered, although shorter ones followed.
+#[test]
+fn route_is_long_for_a_while_after_a_long_response() {
+    let mut length = Length::default();
+    assert!(!length.is_long(), "nothing is known");
+    length.record(100_000);
+    assert!(!length.is_long());
+    length.record(10_000_000);
+    for _ in 0..100 {
+        length.record(1_000);
+    }
+    assert!(length.is_long());
+    for _ in 0..1000 {
+        length.record(1_000);
+    }
+    assert!(!length.is_long());
+}
+
 /// A request that runs once was taken by its service's usual speed, and its outcome was unknown when
 /// its target hung.
 #[rstest]
 #[case::others_take_it(Others { taking: 31, gone: 0 }, false)]
 #[case::few_left(Others { taking: 4, gone: 27 }, true)]
 #[case::last_host(ALONE, true)]
-fn request_that_runs_once_is_risked_only_if_no_other_host_is_found(
+fn request_is_risked_only_if_no_other_host_is_found(
     #[case] others: Others,
     #[case] is_taken: bool,
 ) {
     let now = BEGUN.after(Duration::from_millis(100));
-    let demand =
-        Demand { is_repeatable: false, ..demand(now.after(Duration::from_secs(12)), 1_500) };
+    let usual = demand(now.after(Duration::from_secs(12)), 1_500);
     let schedule = schedule(Duration::from_secs(6));
-    assert_eq!(now < schedule.latest_start(demand, others), is_taken);
-    let short = Demand { deadline: now.after(Duration::from_secs(4)), ..demand };
-    assert!(now < schedule.latest_start(short, others), "one that can be finished is taken");
+    // A long response of a slow reader was cut at the exit.
+    for demand in [Demand { is_repeatable: false, ..usual }, Demand { is_long: true, ..usual }] {
+        assert_eq!(now < schedule.latest_start(demand, others), is_taken);
+        let short = Demand { deadline: now.after(Duration::from_secs(4)), ..demand };
+        assert!(now < schedule.latest_start(short, others), "one that can be finished is taken");
+    }
 }
