Call the store at the address in the settings (CONFIG)

Cause: a reload used nothing of changed settings but the seeds.

Change: a reload directs later calls to the new address.

--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -92,6 +92,7 @@
     gateway: Arc<Gateway>,
     /// Settings of the start, which hold for what takes a restart to change.
     settings: Settings,
+    store: Arc<dyn Store>,
     /// Time from the stop signal to the end of the process, by the settings that were loaded last.
     grace: Mutex<Duration>,
     path: PathBuf,
@@ -184,7 +185,7 @@
         let mut tasks = vec![
             tokio::spawn(fleet.clone().receive()),
             tokio::spawn(fleet.clone().join()),
-            tokio::spawn(fleet.clone().register(store, mirror.clone())),
+            tokio::spawn(fleet.clone().register(store.clone(), mirror.clone())),
             tokio::spawn(fleet.clone().maintain(mirror.clone())),
             tokio::spawn(fleet.clone().share()),
             tokio::spawn(relay::serve(
@@ -211,7 +212,18 @@
             }),
         );
         let grace = Mutex::new(settings.bounds.grace);
-        Ok(Self { gateway, settings, grace, path, server, closing, accepting, events, tasks })
+        Ok(Self {
+            gateway,
+            settings,
+            store,
+            grace,
+            path,
+            server,
+            closing,
+            accepting,
+            events,
+            tasks,
+        })
     }
 
     /// Reloads the settings file every few seconds, and whenever `signal` resolves.
@@ -229,9 +241,10 @@
                 Ok((settings, unknown)) => {
                     let needs_restart = self.settings.needs_restart(&settings);
                     *self.grace() = settings.bounds.grace;
+                    self.store.set_address(settings.store);
                     let fields = json!({
                         "changed": true, "unknown": unknown, "needs_restart": needs_restart,
-                        "seeds": settings.seeds.len(),
+                        "seeds": settings.seeds.len(), "store": settings.store.to_string(),
                     });
                     self.events.emit("reload", fields);
                     // Seeds that changed are contacted.
--- a/chicoryloom/src/gateway/port.rs
+++ b/chicoryloom/src/gateway/port.rs
@@ -85,6 +85,9 @@
 /// The platform's object store.
 #[async_trait]
 pub trait Store: fmt::Debug + Send + Sync {
+    /// Directs later calls to another address of the store. Calls under way go on.
+    fn set_address(&self, address: SocketAddr);
+
     /// Returns all objects of a kind.
     async fn list(&self, kind: Kind) -> Result<Update, Error>;
 
--- a/chicoryloom/src/gateway/settings.rs
+++ b/chicoryloom/src/gateway/settings.rs
@@ -170,6 +170,7 @@
     pub fn needs_restart(&self, later: &Self) -> bool {
         let at_once = Self {
             seeds: later.seeds.clone(),
+            store: later.store,
             bounds: Bounds { grace: later.bounds.grace, ..self.bounds },
             ..self.clone()
         };
