Send hedges to other targets than the attempt under way

What callers saw: a safe request whose target hung could get 504 although another target would have served it; with one target it was sent there twice.

Cause: the hedge is due when the target is marked as silent, or just before, and the choice left out only targets whose attempts had ended.

Change: the targets of attempts under way are left out as well. A further attempt that finds no target doesn't turn the 504 into a 502.

Measured: answers::hedge_does_not_go_to_the_target_that_hangs failed before with one target (sent twice) and passes now.

--- a/chicoryloom/src/gateway/dispatcher/waiter.rs
+++ b/chicoryloom/src/gateway/dispatcher/waiter.rs
@@ -31,7 +31,7 @@
     pub(in crate::gateway) rank: Rank,
     /// Whether the request can be retried at another target if this one fails it.
     pub(in crate::gateway) can_retry: bool,
-    /// Targets that may have run the request already; they aren't chosen again.
+    /// Targets that have run the request or may yet do so; they aren't chosen again.
     pub(in crate::gateway) tried: Vec<id::Instance>,
     pub(in crate::gateway) arrived: Moment,
     /// Latest moment at which the request may still be sent.
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -90,6 +90,8 @@
     /// Repeats that were taken from the retry budget.
     repeats: AtomicU32,
     tried: Mutex<Vec<Choice>>,
+    /// Targets of the attempts under way.
+    under_way: Mutex<Vec<id::Instance>>,
 }
 
 impl Progress {
@@ -103,11 +105,44 @@
         self.repeats.load(Ordering::Relaxed)
     }
 
+    /// Returns the targets that have run the request or may yet do so.
+    fn used(&self) -> Vec<id::Instance> {
+        let mut used = self.under_way.lock().expect("no holder of the lock panics").clone();
+        let tried = self.tried.lock().expect("no holder of the lock panics");
+        let is_new = |target: &&id::Instance| !used.contains(target);
+        let tried: Vec<_> =
+            tried.iter().map(|choice| &choice.target).filter(is_new).cloned().collect();
+        used.extend(tried);
+        used
+    }
+
+    /// Records that an attempt at a target is under way, until what is returned is dropped.
+    fn begin(&self, target: &id::Instance) -> UnderWay<'_> {
+        let mut under_way = self.under_way.lock().expect("no holder of the lock panics");
+        under_way.push(target.clone());
+        UnderWay { progress: self, target: target.clone() }
+    }
+
     fn add_tried(&self, choice: &Choice) {
         self.tried.lock().expect("no holder of the lock panics").push(choice.clone());
     }
 }
 
+/// An attempt under way; it has ended when this is dropped.
+struct UnderWay<'a> {
+    progress: &'a Progress,
+    target: id::Instance,
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        let mut under_way = self.progress.under_way.lock().expect("no holder of the lock panics");
+        if let Some(at) = under_way.iter().position(|target| *target == self.target) {
+            under_way.swap_remove(at);
+        }
+    }
+}
+
 /// Outcome of one attempt.
 enum Attempt {
     /// A response for the caller.
@@ -157,6 +192,9 @@
                     }
                 }
                 () = self.gateway.wait_to_give_up(self.demand.deadline) => {
+                    let has_run = self.progress.may_have_run.load(Ordering::Relaxed);
+                    // That a further attempt found no target says less than the target's silence.
+                    let last = last.filter(|last| !has_run || !matches!(last, Attempt::Refused(_)));
                     return self.conclude(last.or(Some(Attempt::NoResponse(Failure::Deadline))));
                 }
             }
@@ -256,6 +294,7 @@
                 return Attempt::NoResponse(Failure::Unsent);
             }
             let endpoint = slot.endpoint.clone();
+            let _under_way = self.progress.begin(&endpoint.target.instance);
             let begun = self.gateway.clock.now();
             match self.send(slot).await {
                 Err(failure) => {
@@ -285,7 +324,7 @@
         let latency = self.gateway.dispatcher.latency(&self.service, &self.route.name);
         let needed = latency.unwrap_or_default() + LATE_GRACE;
         let latest = now.after(time_left.saturating_sub(needed));
-        let tried: Vec<_> = self.progress.tried().into_iter().map(|choice| choice.target).collect();
+        let tried = self.progress.used();
         let attempts = usize::try_from(self.route.max_attempts).unwrap_or(usize::MAX);
         let requirements = Requirements {
             service: self.service.clone(),
