--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -498,7 +498,7 @@
         return Err(Refusal::new(Reason::Malformed, "a change of protocol is not served"));
     }
     let mut hosts = headers.get_all(HOST).iter();
-    match (hosts.next().and_then(|host| host.to_str().ok()), hosts.next()) {
+    match (hosts.next().and_then(|host| std::str::from_utf8(host.as_bytes()).ok()), hosts.next()) {
         (Some(host), None) => Ok(host),
         (None, _) => Err(Refusal::new(Reason::Malformed, "no host is named")),
         (Some(_), Some(_)) => Err(Refusal::new(Reason::Malformed, "two hosts are named")),
--- a/chicoryloom_policy/src/catalog.rs
+++ b/chicoryloom_policy/src/catalog.rs
@@ -153,13 +153,15 @@
         Some(rest)
     }
 
-    /// Returns the route of a host name whose prefix is the longest that matches a path.
+    /// Returns the route of a host name, with or without a port, whose prefix is the longest that matches a
+    /// path.
     pub fn route(&self, host_name: &str, path: &str) -> Option<&Arc<Route>> {
-        let name = host_name.rsplit_once(':').map_or(host_name, |(name, _)| name);
-        let routes = match self.virtual_hosts.get(name) {
-            Some(routes) => routes,
-            None => self.virtual_hosts.get(name.to_ascii_lowercase().as_str())?,
+        let find = |name: &str| {
+            let routes = self.virtual_hosts.get(name);
+            routes.or_else(|| self.virtual_hosts.get(name.to_ascii_lowercase().as_str()))
         };
+        let without_port = || find(host_name.rsplit_once(':')?.0);
+        let routes = find(host_name).or_else(without_port)?;
         routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
