--- /dev/null
+++ b/review/standin-3/src/server.rs
@@ -0,0 +1,151 @@
+//! A stand-in for the users' servers.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::http::Connection;
+use crate::http::Head;
+use crate::record::Record;
+
+/// A request that a server ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub server: String,
+    /// Bytes of the body that came.
+    pub body: Vec<u8>,
+}
+
+/// How a server treats the requests with a body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Manner {
+    /// Reads the whole body, works and answers.
+    Sound,
+    /// Answers two in five long bodies once it has read this many bytes of them, and reads on.
+    Early(usize),
+}
+
+/// A server; it serves until the process ends.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub id: String,
+    pub address: SocketAddr,
+    work: Duration,
+    manner: Manner,
+    long_bodies: Arc<AtomicUsize>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    record: Record,
+}
+
+impl Server {
+    pub fn start(
+        id: &str,
+        address: SocketAddr,
+        work: Duration,
+        manner: Manner,
+        runs: Arc<Mutex<Vec<Run>>>,
+        record: Record,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let long_bodies = Arc::default();
+        let server = Self { id: id.to_owned(), address, work, manner, long_bodies, runs, record };
+        let serving = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = serving.clone();
+                thread::spawn(move || server.serve(Connection::new(stream)));
+            }
+        });
+        Ok(server)
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while let Ok(Some(head)) = connection.read_head() {
+            if !self.handle(&mut connection, &head) {
+                return;
+            }
+        }
+    }
+
+    /// Handles a request; returns whether the connection can be kept.
+    fn handle(&self, connection: &mut Connection, head: &Head) -> bool {
+        let own = format!("X-Chicoryloom-Instance-Id: {}\r\n", self.id);
+        if head.target() == "/health" {
+            let answer = format!("HTTP/1.1 200 OK\r\n{own}Content-Length: 0\r\n\r\n");
+            return connection.write(answer.as_bytes()).is_ok();
+        }
+        let id = head.header("x-chicoryloom-attempt-id").unwrap_or_default().to_owned();
+        let echo = format!("X-Chicoryloom-Attempt-Id: {id}\r\n{own}");
+        if id.is_empty() {
+            let _ = connection.read_body(head);
+            let answer = "HTTP/1.1 400 Bad Request\r\nX-Chicoryloom-Not-Executed: 1\r\n\
+                          Content-Length: 0\r\n\r\n";
+            return connection.write(answer.as_bytes()).is_ok();
+        }
+        if head.header("x-chicoryloom-expected-instance").is_some_and(|known| known != self.id) {
+            let _ = connection.read_body(head);
+            let answer = format!("HTTP/1.1 421 X\r\n{echo}Content-Length: 0\r\n\r\n");
+            return connection.write(answer.as_bytes()).is_ok();
+        }
+        let seal = format!("X-Chicoryloom-Response-Seal: {}.{id}\r\n", self.id);
+        let text = format!("{id} at {}", self.id);
+        let answer =
+            format!("HTTP/1.1 200 OK\r\n{echo}{seal}Content-Length: {}\r\n\r\n{text}", text.len());
+        let announced = head.length().unwrap_or_default();
+        let mut body = Vec::new();
+        let early = match self.manner {
+            Manner::Early(most) if announced > most => {
+                let count = self.long_bodies.fetch_add(1, Ordering::Relaxed);
+                (count % 5 < 2).then_some(most)
+            }
+            _ => None,
+        };
+        let mut is_answered = false;
+        let mut is_whole = true;
+        if head.is_chunked() {
+            match connection.read_body(head) {
+                Ok(read) => body = read,
+                Err(_) => is_whole = false,
+            }
+        }
+        while is_whole && body.len() < announced {
+            if early.is_some_and(|most| body.len() >= most) && !is_answered {
+                is_answered = true;
+                if connection.write(answer.as_bytes()).is_err() {
+                    is_whole = false;
+                }
+                self.record.line(format!(
+                    "server {} answers {id} 200 after {} of {announced} bytes, and reads on",
+                    self.id,
+                    body.len()
+                ));
+            }
+            match connection.read_some(announced - body.len()) {
+                Ok(some) if !some.is_empty() => body.extend_from_slice(&some),
+                _ => is_whole = false,
+            }
+        }
+        // A sound server runs nothing of a body that ends early, unless it has accepted it already.
+        if is_whole || is_answered {
+            thread::sleep(if is_answered { Duration::ZERO } else { self.work });
+            self.record.line(format!(
+                "server {} ran {id} ({}) with {} of {announced} bytes{}",
+                self.id,
+                head.line,
+                body.len(),
+                if is_whole { "" } else { ": the connection ended before the rest" }
+            ));
+            self.runs.lock().unwrap().push(Run { id, server: self.id.clone(), body });
+        } else {
+            self.record.line(format!("server {}: {id} ended early and isn't run", self.id));
+        }
+        is_whole && (is_answered || connection.write(answer.as_bytes()).is_ok())
+    }
+}
--- /dev/null
+++ b/review/standin-3/src/store.rs
@@ -0,0 +1,152 @@
+//! A stand-in for the platform's store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http::Connection;
+use crate::http::Head;
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+    /// Changes: revision, kind, object, and whether it was deleted.
+    events: Vec<(u64, String, Value, bool)>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// The store; it answers until the process ends.
+#[derive(Clone, Debug)]
+pub struct Store {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Store {
+    pub fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let state = Mutex::new(State { revision: 100, ..State::default() });
+        let shared = Arc::new(Shared { state, changed: Condvar::new() });
+        let store = Self { address, shared };
+        let serving = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(Connection::new(stream)));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Writes an object, without its metadata.
+    pub fn put(&self, kind: &str, name: &str, mut object: Value) -> u64 {
+        let mut state = self.shared.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        object["metadata"] = json!({
+            "name": name, "revision": revision, "createdAt": revision, "finalizers": [],
+            "deleting": false,
+        });
+        state.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
+        state.events.push((revision, kind.to_owned(), object, false));
+        self.shared.changed.notify_all();
+        revision
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while let Ok(Some(head)) = connection.read_head() {
+            let Ok(body) = connection.read_body(&head) else { return };
+            let (status, answer) = self.answer(&head, &body);
+            let text = answer.to_string();
+            let head = format!(
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                text.len()
+            );
+            if connection.write(format!("{head}{text}").as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, head: &Head, body: &[u8]) -> (u16, Value) {
+        let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
+        let query: BTreeMap<&str, &str> =
+            query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let mut parts = path.trim_start_matches("/objects/").split('/');
+        let kind = parts.next().unwrap_or_default().to_owned();
+        let name = parts.next().map(str::to_owned);
+        match (head.method(), name) {
+            ("GET", None) => match query.get("watch").and_then(|text| text.parse().ok()) {
+                Some(after) => {
+                    let wait = query.get("waitMs").and_then(|text| text.parse().ok());
+                    self.watch(&kind, after, Duration::from_millis(wait.unwrap_or_default()))
+                }
+                None => self.list(&kind),
+            },
+            ("POST", None) => {
+                let Ok(object) = serde_json::from_slice::<Value>(body) else {
+                    return (400, json!({}));
+                };
+                let name = object["metadata"]["name"].as_str().unwrap_or_default().to_owned();
+                let known = (kind.clone(), name.clone());
+                if let Some(known) = self.shared.state.lock().unwrap().objects.get(&known) {
+                    return (409, known.clone());
+                }
+                self.put(&kind, &name, object.clone());
+                (200, object)
+            }
+            ("PUT", Some(name)) => {
+                let Ok(object) = serde_json::from_slice::<Value>(body) else {
+                    return (400, json!({}));
+                };
+                self.put(&kind, &name, object.clone());
+                (200, object)
+            }
+            _ => (404, json!({})),
+        }
+    }
+
+    fn list(&self, kind: &str) -> (u16, Value) {
+        let state = self.shared.state.lock().unwrap();
+        let items: Vec<_> = state
+            .objects
+            .iter()
+            .filter(|((of, _), _)| of == kind)
+            .map(|(_, object)| object.clone())
+            .collect();
+        (200, json!({ "items": items, "more": false, "asOf": state.revision }))
+    }
+
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, Value) {
+        let end = Instant::now() + wait;
+        let mut state = self.shared.state.lock().unwrap();
+        loop {
+            let events: Vec<_> = state
+                .events
+                .iter()
+                .filter(|(revision, of, ..)| *revision > after && of == kind)
+                .map(|(_, _, object, deleted)| json!({ "object": object, "deleted": deleted }))
+                .collect();
+            let now = Instant::now();
+            if !events.is_empty() || now >= end {
+                return (200, json!({ "events": events, "asOf": state.revision }));
+            }
+            state = self.shared.changed.wait_timeout(state, end - now).unwrap().0;
+        }
+    }
+}
