--- a/review/standin-3/src/gateway.rs
+++ b/review/standin-3/src/gateway.rs
@@ -46,7 +46,7 @@
     ) -> std::io::Result<Self> {
         let seeds: Vec<_> =
             seeds.iter().map(|seed| format!("'{}'", SocketAddr::new(*seed, ports.peer))).collect();
-        let zone = if index % 2 == 0 { "cascadia-a" } else { "cascadia-b" };
+        let zone = if index.is_multiple_of(2) { "cascadia-a" } else { "cascadia-b" };
         let text = format!(
             "host:\n  name: |2-\n    frontend-{zone}-{index}\n  data_centre: |2-\n    {zone}\n  \
              address: {address}\n  cores: 0.2\n  link_mbps: 1000.0\nlisten:\n  \
@@ -92,6 +92,14 @@
         answer.is_some_and(|(status, _)| status == 200)
     }
 
+    /// Sends a signal, by its name, to the process.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let id = child.id().to_string();
+            let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        }
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -1,13 +1,29 @@
 //! The part of HTTP/1.1 that the stand-ins need, over blocking sockets.
 
+use std::ffi::c_int;
+use std::ffi::c_void;
 use std::io;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 use std::time::Instant;
 
+const SOL_SOCKET: c_int = 1;
+const SO_RCVBUF: c_int = 8;
+
+unsafe extern "C" {
+    fn setsockopt(
+        socket: c_int,
+        level: c_int,
+        name: c_int,
+        value: *const c_void,
+        length: u32,
+    ) -> c_int;
+}
+
 /// Head of a message: its first line and its headers, with names in lower case.
 #[derive(Clone, Debug, Default)]
 pub struct Head {
@@ -147,6 +163,14 @@
         self.stream.write_all(bytes)
     }
 
+    /// Bounds what the system buffers of what the peer sends, as links have small windows.
+    pub fn set_receive_buffer(&self, bytes: i32) {
+        let value = (&raw const bytes).cast();
+        let length = size_of::<i32>() as u32;
+        // SAFETY: the descriptor is open, and the value lives until the call has returned.
+        unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, value, length) };
+    }
+
     pub fn set_timeout(&self, timeout: Duration) {
         let _ = self.stream.set_read_timeout(Some(timeout));
     }
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -7,6 +7,7 @@
 mod record;
 mod server;
 mod site;
+mod slow;
 mod store;
 mod tenant;
 
@@ -36,6 +37,7 @@
         .line(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
         "early" => early::run(&record, trouble),
+        "slow" => slow::run(&record, trouble),
         "tenant" => tenant::run(&record, trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::http::Connection;
 use crate::http::Head;
@@ -20,6 +21,8 @@
     pub server: String,
     /// Bytes of the body that came.
     pub body: Vec<u8>,
+    /// When the server had written its answer; `None` if it could not.
+    pub answered: Option<Instant>,
 }
 
 /// How a server treats the requests with a body.
@@ -29,6 +32,8 @@
     Sound,
     /// Answers two in five long bodies once it has read this many bytes of them, and reads on.
     Early(usize),
+    /// Answers with a body of this many bytes.
+    Long(usize),
 }
 
 /// A server; it serves until the process ends.
@@ -95,7 +100,10 @@
             return connection.write(answer.as_bytes()).is_ok();
         }
         let seal = format!("X-Chicoryloom-Response-Seal: {}.{id}\r\n", self.id);
-        let text = format!("{id} at {}", self.id);
+        let text = match self.manner {
+            Manner::Long(length) => "0123456789abcdef".repeat(length / 16),
+            Manner::Sound | Manner::Early(_) => format!("{id} at {}", self.id),
+        };
         let answer =
             format!("HTTP/1.1 200 OK\r\n{echo}{seal}Content-Length: {}\r\n\r\n{text}", text.len());
         let announced = head.length().unwrap_or_default();
@@ -142,10 +150,15 @@
                 body.len(),
                 if is_whole { "" } else { ": the connection ended before the rest" }
             ));
-            self.runs.lock().unwrap().push(Run { id, server: self.id.clone(), body });
+            let is_written =
+                is_whole && (is_answered || connection.write(answer.as_bytes()).is_ok());
+            self.record.line(format!("server {} has answered {id}: {is_written}", self.id));
+            let answered = is_written.then(Instant::now);
+            self.runs.lock().unwrap().push(Run { id, server: self.id.clone(), body, answered });
+            is_written
         } else {
             self.record.line(format!("server {}: {id} ended early and isn't run", self.id));
+            false
         }
-        is_whole && (is_answered || connection.write(answer.as_bytes()).is_ok())
     }
 }
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -104,7 +104,7 @@
 
 /// Returns a server's entry in the store.
 pub fn entry(server: &Server, service: &str, index: usize) -> Value {
-    let zone = if index % 2 == 0 { "cascadia-a" } else { "cascadia-b" };
+    let zone = if index.is_multiple_of(2) { "cascadia-a" } else { "cascadia-b" };
     json!({
         "specification": {
             "address": server.address.to_string(), "born": 1_764_000_000_000_u64,
