--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the users' servers.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -19,6 +20,9 @@
 pub struct Run {
     pub id: String,
     pub server: String,
+    /// When the server had read the request, and from whom it came.
+    pub at: Instant,
+    pub from: Option<IpAddr>,
     /// Bytes of the body that came.
     pub body: Vec<u8>,
     /// When the server had written its answer; `None` if it could not.
@@ -143,18 +147,31 @@
         // A sound server runs nothing of a body that ends early, unless it has accepted it already.
         if is_whole || is_answered {
             thread::sleep(if is_answered { Duration::ZERO } else { self.work });
+            let part = match announced {
+                0 => String::new(),
+                _ => format!(" with {} of {announced} bytes", body.len()),
+            };
             self.record.line(format!(
-                "server {} ran {id} ({}) with {} of {announced} bytes{}",
+                "server {} ran {id}{part}{}",
                 self.id,
-                head.line,
-                body.len(),
                 if is_whole { "" } else { ": the connection ended before the rest" }
             ));
+            let at = Instant::now();
+            let from = connection.stream.peer_addr().ok().map(|address| address.ip());
             let is_written =
                 is_whole && (is_answered || connection.write(answer.as_bytes()).is_ok());
-            self.record.line(format!("server {} has answered {id}: {is_written}", self.id));
+            if matches!(self.manner, Manner::Long(_)) {
+                self.record.line(format!("server {} has answered {id}: {is_written}", self.id));
+            }
             let answered = is_written.then(Instant::now);
-            self.runs.lock().unwrap().push(Run { id, server: self.id.clone(), body, answered });
+            self.runs.lock().unwrap().push(Run {
+                id,
+                server: self.id.clone(),
+                at,
+                from,
+                body,
+                answered,
+            });
             is_written
         } else {
             self.record.line(format!("server {}: {id} ended early and isn't run", self.id));
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -29,6 +29,7 @@
 pub struct Site {
     pub gateways: Vec<Gateway>,
     pub store: Store,
+    pub servers: Vec<Server>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     folder: PathBuf,
 }
@@ -61,12 +62,14 @@
         let store = Store::start(SocketAddr::new(store_address, free_port(store_address))).ok()?;
         store.put("config", "main", json!({ "specification": config }));
         let runs = Arc::new(Mutex::new(Vec::new()));
+        let mut started = Vec::new();
         for (index, (service, work, manner)) in servers.iter().enumerate() {
             let at = SocketAddr::new(address(network, 100 + index as u8), 0);
             let id = format!("i-{service}-{index}");
             let server = Server::start(&id, at, *work, *manner, runs.clone(), record.clone());
             let server = server.ok()?;
             store.put("servers", &id, entry(&server, service, index));
+            started.push(server);
         }
         let probe = address(network, 10);
         let ports = Ports {
@@ -91,7 +94,7 @@
         }
         // Traffic starts some seconds after the machines do.
         std::thread::sleep(Duration::from_secs(3));
-        Some(Self { gateways: running, store, runs, folder })
+        Some(Self { gateways: running, store, servers: started, runs, folder })
     }
 }
 
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -22,6 +22,8 @@
     objects: BTreeMap<(String, String), Value>,
     /// Changes: revision, kind, object, and whether it was deleted.
     events: Vec<(u64, String, Value, bool)>,
+    /// How often waiting watches have been cut off.
+    cuts: u64,
 }
 
 #[derive(Debug)]
@@ -68,10 +70,27 @@
         revision
     }
 
+    pub fn delete(&self, kind: &str, name: &str) {
+        let mut state = self.shared.state.lock().unwrap();
+        let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+            return;
+        };
+        state.revision += 1;
+        let revision = state.revision;
+        state.events.push((revision, kind.to_owned(), object, true));
+        self.shared.changed.notify_all();
+    }
+
+    /// Cuts off all watches that wait.
+    pub fn cut_watches(&self) {
+        self.shared.state.lock().unwrap().cuts += 1;
+        self.shared.changed.notify_all();
+    }
+
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(head)) = connection.read_head() {
             let Ok(body) = connection.read_body(&head) else { return };
-            let (status, answer) = self.answer(&head, &body);
+            let Some((status, answer)) = self.answer(&head, &body) else { return };
             let text = answer.to_string();
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
@@ -83,42 +102,45 @@
         }
     }
 
-    fn answer(&self, head: &Head, body: &[u8]) -> (u16, Value) {
+    /// Returns the status and the body of an answer, or `None` if the call is cut off.
+    fn answer(&self, head: &Head, body: &[u8]) -> Option<(u16, Value)> {
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
         let query: BTreeMap<&str, &str> =
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
         let mut parts = path.trim_start_matches("/objects/").split('/');
         let kind = parts.next().unwrap_or_default().to_owned();
         let name = parts.next().map(str::to_owned);
-        match (head.method(), name) {
+        let answer = match (head.method(), name) {
             ("GET", None) => match query.get("watch").and_then(|text| text.parse().ok()) {
                 Some(after) => {
                     let wait = query.get("waitMs").and_then(|text| text.parse().ok());
-                    self.watch(&kind, after, Duration::from_millis(wait.unwrap_or_default()))
+                    let wait = Duration::from_millis(wait.unwrap_or_default());
+                    return self.watch(&kind, after, wait);
                 }
                 None => self.list(&kind),
             },
             ("POST", None) => {
                 let Ok(object) = serde_json::from_slice::<Value>(body) else {
-                    return (400, json!({}));
+                    return Some((400, json!({})));
                 };
                 let name = object["metadata"]["name"].as_str().unwrap_or_default().to_owned();
                 let known = (kind.clone(), name.clone());
                 if let Some(known) = self.shared.state.lock().unwrap().objects.get(&known) {
-                    return (409, known.clone());
+                    return Some((409, known.clone()));
                 }
                 self.put(&kind, &name, object.clone());
                 (200, object)
             }
             ("PUT", Some(name)) => {
                 let Ok(object) = serde_json::from_slice::<Value>(body) else {
-                    return (400, json!({}));
+                    return Some((400, json!({})));
                 };
                 self.put(&kind, &name, object.clone());
                 (200, object)
             }
             _ => (404, json!({})),
-        }
+        };
+        Some(answer)
     }
 
     fn list(&self, kind: &str) -> (u16, Value) {
@@ -132,9 +154,10 @@
         (200, json!({ "items": items, "more": false, "asOf": state.revision }))
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, Value) {
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> Option<(u16, Value)> {
         let end = Instant::now() + wait;
         let mut state = self.shared.state.lock().unwrap();
+        let cuts = state.cuts;
         loop {
             let events: Vec<_> = state
                 .events
@@ -144,7 +167,10 @@
                 .collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
-                return (200, json!({ "events": events, "asOf": state.revision }));
+                return Some((200, json!({ "events": events, "asOf": state.revision })));
+            }
+            if state.cuts > cuts {
+                return None;
             }
             state = self.shared.changed.wait_timeout(state, end - now).unwrap().0;
         }
