--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the third review: `review-3 CASE FOLDER`, with `TROUBLE=0` for the run without the
 //! disruption. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod crash;
 mod cut;
 mod early;
 mod gateway;
@@ -37,6 +38,7 @@
     record
         .line(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
+        "crash" => crash::run(&record, trouble),
         "cut" => cut::run(&record, trouble),
         "early" => early::run(&record, trouble),
         "slow" => slow::run(&record, trouble),
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -1,8 +1,10 @@
 //! A stand-in for the users' servers.
 
 use std::net::IpAddr;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -38,8 +40,13 @@
     Early(usize),
     /// Answers with a body of this many bytes.
     Long(usize),
+    /// Crashes when it begins to run a request with the path [`FATAL_PATH`], and is back after this time.
+    Fragile(Duration),
 }
 
+/// Path of the requests that crash a fragile server.
+pub const FATAL_PATH: &str = "/frames/torn";
+
 /// A server; it serves until the process ends.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -50,6 +57,10 @@
     long_bodies: Arc<AtomicUsize>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
+    /// How often it has crashed, and how often it is back.
+    crashes: Arc<AtomicUsize>,
+    returns: Arc<AtomicUsize>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
@@ -63,16 +74,67 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let long_bodies = Arc::default();
-        let server = Self { id: id.to_owned(), address, work, manner, long_bodies, runs, record };
+        let server = Self {
+            id: id.to_owned(),
+            address,
+            work,
+            manner,
+            long_bodies: Arc::default(),
+            runs,
+            record,
+            crashes: Arc::default(),
+            returns: Arc::default(),
+            open: Arc::default(),
+        };
         let serving = server.clone();
-        thread::spawn(move || {
+        thread::spawn(move || serving.accept(listener));
+        Ok(server)
+    }
+
+    fn accept(&self, mut listener: TcpListener) {
+        loop {
             for stream in listener.incoming().flatten() {
-                let server = serving.clone();
+                if self.is_down() {
+                    break;
+                }
+                if let (Manner::Fragile(_), Ok(open)) = (self.manner, stream.try_clone()) {
+                    self.open.lock().unwrap().push(open);
+                }
+                let server = self.clone();
                 thread::spawn(move || server.serve(Connection::new(stream)));
             }
-        });
-        Ok(server)
+            drop(listener);
+            if let Manner::Fragile(pause) = self.manner {
+                thread::sleep(pause);
+            }
+            let Ok(next) = TcpListener::bind(self.address) else { return };
+            listener = next;
+            self.returns.fetch_add(1, Ordering::Relaxed);
+            self.record.line(format!("server {} is back", self.id));
+        }
+    }
+
+    /// Returns how often the server is back after a crash.
+    pub fn returns(&self) -> usize {
+        self.returns.load(Ordering::Relaxed)
+    }
+
+    fn is_down(&self) -> bool {
+        self.crashes.load(Ordering::Relaxed) > self.returns()
+    }
+
+    /// Ends all connections and takes no more until the server is back.
+    fn crash(&self, id: &str) {
+        if self.is_down() {
+            return;
+        }
+        self.record.line(format!("server {} crashes on {id}", self.id));
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Lets the listener notice.
+        let _ = TcpStream::connect(self.address);
     }
 
     fn serve(&self, mut connection: Connection) {
@@ -106,7 +168,7 @@
         let seal = format!("X-Chicoryloom-Response-Seal: {}.{id}\r\n", self.id);
         let text = match self.manner {
             Manner::Long(length) => "0123456789abcdef".repeat(length / 16),
-            Manner::Sound | Manner::Early(_) => format!("{id} at {}", self.id),
+            Manner::Sound | Manner::Early(_) | Manner::Fragile(_) => format!("{id} at {}", self.id),
         };
         let answer =
             format!("HTTP/1.1 200 OK\r\n{echo}{seal}Content-Length: {}\r\n\r\n{text}", text.len());
@@ -146,6 +208,13 @@
         }
         // A sound server runs nothing of a body that ends early, unless it has accepted it already.
         if is_whole || is_answered {
+            if matches!(self.manner, Manner::Fragile(_)) && head.target() == FATAL_PATH {
+                let from = connection.stream.peer_addr().ok().map(|address| address.ip());
+                let (server, at) = (self.id.clone(), Instant::now());
+                self.crash(&id);
+                self.runs.lock().unwrap().push(Run { id, server, at, from, body, answered: None });
+                return false;
+            }
             thread::sleep(if is_answered { Duration::ZERO } else { self.work });
             let part = match announced {
                 0 => String::new(),
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -24,6 +24,8 @@
 
 pub const HOST: &str = "cascadia.example";
 pub const KEY: &str = "key-of-yefi";
+/// Start of the servers, in Unix milliseconds.
+pub const BORN: u64 = 1_764_000_000_000;
 
 #[derive(Debug)]
 pub struct Site {
@@ -68,7 +70,7 @@
             let id = format!("i-{service}-{index}");
             let server = Server::start(&id, at, *work, *manner, runs.clone(), record.clone());
             let server = server.ok()?;
-            store.put("servers", &id, entry(&server, service, index));
+            store.put("servers", &id, entry(&server, service, index, BORN));
             started.push(server);
         }
         let probe = address(network, 10);
@@ -106,11 +108,11 @@
 }
 
 /// Returns a server's entry in the store.
-pub fn entry(server: &Server, service: &str, index: usize) -> Value {
+pub fn entry(server: &Server, service: &str, index: usize, born: u64) -> Value {
     let zone = if index.is_multiple_of(2) { "cascadia-a" } else { "cascadia-b" };
     json!({
         "specification": {
-            "address": server.address.to_string(), "born": 1_764_000_000_000_u64,
+            "address": server.address.to_string(), "born": born,
             "information": { "service": service, "version": "v1", "zone": zone, "slots": 4 },
         },
         "status": { "state": "ready", "sequence": 1, "warmupRemainingMs": 0 },
