review: case 12, a machine that stood still runs requests for another tenant (UNASKED)

Claimed: after a freeze of 4 s a gateway runs requests for the tenant that held the key before, 3.5 s after the version was acknowledged that gave the key to another tenant. Requests don't wait until the copy is confirmed, though the process can tell that it was stopped.

--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod cut;
 mod early;
+mod frozen;
 mod gateway;
 mod http;
 mod record;
@@ -41,6 +42,7 @@
         "crash" => crash::run(&record, trouble),
         "cut" => cut::run(&record, trouble),
         "early" => early::run(&record, trouble),
+        "frozen" => frozen::run(&record, trouble),
         "slow" => slow::run(&record, trouble),
         "tenant" => tenant::run(&record, trouble),
         _ => Verdict::NotRun,
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -27,6 +27,8 @@
     pub from: Option<IpAddr>,
     /// Bytes of the body that came.
     pub body: Vec<u8>,
+    /// For whom it was to be run.
+    pub tenant: String,
     /// When the server had written its answer; `None` if it could not.
     pub answered: Option<Instant>,
 }
@@ -153,6 +155,7 @@
             return connection.write(answer.as_bytes()).is_ok();
         }
         let id = head.header("x-chicoryloom-attempt-id").unwrap_or_default().to_owned();
+        let tenant = head.header("x-chicoryloom-tenant").unwrap_or_default().to_owned();
         let echo = format!("X-Chicoryloom-Attempt-Id: {id}\r\n{own}");
         if id.is_empty() {
             let _ = connection.read_body(head);
@@ -212,7 +215,15 @@
                 let from = connection.stream.peer_addr().ok().map(|address| address.ip());
                 let (server, at) = (self.id.clone(), Instant::now());
                 self.crash(&id);
-                self.runs.lock().unwrap().push(Run { id, server, at, from, body, answered: None });
+                self.runs.lock().unwrap().push(Run {
+                    id,
+                    server,
+                    at,
+                    from,
+                    body,
+                    tenant,
+                    answered: None,
+                });
                 return false;
             }
             thread::sleep(if is_answered { Duration::ZERO } else { self.work });
@@ -239,6 +250,7 @@
                 at,
                 from,
                 body,
+                tenant,
                 answered,
             });
             is_written
