--- a/chicoryloom/src/gateway/dispatcher/slot.rs
+++ b/chicoryloom/src/gateway/dispatcher/slot.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chicoryloom_policy::Moment;
 use chicoryloom_policy::dispatch::Candidate;
 use chicoryloom_policy::gray::Standing;
 use chicoryloom_policy::id;
@@ -45,6 +46,8 @@
 pub(in crate::gateway) struct Slot {
     pub(in crate::gateway) endpoint: Arc<Endpoint>,
     pub(in crate::gateway) choice: Box<Choice>,
+    /// When the target was chosen.
+    pub(in crate::gateway) assigned: Moment,
     pub(super) dispatcher: Arc<Dispatcher>,
     /// Whether the slot was freed already, by code that holds the lock.
     pub(super) is_released: bool,
--- a/chicoryloom/src/gateway/dispatcher/waiter.rs
+++ b/chicoryloom/src/gateway/dispatcher/waiter.rs
@@ -168,7 +168,8 @@
         }
         self.changed.notify_one();
         let dispatcher = self.weak_self.upgrade()?;
-        Some(Slot { endpoint, choice: Box::new(choice), dispatcher, is_released: false })
+        let choice = Box::new(choice);
+        Some(Slot { endpoint, choice, assigned: now, dispatcher, is_released: false })
     }
 
     /// Assigns free slots of a service's targets to its queued requests.
--- a/chicoryloom/src/gateway/dispatcher/withdrawal.rs
+++ b/chicoryloom/src/gateway/dispatcher/withdrawal.rs
@@ -53,14 +53,28 @@
         self.lock().withdrawals.counts(self.clock.now())
     }
 
-    /// Returns whether a target asked for no more requests, or its data centre was evacuated, after it
-    /// was chosen.
+    /// Returns whether a target asked for no more requests, was removed, or its data centre was evacuated,
+    /// after it was chosen.
     pub(in crate::gateway) fn is_withdrawn(&self, endpoint: &Endpoint) -> bool {
-        let (state, now) = (self.lock(), self.clock.now());
+        let (mut state, now) = (self.lock(), self.clock.now());
+        self.apply_listing(&mut state);
         Self::is_evacuated(&state, endpoint)
+            || !Self::is_listed(&state, endpoint)
             || state.withdrawals.availability(&endpoint.process(), now) != Availability::Now
     }
 
+    /// Returns whether the platform lists the process of a target, and not as leaving.
+    fn is_listed(state: &State, endpoint: &Endpoint) -> bool {
+        let Endpoint { target, .. } = endpoint;
+        let Some(service) = state.services.get(&target.service) else { return false };
+        let found =
+            service.targets.binary_search_by(|one| one.target.instance.cmp(&target.instance));
+        found.is_ok_and(|index| {
+            let present = &service.targets[index].target;
+            endpoint.is_process_of(present) && !present.leaving
+        })
+    }
+
     fn record_departure(&self, process: Process, by: &str, is_own: bool) {
         let now = self.clock.now();
         let mut state = self.lock();
--- a/chicoryloom/src/gateway/fetch.rs
+++ b/chicoryloom/src/gateway/fetch.rs
@@ -105,7 +105,7 @@
         let base = present.as_ref().map(|(digest, contents)| (*digest, &contents[..]));
         let fetched = connection.fetch(base.map(|(digest, _)| digest)).await?;
         let Some((package, age)) = fetched else { return Err(io::ErrorKind::NotFound.into()) };
-        let age = age.saturating_add(self.answer_age(sent, self.clock.now().since(sent)));
+        let age = age.saturating_add(self.pulse.answer_age(sent, self.clock.now().since(sent)));
         if !self.takes(age) {
             return Err(io::Error::other("the holder's copy is not fresh"));
         }
--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -24,6 +24,7 @@
 use chicoryloom_policy::id;
 use chicoryloom_policy::stop::Others;
 use chicoryloom_policy::withdrawal::Process;
+use rand::seq::SliceRandom;
 use serde_json::json;
 use tokio::net::UdpSocket;
 
@@ -49,6 +50,8 @@
 /// Silence of all hosts after which this one counts itself as cut off; four heartbeats of an entry
 /// host.
 const ISOLATION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most hosts that are asked at a time what they know after a stop of this process.
+const MAX_NEIGHBOURS: usize = 2;
 /// Most hosts that are asked for a fresh copy after a gap.
 const MAX_CATCH_UP_HOSTS: usize = 4;
 
@@ -203,6 +206,17 @@
         (is_alone || heard, members.fresh(MAX_CATCH_UP_HOSTS, now))
     }
 
+    /// Returns some live hosts that can be asked what they know, those of this host's data centre first.
+    pub(super) fn neighbours(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let mut local: Vec<_> = self.relays(now).into_iter().map(|relay| relay.peer).collect();
+        local.shuffle(&mut rand::rng());
+        let members = self.members();
+        let remote = members.all_alive(now).filter(|member| !member.leaving);
+        let remote = remote.map(|member| member.peer).filter(|peer| !local.contains(peer));
+        local.iter().copied().chain(remote).take(MAX_NEIGHBOURS).collect()
+    }
+
     /// Announces to all other hosts at once that this one stops.
     pub(super) async fn leave(&self) {
         self.me.lock().expect("no holder of the lock panics").leaving = true;
--- a/chicoryloom/src/gateway/host.rs
+++ b/chicoryloom/src/gateway/host.rs
@@ -15,7 +15,6 @@
 
 use chicoryloom_policy::allowance::Limiter;
 use chicoryloom_policy::id;
-use chicoryloom_policy::outage::Pulse;
 use chicoryloom_policy::stop::Schedule;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -35,6 +34,7 @@
 use super::mirror::Mirror;
 use super::port::Dialect;
 use super::port::Store;
+use super::pulse::Monitor;
 use super::relay;
 use super::settings;
 use super::settings::Settings;
@@ -133,12 +133,14 @@
             events: events.clone(),
         });
         let versions = Arc::new(Versions::new(clock.clone()));
+        let pulse = Arc::new(Monitor::new(clock.clone(), events.clone()));
         let mirror = Arc::new(Mirror::new(
             dispatcher.clone(),
             dialect.clone(),
             clock.clone(),
             events.clone(),
             versions.clone(),
+            pulse.clone(),
             settings.bounds.evacuation.is_some(),
         ));
         let fleet = Arc::new(Fleet::new(fleet::Setup {
@@ -176,7 +178,7 @@
             mirror: mirror.clone(),
             store: store.clone(),
             fleet: fleet.clone(),
-            pulse: Arc::new(Mutex::new(Pulse::new(clock.now()))),
+            pulse,
             is_failing: Arc::new(AtomicBool::new(false)),
             clock,
             events: events.clone(),
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -287,6 +287,9 @@
                 Err(refusal) if index == 0 => return Attempt::Refused(refusal),
                 Err(_) => return Attempt::NoResponse(last),
             };
+            if let Err(refusal) = self.gateway.wait_until_reliable(self.time_left()).await {
+                return Attempt::Refused(refusal);
+            }
             if let Err(refusal) = self.admit() {
                 return Attempt::Refused(refusal);
             }
@@ -296,7 +299,7 @@
             let endpoint = slot.endpoint.clone();
             let _under_way = self.progress.begin(&endpoint.target.instance);
             let begun = self.gateway.clock.now();
-            match self.send(slot).await {
+            match self.send(slot, begun).await {
                 Err(failure) => {
                     self.record_failure(&endpoint, &failure, begun);
                     let is_unsent = matches!(
@@ -375,9 +378,8 @@
     }
 
     /// Sends the request over a connection to a target.
-    async fn send(&self, slot: Slot) -> Result<Attempt, Failure> {
+    async fn send(&self, slot: Slot, begun: Moment) -> Result<Attempt, Failure> {
         let endpoint = slot.endpoint.clone();
-        let begun = self.gateway.clock.now();
         let lease = match self.connect(endpoint.backend.lease()).await {
             Ok(lease) => lease,
             Err(refusal) => return Ok(Attempt::Refused(refusal)),
@@ -386,8 +388,7 @@
             self.gateway.dispatcher.record_opening(&endpoint, begun, false);
         }
         let lease = lease?;
-        // The target may have withdrawn while the connection was opened.
-        if self.gateway.dispatcher.is_withdrawn(&endpoint) {
+        if !self.may_send(&slot) {
             return Err(Failure::Withdrawn);
         }
         let mut is_fresh = lease.is_new();
@@ -409,7 +410,7 @@
                     return Ok(Attempt::Refused(refusal));
                 }
             };
-            if self.gateway.dispatcher.is_withdrawn(&endpoint) {
+            if !self.may_send(&slot) {
                 self.clear_may_have_run();
                 return Err(Failure::Withdrawn);
             }
@@ -443,6 +444,15 @@
         self.handle_response(answer, slot, opened, sent, started).await
     }
 
+    /// Returns whether the request may still be sent to the target that was chosen for it. The target may
+    /// have withdrawn since, and a stop of the process puts all that was decided before it out of date.
+    fn may_send(&self, slot: &Slot) -> bool {
+        let mirror = &self.gateway.mirror;
+        !mirror.was_stopped(slot.assigned)
+            && mirror.is_reliable()
+            && !self.gateway.dispatcher.is_withdrawn(&slot.endpoint)
+    }
+
     /// Opens a connection to a target in time; refuses the request if the host stops meanwhile and
     /// can't finish it any more.
     async fn connect(
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -29,6 +29,7 @@
 use chicoryloom_policy::replica::Record;
 use chicoryloom_policy::replica::Replica;
 use chicoryloom_policy::replica::Update;
+use chicoryloom_policy::resumption::Evidence;
 use chicoryloom_policy::rollout::Origin;
 use serde_json::json;
 use smol_str::SmolStr;
@@ -43,6 +44,7 @@
 use super::port::Invalid;
 use super::port::Reading;
 use super::port::Unusable;
+use super::pulse::Monitor;
 use super::versions::Versions;
 use crate::clock::Clock;
 
@@ -50,6 +52,9 @@
 /// configuration without them: no other host may know them, and the platform may be down.
 const MAX_EVACUATIONS_WAIT: Duration = Duration::from_secs(3);
 
+/// Longest pause between two checks whether the copy counts again after a stop.
+const RELIABILITY_POLL: Duration = Duration::from_millis(20);
+
 /// Most parts of one configuration that get an event of their own.
 const MAX_REJECTED_EVENTS: usize = 20;
 
@@ -74,8 +79,8 @@
 struct State {
     replica: Replica,
     targets: HashMap<SmolStr, Arc<Target>>,
-    /// When the copy of each kind was last confirmed to be the platform's state.
-    confirmed: [Option<Moment>; Kind::ALL.len()],
+    /// What speaks for the copy of each kind.
+    evidence: [Evidence; Kind::ALL.len()],
     /// Origin of the latest update of the targets.
     source: Option<Source>,
     /// When this host got its first configuration.
@@ -101,6 +106,7 @@
     /// Latest era of the platform's store that the copy has reached.
     era: watch::Sender<Era>,
     versions: Arc<Versions>,
+    pulse: Arc<Monitor>,
     archive: Mutex<Archive>,
     /// Number of objects that the copy lacked although it had reached their positions.
     corrections: AtomicU64,
@@ -119,6 +125,7 @@
         clock: Arc<dyn Clock>,
         events: Events,
         versions: Arc<Versions>,
+        pulse: Arc<Monitor>,
         has_evacuations: bool,
     ) -> Self {
         Self {
@@ -133,6 +140,7 @@
             latest: watch::Sender::new((0, 0)),
             era: watch::Sender::new(Era::default()),
             versions,
+            pulse,
             archive: Mutex::default(),
             corrections: AtomicU64::new(0),
         }
@@ -177,14 +185,59 @@
 
     /// Returns the time since the copies of all kinds were confirmed to be the platform's state.
     pub(super) fn age(&self) -> Duration {
-        let confirmed = self.lock().confirmed;
-        let oldest = self.oldest(&confirmed);
+        let oldest = self.oldest(&self.lock().evidence);
         oldest.map_or(Duration::MAX, |oldest| self.clock.now().since(oldest))
     }
 
     /// Returns when the kind that was confirmed least recently was.
-    fn oldest(&self, confirmed: &[Option<Moment>]) -> Option<Moment> {
-        self.kinds().iter().map(|kind| confirmed[*kind as usize]).min().flatten()
+    fn oldest(&self, evidence: &[Evidence]) -> Option<Moment> {
+        self.kinds().iter().map(|kind| evidence[*kind as usize].confirmed).min().flatten()
+    }
+
+    /// Returns whether this host may decide by its copy; it may not after a stop of its process, until the
+    /// copy is confirmed.
+    pub(super) fn is_reliable(&self) -> bool {
+        let resumed = self.pulse.resumed();
+        if resumed.is_none() {
+            return true;
+        }
+        let (evidence, now) = (self.lock().evidence, self.clock.now());
+        self.kinds().iter().all(|kind| evidence[*kind as usize].suffices(resumed, now))
+    }
+
+    /// Returns whether the copy of a kind was not checked since the latest stop of this process.
+    pub(super) fn is_unchecked(&self, kind: Kind) -> bool {
+        let resumed = self.pulse.resumed();
+        self.lock().evidence[kind as usize].is_unchecked(resumed)
+    }
+
+    /// Returns whether this process was stopped at any time since `begun`.
+    pub(super) fn was_stopped(&self, begun: Moment) -> bool {
+        self.pulse.was_stopped(begun)
+    }
+
+    /// Records a call, begun at `begun`, that showed that this host knows as much of a kind as one whose
+    /// process was never stopped.
+    pub(super) fn vouch(&self, kind: Kind, begun: Moment) {
+        self.lock().evidence[kind as usize].vouch(begun);
+        // Requests may wait for it.
+        self.latest.send_modify(|_| {});
+    }
+
+    /// Waits until this host may decide by its copy, for `wait` at most; returns whether it may.
+    pub(super) async fn wait_until_reliable(&self, wait: Duration) -> bool {
+        if self.is_reliable() {
+            return true;
+        }
+        let mut latest = self.latest.subscribe();
+        let reliable = async {
+            // A version that another host announces arrives a little later than its answer.
+            while !self.is_reliable() || self.versions.is_behind() {
+                // A timeout is no error here, and the mirror owns the sender.
+                let _ = tokio::time::timeout(RELIABILITY_POLL, latest.changed()).await;
+            }
+        };
+        tokio::time::timeout(wait, reliable).await.is_ok()
     }
 
     /// Returns whether the latest update came from `source`.
@@ -213,8 +266,7 @@
     /// holds it or not.
     pub(super) fn confirm_newest(&self, age: Duration) {
         let now = self.clock.now();
-        let confirmed = &mut self.lock().confirmed[Kind::Catalog as usize];
-        *confirmed = (*confirmed).max(Some(now.before(age)));
+        self.lock().evidence[Kind::Catalog as usize].confirm(now.before(age));
     }
 
     /// Does the same as [`Self::after`] for a follower that fetches the configuration by itself: what is
@@ -363,14 +415,14 @@
         }
         let (listed, position) = (update.records.len(), update.position);
         if accepted && position >= before {
-            let oldest_before = self.oldest(&state.confirmed);
-            let confirmed = &mut state.confirmed[kind as usize];
-            *confirmed = (*confirmed).max(Some(now.before(age)));
+            let oldest_before = self.oldest(&state.evidence);
+            let evidence = &mut state.evidence[kind as usize];
+            evidence.confirm(now.before(age));
             if kind == Kind::Target {
-                self.dispatcher.set_listed(*confirmed);
+                self.dispatcher.set_listed(evidence.confirmed);
             }
             // A response after the first of two confirmations would bear the age of the other kind.
-            if self.oldest(&state.confirmed) > oldest_before {
+            if self.oldest(&state.evidence) > oldest_before {
                 self.latest.send_modify(|(_, confirmed)| *confirmed += 1);
             }
         }
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod mirror;
 mod package;
 pub mod port;
+mod pulse;
 mod refusal;
 mod relay;
 pub mod settings;
@@ -91,6 +92,10 @@
 /// Time after the start of a host for which requests wait for its first configuration; twice the
 /// time that hosts took to get it after all hosts were lost.
 const STARTUP_WAIT: Duration = Duration::from_secs(1);
+/// Longest time for which a request waits until the copy counts again after a stop of the process.
+const RESUMPTION_WAIT: Duration = Duration::from_secs(1);
+/// Part of a request's time for which it waits for that, so that its caller can still turn elsewhere.
+const RESUMPTION_SHARE: f64 = 0.5;
 /// Multiple of the usual latency after which a response is late.
 const LATE_FACTOR: f64 = 3.0;
 /// Time added to that multiple for any response.
@@ -171,7 +176,11 @@
             response.headers_mut().insert(name, id.clone());
         }
         // A host that can't serve frees its callers to connect to another one.
-        let is_unable = || self.dispatcher.is_cut() || self.mirror.versions().is_behind();
+        let is_unable = || {
+            self.dispatcher.is_cut()
+                || self.mirror.versions().is_behind()
+                || !self.mirror.is_reliable()
+        };
         let is_unable = refusal.is_some() && is_unable();
         if is_ambiguous || is_unable || self.is_stopping() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -298,12 +307,14 @@
                 Refusal::new(Reason::NoConfiguration, "this host knows no configuration yet");
             return Err(refusal.retry_after(SHORT_RETRY_AFTER));
         };
+        self.wait_until_reliable(self.asked_time(request).unwrap_or(RESUMPTION_WAIT)).await?;
         if self.mirror.versions().is_behind() {
             let detail = "this host lacks a configuration that others have";
             return Err(
                 Refusal::new(Reason::NoConfiguration, detail).retry_after(SHORT_RETRY_AFTER)
             );
         }
+        let catalog = self.mirror.catalog().unwrap_or(catalog);
         let host = check_request(request, &catalog)?;
         let Some(route) = catalog.route(host, request.uri().path()).cloned() else {
             return Err(self.refuse_unknown(Reason::NoRoute, "no route takes the request"));
@@ -329,6 +340,17 @@
         Ok(Resolved { catalog, route, workspace, key })
     }
 
+    /// Waits until this host may decide by its copy, if its process was stopped; refuses a request with
+    /// `time` left if that takes too long.
+    async fn wait_until_reliable(&self, time: Duration) -> Result<(), Refusal> {
+        let wait = RESUMPTION_WAIT.min(time.mul_f64(RESUMPTION_SHARE));
+        if self.mirror.wait_until_reliable(wait).await {
+            return Ok(());
+        }
+        let detail = "this host was stopped and may have missed a change";
+        Err(Refusal::new(Reason::NoConfiguration, detail).retry_after(SHORT_RETRY_AFTER))
+    }
+
     /// Refuses a request with an unknown route or key; if this host's configuration may be out of
     /// date, the caller is asked to retry instead.
     fn refuse_unknown(&self, reason: Reason, detail: &str) -> Refusal {
@@ -403,10 +425,13 @@
     /// Returns the timeout of a request: that of its route, or a shorter one that the caller asks
     /// for.
     fn timeout(&self, request: &Request<Incoming>, route: &Route) -> Duration {
-        let value = request.headers().get(&self.dialect.headers().deadline_ms);
-        let value = value.and_then(|value| value.to_str().ok());
-        let asked = value.and_then(|value| value.trim().parse().ok()).map(Duration::from_millis);
-        asked.map_or(route.timeout, |asked| asked.min(route.timeout))
+        self.asked_time(request).map_or(route.timeout, |asked| asked.min(route.timeout))
+    }
+
+    /// Returns the timeout that a caller asks for.
+    fn asked_time(&self, request: &Request<Incoming>) -> Option<Duration> {
+        let value = request.headers().get(&self.dialect.headers().deadline_ms)?;
+        value.to_str().ok()?.trim().parse().ok().map(Duration::from_millis)
     }
 
     /// Returns the time after which the last byte of a response is late.
--- a/chicoryloom/src/gateway/relay.rs
+++ b/chicoryloom/src/gateway/relay.rs
@@ -98,6 +98,10 @@
         if after > 0 {
             mirror.wait_for_update(after, wait).await;
         }
+        // Followers take an answer for what a host knows that was never stopped.
+        if !mirror.is_reliable() {
+            return Ok(());
+        }
         let fetches_apart = fields.get(Field::FetchesApart).map_err(malformed)?.unwrap_or(false);
         let (latest, updates) = if fetches_apart {
             mirror.after_apart(after, request.reached)
--- a/chicoryloom/src/gateway/sync.rs
+++ b/chicoryloom/src/gateway/sync.rs
@@ -7,8 +7,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,7 +16,6 @@
 use chicoryloom_policy::id;
 use chicoryloom_policy::outage;
 use chicoryloom_policy::outage::Outage;
-use chicoryloom_policy::outage::Pulse;
 use chicoryloom_policy::replica::Kind;
 use chicoryloom_policy::takeover;
 use chicoryloom_policy::takeover::Candidate;
@@ -29,7 +26,6 @@
 use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use tokio::time::MissedTickBehavior;
 
 use super::events::Events;
 use super::fleet::Fleet;
@@ -38,6 +34,7 @@
 use super::mirror::Mirror;
 use super::mirror::Source;
 use super::port::Store;
+use super::pulse::Monitor;
 use super::relay;
 use super::relay::Follower;
 use super::relay::RESPONSE_SLACK;
@@ -60,10 +57,11 @@
 /// the platform. Hosts that start together find each other within this time; if each of them listed
 /// all objects instead, the calls would grow with the fleet.
 const DISCOVERY_TIME: Duration = Duration::from_millis(600);
+/// Time after a stop in which the platform usually answers, and interval at which other hosts are asked
+/// if it doesn't.
+const ASK_OTHERS_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a host that follows no other one chooses its source anew.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval at which it is noticed that this process was stopped.
-const BEAT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Whether this host watches the platform: for the kinds that all builds relay, and for evacuations.
 #[derive(Debug)]
@@ -102,7 +100,7 @@
     pub(super) fleet: Arc<Fleet>,
     pub(super) clock: Arc<dyn Clock>,
     pub(super) events: Events,
-    pub(super) pulse: Arc<Mutex<Pulse>>,
+    pub(super) pulse: Arc<Monitor>,
     /// Whether the latest call to the platform failed.
     pub(super) is_failing: Arc<AtomicBool>,
 }
@@ -110,8 +108,8 @@
 impl Replicator {
     /// Runs until the task is aborted.
     pub(super) async fn run(self) {
-        tokio::spawn(self.clone().beat());
-        let sources = Sources::default();
+        tokio::spawn(self.pulse.clone().run());
+        let sources = Arc::new(Sources::default());
         for kind in self.mirror.kinds() {
             let should_watch = match kind {
                 Kind::Evacuation => &sources.evacuations,
@@ -120,6 +118,7 @@
             let watcher = Watcher::new(self.clone(), *kind);
             tokio::spawn(watcher.run(should_watch.subscribe()));
         }
+        tokio::spawn(self.clone().watch_after_stops(sources.clone()));
         let started = self.clock.now();
         let mut avoided: HashMap<id::Host, Moment> = HashMap::new();
         let mut follower: Option<Follower> = None;
@@ -254,7 +253,7 @@
         // The relay reports its age as of its response, which it sent after this request was sent;
         // time past the wait counts as transit.
         let lag = self.clock.now().since(sent).saturating_sub(wait);
-        let lag = self.answer_age(sent, lag);
+        let lag = self.pulse.answer_age(sent, lag);
         let age = Duration::from_millis(response.age_ms).saturating_add(lag);
         if !self.takes(age) {
             connected.acknowledge(0);
@@ -276,6 +275,12 @@
         if let Some(update) = evacuations {
             self.mirror.apply(update, age, Source::Host(relay));
         }
+        if accepted {
+            // A relay that was stopped itself answers only once its copy counts again.
+            let asked = self.mirror.kinds().iter();
+            let answered = asked.filter(|kind| **kind != Kind::Evacuation || !has_no_evacuations);
+            answered.for_each(|kind| self.mirror.vouch(*kind, sent));
+        }
         Followed { age: Some(age), has_no_evacuations }
     }
 
@@ -300,27 +305,28 @@
         self.events.emit("relay_failed", fields);
     }
 
-    /// Records at intervals that the process runs.
-    async fn beat(self) {
-        let mut ticks = tokio::time::interval(BEAT_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            ticks.tick().await;
-            let now = self.clock.now();
-            self.pulse().beat(now);
+    /// Watches the platform whenever the process goes on with an old copy after a stop, until the task is
+    /// aborted: requests wait until the copy is confirmed.
+    async fn watch_after_stops(self, sources: Arc<Sources>) {
+        let mut resumed = self.pulse.subscribe();
+        while wait_for_old_copy(&mut resumed, &self.mirror).await {
+            self.set_watching(&sources, true, true);
+            tokio::select! {
+                () = self.ask_others() => {}
+                _ = resumed.changed() => resumed.mark_changed(),
+            }
         }
     }
 
-    fn pulse(&self) -> MutexGuard<'_, Pulse> {
-        self.pulse.lock().expect("no holder of the lock panics")
-    }
-
-    pub(super) fn was_stopped(&self, begun: Moment) -> bool {
-        self.pulse().was_stopped(begun, self.clock.now())
-    }
-
-    pub(super) fn answer_age(&self, begun: Moment, transit: Duration) -> Duration {
-        self.pulse().answer_age(begun, transit, self.clock.now())
+    /// Asks other hosts what they know until this host may decide by its copy, if the platform doesn't
+    /// answer at once.
+    async fn ask_others(&self) {
+        tokio::time::sleep(ASK_OTHERS_INTERVAL).await;
+        while !self.mirror.is_reliable() {
+            let hosts = self.fleet.neighbours();
+            self.copy_from(&hosts).await;
+            tokio::time::sleep(ASK_OTHERS_INTERVAL).await;
+        }
     }
 
     /// Copies the objects from the first host that turns out to be fresh, and returns its address.
@@ -362,6 +368,20 @@
     }
 }
 
+/// Waits until the process goes on with an old copy after a stop; returns false if that is known never to
+/// happen again.
+pub(super) async fn wait_for_old_copy(
+    resumed: &mut watch::Receiver<Option<Moment>>,
+    mirror: &Mirror,
+) -> bool {
+    while resumed.changed().await.is_ok() {
+        if mirror.age() >= MAX_FRESH_AGE {
+            return true;
+        }
+    }
+    false
+}
+
 /// Waits until this host is due to watch the platform; while a response of its relay arrives, it waits
 /// longer, but not for good.
 async fn wait_until_due(until_due: Duration, is_receiving: &AtomicBool) {
--- a/chicoryloom/src/gateway/watch.rs
+++ b/chicoryloom/src/gateway/watch.rs
@@ -7,6 +7,7 @@
 use chicoryloom_policy::outage::Outage;
 use chicoryloom_policy::replica::Kind;
 use chicoryloom_policy::replica::Update;
+use chicoryloom_policy::resumption::Failures;
 use chicoryloom_policy::takeover::MAX_FRESH_AGE;
 use rand::Rng;
 use serde_json::json;
@@ -15,6 +16,7 @@
 use super::mirror::Source;
 use super::port;
 use super::sync::Replicator;
+use super::sync::wait_for_old_copy;
 
 /// Longest time that the platform holds the response to a watch. Its end confirms the copy, so
 /// that it is shorter than [`MAX_FRESH_AGE`].
@@ -47,6 +49,7 @@
     is_lost: bool,
     was_compacted: bool,
     outage: Outage,
+    failures: Failures,
     batch_until: Moment,
     retry_delay: Duration,
 }
@@ -61,6 +64,7 @@
             is_lost: false,
             was_compacted: false,
             outage: Outage::default(),
+            failures: Failures::default(),
             batch_until: Moment::ZERO,
             retry_delay: RETRY_DELAY.0,
         }
@@ -69,6 +73,7 @@
     /// Watches while `should_watch` is true, until its sender is gone.
     pub(super) async fn run(mut self, mut should_watch: watch::Receiver<bool>) {
         self.schedule_listing();
+        let mut resumed = self.replicator.pulse.subscribe();
         loop {
             if !*should_watch.borrow_and_update() {
                 self.is_listed = !self.replicator.mirror.position(self.kind).is_start();
@@ -79,10 +84,22 @@
                 self.schedule_listing();
                 continue;
             }
+            self.replicator.pulse.resumed();
+            resumed.mark_unchanged();
             let begun = self.replicator.clock.now();
             let is_first = self.replicator.mirror.position(self.kind).is_start();
             let is_watch = self.is_listed && !is_first && begun < self.listing_due;
-            let answer = if is_watch { self.watch(begun).await } else { self.list().await };
+            if !is_watch {
+                self.schedule_listing();
+            }
+            let answer = tokio::select! {
+                answer = self.call(is_watch, begun) => answer,
+                // An answer to a call from before the stop would not confirm the copy.
+                true = wait_for_old_copy(&mut resumed, &self.replicator.mirror) => {
+                    self.retry_delay = RETRY_DELAY.0;
+                    continue;
+                }
+            };
             match answer {
                 Ok(update) => {
                     if is_watch {
@@ -110,24 +127,25 @@
         self.listing_due = self.replicator.clock.now().after(LISTING_INTERVAL.mul_f64(spread));
     }
 
-    async fn watch(&self, begun: Moment) -> Result<Update, port::Error> {
-        let batch_delay = self.batch_until.since(begun);
+    async fn call(&self, is_watch: bool, begun: Moment) -> Result<Update, port::Error> {
+        let Replicator { mirror, store, .. } = &self.replicator;
+        if !is_watch {
+            return store.list(self.kind).await;
+        }
+        // An old copy is confirmed or corrected at once, and so is one from before a stop.
+        let is_unchecked = || mirror.is_unchecked(self.kind);
+        let batch_delay =
+            if is_unchecked() { Duration::ZERO } else { self.batch_until.since(begun) };
         tokio::time::sleep(batch_delay).await;
-        let mirror = &self.replicator.mirror;
-        // An old copy is confirmed or corrected at once.
-        let is_fresh = mirror.age() < MAX_FRESH_AGE;
+        let is_fresh = mirror.age() < MAX_FRESH_AGE && !is_unchecked();
         let wait = if is_fresh { WATCH_WAIT - batch_delay } else { Duration::ZERO };
-        self.replicator.store.watch(self.kind, mirror.position(self.kind), wait).await
-    }
-
-    async fn list(&mut self) -> Result<Update, port::Error> {
-        self.schedule_listing();
-        self.replicator.store.list(self.kind).await
+        store.watch(self.kind, mirror.position(self.kind), wait).await
     }
 
     /// Applies an answer to a call that began at `begun`. `is_first` tells whether this host had no
     /// objects of the kind then.
     async fn accept(&mut self, update: Update, begun: Moment, is_first: bool) {
+        self.failures.reset();
         let Replicator { mirror, clock, events, is_failing, .. } = &self.replicator;
         is_failing.store(false, Ordering::Relaxed);
         let batch_delay = match self.kind {
@@ -157,7 +175,7 @@
         }
         // The changes of a store that was restored from a copy are incomplete, and an answer from
         // before the restoration may arrive after it.
-        let age = self.replicator.answer_age(begun, Duration::ZERO);
+        let age = self.replicator.pulse.answer_age(begun, Duration::ZERO);
         if !mirror.apply(update, age, Source::Platform) {
             self.is_listed = false;
             self.back_off().await;
@@ -166,7 +184,11 @@
 
     async fn record_failure(&mut self, error: &port::Error, begun: Moment) {
         self.replicator.is_failing.store(true, Ordering::Relaxed);
-        self.outage.record_failure(self.replicator.was_stopped(begun));
+        let Replicator { mirror, pulse, .. } = &self.replicator;
+        self.outage.record_failure(pulse.was_stopped(begun));
+        if self.failures.record(begun, pulse.resumed()) {
+            mirror.vouch(self.kind, begun);
+        }
         if !std::mem::replace(&mut self.is_lost, true) {
             let fields = json!({ "kind": format!("{:?}", self.kind), "error": error.to_string() });
             self.replicator.events.emit("store_lost", fields);
@@ -177,7 +199,14 @@
     /// Waits before a call to the platform is repeated.
     async fn back_off(&mut self) {
         let jitter = rand::rng().random_range(0.7..1.3);
-        tokio::time::sleep(self.retry_delay.mul_f64(jitter)).await;
-        self.retry_delay = (self.retry_delay * 2).min(RETRY_DELAY.1);
+        let mut resumed = self.replicator.pulse.subscribe();
+        tokio::select! {
+            () = tokio::time::sleep(self.retry_delay.mul_f64(jitter)) => {
+                self.retry_delay = (self.retry_delay * 2).min(RETRY_DELAY.1);
+            }
+            true = wait_for_old_copy(&mut resumed, &self.replicator.mirror) => {
+                self.retry_delay = RETRY_DELAY.0;
+            }
+        }
     }
 }
--- a/chicoryloom_policy/src/lib.rs
+++ b/chicoryloom_policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod reach;
 pub mod replay;
 pub mod replica;
+pub mod resumption;
 pub mod retry;
 pub mod rollout;
 pub mod roster;
--- a/chicoryloom_policy/src/outage.rs
+++ b/chicoryloom_policy/src/outage.rs
@@ -27,12 +27,20 @@
         Self { latest: now, resumed: None }
     }
 
-    /// Records that the process runs.
-    pub fn beat(&mut self, now: Moment) {
-        if now.since(self.latest) > MAX_BEAT_GAP {
-            self.resumed = Some(now);
-        }
+    /// Records that the process runs; returns for how long it was stopped, if it was until now.
+    pub fn beat(&mut self, now: Moment) -> Option<Duration> {
+        let gap = now.since(self.latest);
         self.latest = self.latest.max(now);
+        if gap <= MAX_BEAT_GAP {
+            return None;
+        }
+        self.resumed = Some(now);
+        Some(gap)
+    }
+
+    /// Returns the end of the latest time in which the process was stopped, as of the latest beat.
+    pub const fn resumed(&self) -> Option<Moment> {
+        self.resumed
     }
 
     /// Returns whether the process was stopped at any time since `begun`.
