--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -270,7 +270,7 @@
             summary.workspace.as_ref().map_or("", |workspace| workspace.id.as_str()),
             parts.method.as_str(),
             parts.uri.path_and_query().map_or("/", PathAndQuery::as_str),
-            payload.prefix(),
+            payload.start(),
         );
         if let Some(wait) = self.dispatcher.held_for(fingerprint) {
             let detail = "requests like this one took targets down";
--- a/chicoryloom/src/proxy/payload.rs
+++ b/chicoryloom/src/proxy/payload.rs
@@ -62,9 +62,10 @@
         self.sized
     }
 
-    /// Returns the buffered prefix, by which the body is fingerprinted.
-    pub(crate) fn prefix(&self) -> &Bytes {
-        &self.prefix
+    /// Returns the start of the body, by which it is fingerprinted. It is the same however the bytes
+    /// arrived, whereas the length of the buffered prefix depends on that.
+    pub(crate) fn start(&self) -> &[u8] {
+        &self.prefix[..self.prefix.len().min(MAX_BUFFERED_BYTES)]
     }
 
     /// Returns whether another attempt can send the body.
@@ -153,3 +154,6 @@
         Poll::Ready(self.0.take().map(|bytes| Ok(Frame::data(bytes))))
     }
 }
+
+#[cfg(test)]
+mod tests;
