--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -36,7 +36,7 @@
 use chicoryloom_policy::evacuation::Evacuations;
 use chicoryloom_policy::gray::Estimator;
 use chicoryloom_policy::gray::Notice;
-use chicoryloom_policy::holdback::Fingerprint;
+use chicoryloom_policy::holdback::Crash;
 use chicoryloom_policy::holdback::Holdback;
 use chicoryloom_policy::id;
 use chicoryloom_policy::inflight::InFlight;
@@ -51,6 +51,7 @@
 use self::balance::Spread;
 pub(super) use self::endpoint::Endpoint;
 use self::listing::Listing;
+pub(super) use self::peers::CrashReport;
 use self::service::Service;
 pub(super) use self::slot::Choice;
 pub(super) use self::slot::Slot;
@@ -115,7 +116,7 @@
     /// When the latest request was sent that each target served successfully, for targets not yet
     /// reported to the other hosts.
     successes: HashMap<id::Instance, Moment>,
-    crash_reports: Vec<(Fingerprint, SocketAddr, bool)>,
+    crash_reports: Vec<CrashReport>,
     host_count: u32,
 }
 
@@ -226,10 +227,13 @@
         // A host that gets a response to such a request clears it for all hosts, but only if it
         // knows of the hold; it may have missed the first report.
         let held: Vec<_> = state.holdback.all_held(now).collect();
-        let held = held.into_iter().map(|(request, target)| (request, target.0, false));
-        state.crash_reports.extend(held);
+        let report = |(request, crash)| CrashReport { request, crash, answered: false };
+        state.crash_reports.extend(held.into_iter().map(report));
         let own: Vec<_> = state.own_holdback.all_held(now).collect();
-        state.crash_reports.extend(own.into_iter().map(|(request, _)| (request, UNPROVED, false)));
+        let unproved = |(request, crash)| {
+            report((request, Crash { target: id::Target(UNPROVED), born: 0, ..crash }))
+        };
+        state.crash_reports.extend(own.into_iter().map(unproved));
         state.withdrawals.sweep(now);
         state.evacuations.sweep(now);
         let listed = state.listed;
--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -1,12 +1,12 @@
 //! Load and health of targets that hosts report to each other, and requests that crash targets.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::gray::Notice;
 use chicoryloom_policy::gray::Outcome;
+use chicoryloom_policy::holdback::Crash;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
 use chicoryloom_policy::loss::Loss;
@@ -23,6 +23,15 @@
 /// `Retry-After` of a request that is held back until losses are judged, for which the links are checked.
 const UNJUDGED_HOLD: Duration = Duration::from_millis(300);
 
+/// Report on a request that is suspected of crashing targets.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::gateway) struct CrashReport {
+    pub(in crate::gateway) request: Fingerprint,
+    pub(in crate::gateway) crash: Crash,
+    /// Whether the target responded, so that it did not crash.
+    pub(in crate::gateway) answered: bool,
+}
+
 impl Dispatcher {
     /// Records the outcome of this host's request at a target.
     pub(in crate::gateway) fn observe(&self, endpoint: &Endpoint, outcome: Outcome, sent: Moment) {
@@ -161,12 +170,21 @@
         std::mem::take(&mut self.lock().suspects)
     }
 
-    /// Takes the reports for the other hosts of requests that crash targets: the request, the
-    /// target's address, and whether the target responded.
-    pub(in crate::gateway) fn take_crash_reports(&self) -> Vec<(Fingerprint, SocketAddr, bool)> {
+    /// Takes the reports for the other hosts of requests that crash targets.
+    pub(in crate::gateway) fn take_crash_reports(&self) -> Vec<CrashReport> {
         std::mem::take(&mut self.lock().crash_reports)
     }
 
+    /// Returns the time for which a request that arrived is held back because equal ones crashed targets;
+    /// once a hold is over, one request is let through on trial.
+    pub(in crate::gateway) fn try_pass(&self, request: Fingerprint) -> Option<Duration> {
+        self.held_for(request).or_else(|| {
+            let (mut state, now) = (self.lock(), self.clock.now());
+            let own = state.own_holdback.try_pass(request, now);
+            own.or_else(|| state.holdback.try_pass(request, now))
+        })
+    }
+
     /// Returns the time for which a request is still held back because equal ones crashed targets.
     ///
     /// While losses of this host are not judged yet, a request that they may speak against waits for
@@ -191,11 +209,12 @@
     ) {
         let target = endpoint.target.instance.clone();
         let address = id::Target(endpoint.target.address);
+        let born = endpoint.target.born;
         let mut state = self.lock();
         if state.suspicions.record(&self.me, &target, now) {
             state.suspects.push(target.clone());
         }
-        state.losses.add(Loss { target, address, stage, opened, at: now });
+        state.losses.add(Loss { target, address, born, stage, opened, at: now });
         drop(state);
         self.changed.notify_one();
     }
@@ -204,8 +223,8 @@
     /// that are proved.
     pub(super) fn apply_verdicts(&self, verdicts: Vec<Verdict>, now: Moment) {
         for Verdict { loss, proof } in verdicts {
-            let request = loss.request();
-            let Loss { target, address, at, .. } = loss;
+            let (request, crash) = (loss.request(), loss.crash());
+            let Loss { target, at, .. } = loss;
             self.events.emit(
                 "connection_lost",
                 json!({
@@ -216,7 +235,7 @@
             );
             if proof == Proof::Missing {
                 if let Some(request) = request {
-                    self.lock().own_holdback.record_loss(request, address, now);
+                    self.lock().own_holdback.record_loss(request, crash, now);
                 }
                 continue;
             }
@@ -228,41 +247,55 @@
             if let Some(endpoint) = endpoint {
                 self.observe(&endpoint, Outcome::Failed, at);
             }
-            if let Some(request) = request
-                && self.apply_crash(request, address.0, false, None)
-            {
-                self.lock().crash_reports.push((request, address.0, false));
-                self.changed.notify_one();
+            if let Some(request) = request {
+                self.record_crash(CrashReport { request, crash, answered: false });
             }
         }
     }
 
     /// Records that a target responded to a request, and queues a report to the other hosts if the
     /// request was suspected of crashing targets.
-    pub(in crate::gateway) fn record_response(&self, request: Fingerprint, address: SocketAddr) {
-        if self.apply_crash(request, address, true, None) {
-            self.lock().crash_reports.push((request, address, true));
+    pub(in crate::gateway) fn record_response(&self, request: Fingerprint, endpoint: &Endpoint) {
+        let target = id::Target(endpoint.target.address);
+        let crash = Crash { target, born: endpoint.target.born, at: self.clock.now() };
+        self.record_crash(CrashReport { request, crash, answered: true });
+    }
+
+    /// Applies a record of this host, and queues it for the others if it is new.
+    fn record_crash(&self, report: CrashReport) {
+        if self.apply_crash(report, None) {
+            self.lock().crash_reports.push(report);
             self.changed.notify_one();
         }
     }
 
+    /// Applies another host's report. Earlier builds don't tell when a target was lost: they repeat their
+    /// reports while a request is held back, which must not hold it back again.
+    pub(in crate::gateway) fn apply_peer_crash(
+        &self,
+        host: &id::Host,
+        report: CrashReport,
+        is_dated: bool,
+    ) {
+        let is_repeated =
+            || !is_dated && !report.answered && self.lock().holdback.was_held(report.request);
+        if !is_repeated() {
+            self.apply_crash(report, Some(host));
+        }
+    }
+
     /// Applies such a record of this host, or of another one; returns whether it is new.
     ///
     /// A response is new if the request was suspected, a broken connection always.
-    pub(in crate::gateway) fn apply_crash(
-        &self,
-        request: Fingerprint,
-        address: SocketAddr,
-        answered: bool,
-        by: Option<&id::Host>,
-    ) -> bool {
+    fn apply_crash(&self, report: CrashReport, by: Option<&id::Host>) -> bool {
+        let CrashReport { request, crash, answered } = report;
         let now = self.clock.now();
         let mut state = self.lock();
         if answered {
             let was_own = state.own_holdback.clear(request);
             return state.holdback.clear(request) || was_own;
         }
-        let held = state.holdback.record_loss(request, id::Target(address), now);
+        let held = state.holdback.record_loss(request, crash, now);
         drop(state);
         if let Some(lost) = held {
             let lost: Vec<_> = lost.iter().map(id::Target::to_string).collect();
--- a/chicoryloom/src/gateway/extension.rs
+++ b/chicoryloom/src/gateway/extension.rs
@@ -41,6 +41,9 @@
     /// In a [`SyncResponse`](super::message::SyncResponse): that the configuration was left out, as the follower
     /// has it at another position or another one.
     Omitted = 9,
+    /// Behind [`Body::Crash`](super::message::Body::Crash): which process was lost and when, as a
+    /// [`Loss`](super::message::Loss).
+    Loss = 10,
 }
 
 /// Fields behind a message, by number.
--- a/chicoryloom/src/gateway/fleet/mod.rs
+++ b/chicoryloom/src/gateway/fleet/mod.rs
@@ -20,6 +20,7 @@
 use chicoryloom_policy::allowance::Report;
 use chicoryloom_policy::catalog::Version;
 use chicoryloom_policy::gray::Notice;
+use chicoryloom_policy::holdback::Crash;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
 use chicoryloom_policy::stop::Others;
@@ -29,6 +30,7 @@
 use tokio::net::UdpSocket;
 
 pub(super) use self::unreadable::Unreadable;
+use super::dispatcher::CrashReport;
 use super::dispatcher::Dispatcher;
 use super::events::Events;
 use super::extension::Extension;
@@ -40,6 +42,7 @@
 use super::message;
 use super::message::Body;
 use super::message::Envelope;
+use super::message::Loss;
 use super::message::MAX_DATAGRAM;
 use super::message::Member;
 use super::message::Usage;
@@ -325,8 +328,15 @@
                 self.apply_permit_body(&sender, body, extension);
             }
             Body::Crash { fingerprint, target, answered } => {
-                let request = Fingerprint(fingerprint);
-                self.dispatcher.apply_crash(request, target, answered, Some(&sender));
+                let loss = extension.get::<Loss>(Field::Loss).ok().flatten();
+                let crash = Crash {
+                    target: id::Target(target),
+                    born: loss.map_or(0, |loss| loss.born),
+                    at: loss
+                        .map_or(now, |loss| now.before(Duration::from_millis(loss.age_ms.into()))),
+                };
+                let report = CrashReport { request: Fingerprint(fingerprint), crash, answered };
+                self.dispatcher.apply_peer_crash(&sender, report, loss.is_some());
             }
         }
     }
--- a/chicoryloom/src/gateway/fleet/share.rs
+++ b/chicoryloom/src/gateway/fleet/share.rs
@@ -15,8 +15,12 @@
 use chicoryloom_policy::withdrawal::Process;
 
 use super::Fleet;
+use crate::gateway::dispatcher::CrashReport;
+use crate::gateway::extension::Extension;
+use crate::gateway::extension::Field;
 use crate::gateway::message::Body;
 use crate::gateway::message::Load;
+use crate::gateway::message::Loss;
 use crate::gateway::message::Usage;
 
 /// Time after which unchanged requests in flight are sent again, as datagrams get lost.
@@ -64,9 +68,13 @@
                 let recovered = notice == Notice::Recovered;
                 self.send(&all, Body::Health { target, recovered }).await;
             }
-            for (fingerprint, target, answered) in self.dispatcher.take_crash_reports() {
-                let crash = Body::Crash { fingerprint: fingerprint.0, target, answered };
-                self.send(&all, crash).await;
+            for CrashReport { request, crash, answered } in self.dispatcher.take_crash_reports() {
+                let age = now.since(crash.at).as_millis();
+                let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+                let loss = Loss { born: crash.born, age_ms };
+                let extension = Extension::new().with(Field::Loss, &loss);
+                let body = Body::Crash { fingerprint: request.0, target: crash.target.0, answered };
+                self.send_extended(&all, body, &extension).await;
             }
             let loads = self.dispatcher.loads();
             // Loads change with each request, and take half of the messages that usages may.
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -534,7 +534,7 @@
         } else {
             dispatcher.record_latency(&self.service, &self.route.name, started.elapsed());
         }
-        dispatcher.record_response(self.fingerprint, endpoint.target.address);
+        dispatcher.record_response(self.fingerprint, &endpoint);
         let (mut parts, body) = answer.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
         parts.version = Version::HTTP_11;
--- a/chicoryloom/src/gateway/message.rs
+++ b/chicoryloom/src/gateway/message.rs
@@ -110,6 +110,16 @@
     pub(super) age_ms: u32,
 }
 
+/// Which process of a target was lost on a request; the value of
+/// [`Field::Loss`](super::extension::Field::Loss).
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub(super) struct Loss {
+    /// Start time of the process.
+    pub(super) born: u64,
+    /// Time since the loss.
+    pub(super) age_ms: u32,
+}
+
 /// That a target is cold; the value of [`Field::Cold`](super::extension::Field::Cold).
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 pub(super) struct Cold {
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -272,7 +272,7 @@
             parts.uri.path_and_query().map_or("/", PathAndQuery::as_str),
             payload.start(),
         );
-        if let Some(wait) = self.dispatcher.held_for(fingerprint) {
+        if let Some(wait) = self.dispatcher.try_pass(fingerprint) {
             let detail = "requests like this one took targets down";
             return Err(Refusal::new(Reason::HeldBack, detail).retry_after(wait));
         }
--- a/chicoryloom/src/proxy/attempts.rs
+++ b/chicoryloom/src/proxy/attempts.rs
@@ -56,7 +56,7 @@
         let name = workspace.as_ref().map_or("", id::Workspace::as_str);
         let method = parts.method.as_str();
         let fingerprint = Fingerprint::of(name, method, &routed.path, payload.start());
-        if let Some(wait) = service.remaining_hold(fingerprint, self.clock.now()) {
+        if let Some(wait) = service.try_pass(fingerprint, self.clock.now()) {
             let detail = "requests like this one took targets down";
             return Err(Refusal::not_run(Code::HeldBack, detail).retry_after(wait));
         }
--- a/chicoryloom/src/target/service.rs
+++ b/chicoryloom/src/target/service.rs
@@ -16,6 +16,7 @@
 use chicoryloom_policy::health::Outcome;
 use chicoryloom_policy::health::Reports;
 use chicoryloom_policy::health::Standing;
+use chicoryloom_policy::holdback;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::holdback::Holdback;
 use chicoryloom_policy::id;
@@ -285,6 +286,12 @@
         lock(&self.budget).take()
     }
 
+    /// Returns the time for which a request that arrived is held back; once a hold is over, one request is
+    /// let through on trial.
+    pub(crate) fn try_pass(&self, request: Fingerprint, now: Moment) -> Option<Duration> {
+        lock(&self.holdback).try_pass(request, now)
+    }
+
     /// Returns the remaining time for which a request is held back.
     pub(crate) fn remaining_hold(&self, request: Fingerprint, now: Moment) -> Option<Duration> {
         lock(&self.holdback).remaining_hold(request, now)
@@ -315,7 +322,8 @@
             holdback.clear(crash.request);
             return;
         }
-        let cleared = holdback.record_loss(crash.request, crash.target, now);
+        let loss = holdback::Crash { target: crash.target, born: 0, at: now };
+        let cleared = holdback.record_loss(crash.request, loss, now);
         drop(holdback);
         let Some(cleared) = cleared else {
             return;
--- a/chicoryloom_policy/src/holdback.rs
+++ b/chicoryloom_policy/src/holdback.rs
@@ -15,6 +15,15 @@
 const MIN_HOLD: Duration = Duration::from_secs(30);
 /// Longest time for which a request is held back.
 const MAX_HOLD: Duration = Duration::from_secs(600);
+/// How many times longer a hold is than the one before it. A request that comes again and again may take
+/// down one target after each hold, which must stay rare however long it goes on.
+const HOLD_FACTOR: u32 = 4;
+/// Time after its end for which a hold makes the next one longer.
+const HOLD_MEMORY: Duration = Duration::from_secs(1800);
+/// Time from the begin of a hold in which targets may still be lost on requests sent before it.
+const IN_FLIGHT_TIME: Duration = Duration::from_secs(2);
+/// Longest time for which equal requests wait for the outcome of the first one after a hold.
+const TRIAL_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of suspected requests.
 const MAX_ENTRIES: usize = 1024;
 
@@ -36,15 +45,67 @@
     }
 }
 
+/// That a target broke the connection on a request without an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Crash {
+    pub target: id::Target,
+    /// Start time of the target's process, 0 if that is not known. A target that is back after a crash is
+    /// another process.
+    pub born: u64,
+    pub at: Moment,
+}
+
+impl Crash {
+    /// Returns what distinguishes the process from others.
+    fn process(&self) -> (id::Target, u64) {
+        (self.target, self.born)
+    }
+}
+
 /// A request on which targets were lost.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    /// Targets lost on the request, each once with its latest loss.
-    lost: Vec<(id::Target, Moment)>,
+    /// Processes lost on the request, each once with its latest loss; the latest comes last.
+    lost: Vec<Crash>,
+    held_since: Moment,
     held_until: Option<Moment>,
     /// Number of times that the request was held back.
     holds: u32,
     last_loss: Moment,
+    /// When the latest request was let through after a hold.
+    trial: Option<Moment>,
+}
+
+impl Suspect {
+    fn is_held(&self, now: Moment) -> bool {
+        self.held_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether a loss shows that the request goes on to crash targets although it was held back.
+    fn is_renewed_by(&self, crash: &Crash) -> bool {
+        self.holds > 0
+            && crash.at > self.held_since.after(IN_FLIGHT_TIME)
+            && self.lost.iter().all(|known| {
+                known.process() != crash.process() || crash.at > known.at.after(IN_FLIGHT_TIME)
+            })
+    }
+
+    /// Forgets holds that ended long ago, and losses that no longer count.
+    fn expire(&mut self, now: Moment) {
+        if self.held_until.is_some_and(|until| now.since(until) >= HOLD_MEMORY) {
+            (self.holds, self.held_until) = (0, None);
+        }
+        let holds = self.holds;
+        self.lost.retain(|crash| holds > 0 || now.since(crash.at) < LOSS_TTL);
+    }
+
+    fn hold(&mut self, now: Moment) {
+        let factor = HOLD_FACTOR.saturating_pow(self.holds);
+        let hold = MIN_HOLD.saturating_mul(factor).min(MAX_HOLD);
+        self.holds += 1;
+        (self.held_since, self.held_until) = (now, Some(now.after(hold)));
+        self.trial = None;
+    }
 }
 
 /// Requests on which targets were lost; their number is bounded.
@@ -68,12 +129,9 @@
     }
 
     /// Returns the requests that are held back, each with the target lost last.
-    pub fn all_held(&self, now: Moment) -> impl Iterator<Item = (Fingerprint, id::Target)> {
-        let held = self
-            .suspects
-            .iter()
-            .filter(move |(_, suspect)| suspect.held_until.is_some_and(|until| now < until));
-        held.filter_map(|(request, suspect)| Some((*request, suspect.lost.last()?.0)))
+    pub fn all_held(&self, now: Moment) -> impl Iterator<Item = (Fingerprint, Crash)> {
+        let held = self.suspects.iter().filter(move |(_, suspect)| suspect.is_held(now));
+        held.filter_map(|(request, suspect)| Some((*request, *suspect.lost.last()?)))
     }
 
     /// Returns the time for which a request is still held back.
@@ -82,55 +140,82 @@
         (now < until).then(|| until.since(now))
     }
 
-    /// Returns the targets that were lost on a request since its latest hold began.
-    pub fn lost_on(&self, request: Fingerprint) -> impl Iterator<Item = id::Target> {
-        let lost = self.suspects.get(&request).map_or(&[][..], |suspect| &suspect.lost);
-        lost.iter().map(|(target, _)| *target)
+    /// Returns the time for which a request that arrived is still held back.
+    ///
+    /// After a hold, one request is let through on trial, and equal ones wait until its outcome is
+    /// known.
+    pub fn try_pass(&mut self, request: Fingerprint, now: Moment) -> Option<Duration> {
+        let suspect = self.suspects.get_mut(&request)?;
+        suspect.expire(now);
+        if suspect.holds == 0 {
+            return None;
+        }
+        if let Some(until) = suspect.held_until.filter(|until| now < *until) {
+            return Some(until.since(now));
+        }
+        let trial_end = suspect.trial.map(|begun| begun.after(TRIAL_TIME));
+        if let Some(end) = trial_end.filter(|end| now < *end) {
+            return Some(end.since(now));
+        }
+        suspect.trial = Some(now);
+        None
     }
 
-    /// Returns whether a request would be held back if targets that broke the connection on it are
-    /// counted which are not recorded yet.
+    /// Returns the losses that count against a request that was not held back yet.
+    pub fn lost_on(&self, request: Fingerprint) -> impl Iterator<Item = Crash> {
+        let suspect = self.suspects.get(&request).filter(|suspect| suspect.holds == 0);
+        suspect.map_or(&[][..], |suspect| &suspect.lost).iter().copied()
+    }
+
+    /// Returns whether a request was held back, as far as that still matters.
+    pub fn was_held(&self, request: Fingerprint) -> bool {
+        self.suspects.get(&request).is_some_and(|suspect| suspect.holds > 0)
+    }
+
+    /// Returns whether a request would be held back if losses are counted that are not recorded yet.
     pub fn would_hold(
         &self,
         request: Fingerprint,
-        unrecorded: impl Iterator<Item = id::Target>,
+        unrecorded: impl Iterator<Item = Crash>,
     ) -> bool {
-        let mut lost: HashSet<_> = unrecorded.collect();
-        if lost.is_empty() {
-            return false;
+        let unrecorded: Vec<_> = unrecorded.collect();
+        let suspect = self.suspects.get(&request);
+        if suspect.is_some_and(|suspect| unrecorded.iter().any(|one| suspect.is_renewed_by(one))) {
+            return true;
         }
-        let recorded = self.suspects.get(&request).map_or(&[][..], |suspect| &suspect.lost);
-        lost.extend(recorded.iter().map(|(target, _)| *target));
-        lost.len() >= self.loss_threshold
+        let lost = unrecorded.iter().copied().chain(self.lost_on(request));
+        let lost: HashSet<_> = lost.map(|crash| crash.process()).collect();
+        !unrecorded.is_empty() && lost.len() >= self.loss_threshold
     }
 
     /// Records that a target broke the connection on a request without an answer.
     ///
-    /// If the request is held back from now on, returns the targets that were lost on it, since the
-    /// request is to blame for their failures.
+    /// A request that was held back before is held back again at the first loss, for longer. If the
+    /// request is held back from now on, returns the targets that were lost on it, since the request is
+    /// to blame for their failures.
     pub fn record_loss(
         &mut self,
         request: Fingerprint,
-        target: id::Target,
+        crash: Crash,
         now: Moment,
     ) -> Option<Vec<id::Target>> {
         self.make_room(request, now);
         let suspect = self.suspects.entry(request).or_default();
-        suspect.last_loss = now;
-        suspect.lost.retain(|(lost, at)| *lost != target && now.since(*at) < LOSS_TTL);
-        suspect.lost.push((target, now));
-        if suspect.lost.len() < self.loss_threshold
-            || suspect.held_until.is_some_and(|until| now < until)
-        {
+        suspect.expire(now);
+        let is_renewed = suspect.is_renewed_by(&crash);
+        let is_held = suspect.is_held(now);
+        suspect.last_loss = suspect.last_loss.max(crash.at);
+        suspect.lost.retain(|known| known.process() != crash.process());
+        suspect.lost.push(crash);
+        let is_proved = suspect.holds == 0 && suspect.lost.len() >= self.loss_threshold;
+        if !is_renewed && !is_proved {
             return None;
         }
-        let hold = MIN_HOLD.saturating_mul(1 << suspect.holds.min(8)).min(MAX_HOLD);
-        suspect.holds += 1;
-        suspect.held_until = Some(now.after(hold));
-        // One loss is kept, so that the next hold needs one loss less than the first.
-        let cleared = suspect.lost.iter().map(|(lost, _)| *lost).collect();
-        suspect.lost.drain(..suspect.lost.len() - 1);
-        Some(cleared)
+        suspect.hold(now);
+        if is_held {
+            return None;
+        }
+        Some(suspect.lost.iter().map(|lost| lost.target).collect())
     }
 
     /// Clears a request since a target answered it; returns whether it was suspected.
@@ -178,16 +263,21 @@
         format!("127.0.0.{n}:80").parse().unwrap()
     }
 
+    fn crash(n: u8, at: Moment) -> Crash {
+        Crash { target: target(n), born: 7, at }
+    }
+
     #[test]
     fn second_target_holds_the_request_back_and_clears_both() {
         let mut holdback = Holdback::default();
         let poison = Fingerprint::of("prairie", "POST", "/x", b"1");
         let innocent = Fingerprint::of("prairie", "POST", "/x", b"2");
         let now = Moment::from_millis(1);
-        assert_eq!(holdback.record_loss(poison, target(1), now), None);
-        assert_eq!(holdback.record_loss(poison, target(1), now), None);
+        assert_eq!(holdback.record_loss(poison, crash(1, now), now), None);
+        assert_eq!(holdback.record_loss(poison, crash(1, now), now), None);
         assert_eq!(holdback.remaining_hold(poison, now), None);
-        assert_eq!(holdback.record_loss(poison, target(2), now), Some(vec![target(1), target(2)]));
+        let cleared = holdback.record_loss(poison, crash(2, now), now);
+        assert_eq!(cleared, Some(vec![target(1), target(2)]));
         assert_eq!(holdback.remaining_hold(poison, now), Some(MIN_HOLD));
         assert_eq!(holdback.remaining_hold(innocent, now), None);
         assert_eq!(holdback.remaining_hold(poison, now.after(MIN_HOLD)), None);
@@ -198,11 +288,8 @@
         let mut holdback = Holdback::default();
         let now = Moment::from_millis(1);
         for n in 0..10 * MAX_ENTRIES as u128 {
-            holdback.record_loss(
-                Fingerprint(n),
-                target(1),
-                now.after(Duration::from_millis(n as u64)),
-            );
+            let at = now.after(Duration::from_millis(n as u64));
+            holdback.record_loss(Fingerprint(n), crash(1, at), at);
         }
         assert_eq!(holdback.len(), MAX_ENTRIES);
         let newest = Fingerprint(10 * MAX_ENTRIES as u128 - 1);
--- a/chicoryloom_policy/src/loss.rs
+++ b/chicoryloom_policy/src/loss.rs
@@ -13,6 +13,7 @@
 use rand::seq::IteratorRandom;
 
 use crate::Moment;
+use crate::holdback::Crash;
 use crate::holdback::Fingerprint;
 use crate::id;
 
@@ -53,6 +54,8 @@
 pub struct Loss {
     pub target: id::Instance,
     pub address: id::Target,
+    /// Start time of the target's process.
+    pub born: u64,
     pub stage: Stage,
     /// When the connection was opened.
     pub opened: Moment,
@@ -60,6 +63,11 @@
 }
 
 impl Loss {
+    /// Returns the crash of the target, if its request is to blame.
+    pub fn crash(&self) -> Crash {
+        Crash { target: self.address, born: self.born, at: self.at }
+    }
+
     /// Returns the request that the target may have crashed on.
     pub fn request(&self) -> Option<Fingerprint> {
         match self.stage {
@@ -227,11 +235,11 @@
         }
     }
 
-    /// Returns the targets that broke the connection on a request, as far as that is not judged yet.
-    pub fn lost_on(&self, request: Fingerprint) -> impl Iterator<Item = id::Target> {
+    /// Returns the losses on a request that are not judged yet.
+    pub fn lost_on(&self, request: Fingerprint) -> impl Iterator<Item = Crash> {
         let waiting = self.pending.iter().filter(|one| !one.is_dismissed);
         let lost = waiting.filter(move |one| one.loss.request() == Some(request));
-        lost.map(|one| one.loss.address)
+        lost.map(|one| one.loss.crash())
     }
 
     /// Returns whether no loss waits for judgement.
--- a/chicoryloom_policy/tests/loss.rs
+++ b/chicoryloom_policy/tests/loss.rs
@@ -36,6 +36,7 @@
     Loss {
         target: name(target),
         address: address(target),
+        born: 7,
         stage: Stage::Request(Fingerprint(request)),
         opened: Moment::from_millis(100),
         at: after(at),
@@ -250,7 +251,7 @@
             let Some(request) = verdict.loss.request() else { continue };
             let is_own = verdict.proof == Proof::Missing;
             let holdback = if is_own { &mut self.own } else { &mut *fleet };
-            holdback.record_loss(request, verdict.loss.address, after(now));
+            holdback.record_loss(request, verdict.loss.crash(), after(now));
         }
     }
 
