--- a/chicoryloom/src/gateway/dispatcher/waiter.rs
+++ b/chicoryloom/src/gateway/dispatcher/waiter.rs
@@ -62,9 +62,12 @@
 
 impl Dispatcher {
     /// Waits for a slot at a target until the latest moment at which the request may be sent.
+    ///
+    /// `former` is the ticket under which it waited for the service before, and becomes the present one.
     pub(in crate::gateway) async fn acquire(
         &self,
         requirements: Requirements,
+        former: &mut Option<Ticket>,
     ) -> Result<Slot, Rejection> {
         let now = self.clock.now();
         let service_name = requirements.service.clone();
@@ -84,7 +87,12 @@
             }
             self.check_capacity(state, &requirements, now)?;
             let service = state.services.entry(requirements.service.clone()).or_default();
-            let ticket = service.queue.enqueue(requirements.rank, requirements.latest, now)?;
+            let (queue, Requirements { rank, latest, .. }) = (&mut service.queue, &requirements);
+            let ticket = match *former {
+                Some(former) => queue.requeue(former, *rank, *latest, now),
+                None => queue.enqueue(*rank, *latest, now)?,
+            };
+            *former = Some(ticket);
             let timeout = requirements.latest.since(now);
             let (sender, receiver) = oneshot::channel();
             service.waiters.insert(ticket, Waiter { requirements, sender });
--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -1,6 +1,5 @@
 //! Attempts of one request at targets, with retries and hedging.
 
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
@@ -9,14 +8,12 @@
 
 use chicoryloom_policy::Moment;
 use chicoryloom_policy::catalog::Repeat;
-use chicoryloom_policy::catalog::Route;
-use chicoryloom_policy::catalog::Workspace;
 use chicoryloom_policy::gray::Outcome;
 use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
 use chicoryloom_policy::loss::Stage;
 use chicoryloom_policy::stop::Demand;
-use chicoryloom_policy::waiting::Rank;
+use chicoryloom_policy::waiting::Ticket;
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -26,6 +23,7 @@
 use http::Response;
 use http::Version;
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use serde_json::json;
@@ -36,6 +34,8 @@
 use super::SHORT_RETRY_AFTER;
 use super::answer;
 use super::answer::StreamedBody;
+use super::binding::Place;
+use super::binding::Tracker;
 use super::dispatcher::Choice;
 use super::dispatcher::Endpoint;
 use super::dispatcher::Requirements;
@@ -64,15 +64,13 @@
 pub(super) struct Job<'a> {
     pub(super) gateway: &'a Gateway,
     pub(super) id: &'a str,
-    pub(super) route: Arc<Route>,
-    pub(super) service: id::Service,
-    pub(super) workspace: Option<Arc<Workspace>>,
-    /// Digest of the caller's key.
-    pub(super) key: Option<id::Digest>,
+    /// Route and workspace by the configuration in force.
+    pub(super) tracker: &'a Tracker<'a>,
     /// Head of the request as sent to targets, except for the headers that each attempt sets.
     pub(super) parts: Parts,
     pub(super) payload: Payload,
-    pub(super) fingerprint: Fingerprint,
+    /// Fingerprint, with the workspace that it holds for.
+    pub(super) fingerprint: Mutex<Option<(Option<id::Workspace>, Fingerprint)>>,
     pub(super) arrived: Moment,
     /// When the caller gets a response at the latest, even if it is an error.
     pub(super) deadline: Instant,
@@ -85,8 +83,8 @@
 pub(super) struct Progress {
     /// Whether a target may have run the request.
     may_have_run: AtomicBool,
-    /// Whether the request was counted towards its workspace's grant.
-    is_counted: AtomicBool,
+    /// Workspace towards whose grant the request was counted.
+    counted: Mutex<Option<id::Workspace>>,
     /// Repeats that were taken from the retry budget.
     repeats: AtomicU32,
     tried: Mutex<Vec<Choice>>,
@@ -160,7 +158,7 @@
     ///
     /// A repeatable request gets at most one hedging attempt, if its response is late.
     pub(super) async fn run(&self) -> Result<Response<Body>, Refusal> {
-        self.gateway.dispatcher.deposit_retry(&self.service);
+        self.gateway.dispatcher.deposit_retry(&self.service()?);
         let mut running: FuturesUnordered<BoxFuture<'_, Attempt>> = FuturesUnordered::new();
         running.push(self.attempt().boxed());
         let mut attempts = 1;
@@ -176,7 +174,7 @@
                         Attempt::Response(response) => return Ok(response),
                         failed => last = preferred(last, failed),
                     }
-                    if attempts < self.route.max_attempts && self.may_retry(last.as_ref()) {
+                    if attempts < self.tracker.route().max_attempts && self.may_retry(last.as_ref()) {
                         attempts += 1;
                         running.push(self.attempt().boxed());
                     } else if running.is_empty() {
@@ -186,7 +184,7 @@
                 () = &mut hedge_timer, if may_hedge => {
                     may_hedge = false;
                     let has_run = self.progress.may_have_run.load(Ordering::Relaxed);
-                    if has_run && attempts < self.route.max_attempts && self.take_retry() {
+                    if has_run && attempts < self.tracker.route().max_attempts && self.take_retry() {
                         attempts += 1;
                         running.push(self.attempt().boxed());
                     }
@@ -208,24 +206,49 @@
 
     /// Returns whether the request may be run more than once and its body can be sent again.
     fn is_repeatable(&self) -> bool {
-        self.route.repeat == Repeat::Safe && self.payload.is_replayable()
+        self.tracker.route().repeat == Repeat::Safe && self.payload.is_replayable()
     }
 
     /// Returns the time after which a response is late.
     fn late_threshold(&self) -> Duration {
-        let latency = self.gateway.dispatcher.latency(&self.service, &self.route.name);
-        latency.unwrap_or(self.route.target_latency).mul_f64(super::LATE_FACTOR) + LATE_GRACE
+        let route = self.tracker.route();
+        let service = self.service();
+        let latency = service.ok().and_then(|it| self.gateway.dispatcher.latency(&it, &route.name));
+        latency.unwrap_or(route.target_latency).mul_f64(super::LATE_FACTOR) + LATE_GRACE
+    }
+
+    /// Returns the service whose targets run the request.
+    fn service(&self) -> Result<id::Service, Refusal> {
+        Ok(self.tracker.place()?.service)
+    }
+
+    /// Returns the request's fingerprint for the workspace that holds its key.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let holder = self.tracker.workspace().map(|workspace| workspace.id.clone());
+        let mut known = self.fingerprint.lock().expect("no holder of the lock panics");
+        if let Some((_, fingerprint)) = known.as_ref().filter(|(of, _)| *of == holder) {
+            return *fingerprint;
+        }
+        let fingerprint = Fingerprint::of(
+            holder.as_ref().map_or("", id::Workspace::as_str),
+            self.parts.method.as_str(),
+            self.parts.uri.path_and_query().map_or("/", PathAndQuery::as_str),
+            self.payload.start(),
+        );
+        *known = Some((holder, fingerprint));
+        fingerprint
     }
 
     fn take_retry(&self) -> bool {
-        let is_taken = self.gateway.dispatcher.take_retry(&self.service);
+        let service = self.service();
+        let is_taken = service.is_ok_and(|it| self.gateway.dispatcher.take_retry(&it));
         self.progress.repeats.fetch_add(u32::from(is_taken), Ordering::Relaxed);
         is_taken
     }
 
     fn may_retry(&self, last: Option<&Attempt>) -> bool {
         if self.time_left().is_zero()
-            || self.gateway.dispatcher.held_for(self.fingerprint).is_some()
+            || self.gateway.dispatcher.held_for(self.fingerprint()).is_some()
         {
             return false;
         }
@@ -281,25 +304,32 @@
     /// Sends the request to one target, or to further ones while none of them has run it.
     async fn attempt(&self) -> Attempt {
         let mut last = Failure::Cap;
-        for index in 0..MAX_TARGETS_PER_ATTEMPT {
-            let slot = match self.acquire_slot().await {
-                Ok(slot) => slot,
+        let mut index = 0;
+        while index < MAX_TARGETS_PER_ATTEMPT {
+            let (slot, place) = match self.acquire_slot().await {
+                Ok(acquired) => acquired,
                 Err(refusal) if index == 0 => return Attempt::Refused(refusal),
                 Err(_) => return Attempt::NoResponse(last),
             };
             if let Err(refusal) = self.gateway.wait_until_reliable(self.time_left()).await {
                 return Attempt::Refused(refusal);
             }
+            match self.tracker.is_in(&place) {
+                Ok(true) => {}
+                Ok(false) => continue,
+                Err(refusal) => return Attempt::Refused(refusal),
+            }
             if let Err(refusal) = self.admit() {
                 return Attempt::Refused(refusal);
             }
+            index += 1;
             if !self.payload.is_available() {
                 return Attempt::NoResponse(Failure::Unsent);
             }
             let endpoint = slot.endpoint.clone();
             let _under_way = self.progress.begin(&endpoint.target.instance);
             let begun = self.gateway.clock.now();
-            match self.send(slot, begun).await {
+            match self.send(slot, &place).await {
                 Err(failure) => {
                     self.record_failure(&endpoint, &failure, begun);
                     let is_unsent = matches!(
@@ -320,66 +350,87 @@
         Attempt::NoResponse(last)
     }
 
-    /// Waits for a slot at a target, as long as the usual latency leaves time for the response.
-    async fn acquire_slot(&self) -> Result<Slot, Refusal> {
+    /// Waits for a slot at a target, as long as the usual latency leaves time for the response; returns
+    /// where the request has waited as well.
+    async fn acquire_slot(&self) -> Result<(Slot, Place), Refusal> {
+        let (mut ticket, mut service) = (None, None);
+        loop {
+            let waiting = self.tracker.wait_for_grant(self.time_left());
+            self.gateway.unless_stopped(self.demand, waiting).await??;
+            let place = self.tracker.place()?;
+            if service.replace(place.service.clone()).is_some_and(|it| it != place.service) {
+                ticket = None;
+            }
+            tokio::select! {
+                biased;
+                slot = self.acquire_at(&place, &mut ticket) => return Ok((slot?, place)),
+                moved = self.tracker.wait_until_moved(&place) => moved?,
+            }
+        }
+    }
+
+    async fn acquire_at(
+        &self,
+        place: &Place,
+        ticket: &mut Option<Ticket>,
+    ) -> Result<Slot, Refusal> {
         let now = self.gateway.clock.now();
         let time_left = self.time_left();
-        let latency = self.gateway.dispatcher.latency(&self.service, &self.route.name);
+        let Place { service, rank, .. } = place;
+        let route = self.tracker.route();
+        let latency = self.gateway.dispatcher.latency(service, &route.name);
         let needed = latency.unwrap_or_default() + LATE_GRACE;
         let latest = now.after(time_left.saturating_sub(needed));
         let tried = self.progress.used();
-        let attempts = usize::try_from(self.route.max_attempts).unwrap_or(usize::MAX);
+        let attempts = usize::try_from(route.max_attempts).unwrap_or(usize::MAX);
         let requirements = Requirements {
-            service: self.service.clone(),
-            rank: self.rank(),
+            service: service.clone(),
+            rank: *rank,
             can_retry: self.is_repeatable() && tried.len() + 1 < attempts,
             tried,
             arrived: self.arrived,
             latest,
         };
-        let acquire = self.gateway.dispatcher.acquire(requirements);
+        let acquire = self.gateway.dispatcher.acquire(requirements, ticket);
         let acquired = self.gateway.unless_stopped(self.demand, acquire).await?;
         acquired.map_err(|rejection| {
             let detail = if self.gateway.dispatcher.is_cut() {
                 "this host reaches no target".to_owned()
             } else {
-                format!("{} requests wait for {}", rejection.ahead, self.service)
+                format!("{} requests wait for {service}", rejection.ahead)
             };
             Refusal::new(Reason::NoTargetInTime, detail).retry_after(rejection.retry_after)
         })
     }
 
-    fn rank(&self) -> Rank {
-        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        Rank { priority: workspace.unwrap_or(self.route.priority), route: self.route.priority }
-    }
-
-    /// Counts the request towards its workspace's grant once over all attempts, and refuses it if
-    /// the key has been withdrawn meanwhile.
+    /// Counts the request towards the grant of its key's holder, once over all attempts. For another holder
+    /// than before it is another request, which may be held back.
     fn admit(&self) -> Result<(), Refusal> {
-        let catalog = self.gateway.mirror.catalog();
-        let Some(workspace) = &self.workspace else {
-            let needs_key = catalog.is_some_and(|catalog| catalog.needs_keys);
-            if needs_key && !self.route.public {
-                return Err(Refusal::new(Reason::Key, "a key is needed meanwhile"));
-            }
+        if self.is_admitted() {
             return Ok(());
-        };
-        let holder = self.key.as_ref().and_then(|key| catalog.as_ref()?.keys.get(key).cloned());
-        if holder.is_none_or(|holder| holder.id != workspace.id) {
-            return Err(Refusal::new(Reason::Key, "the key was withdrawn"));
         }
-        if self.progress.is_counted.swap(true, Ordering::Relaxed) {
-            return Ok(());
+        if let Some(wait) = self.gateway.dispatcher.held_for(self.fingerprint()) {
+            return Err(Refusal::held_back(wait));
         }
-        self.gateway.admit(workspace).inspect_err(|_| {
-            self.progress.is_counted.store(false, Ordering::Relaxed);
-        })
+        if let Some(workspace) = self.tracker.workspace() {
+            self.gateway.admit(&workspace)?;
+            let counted = &self.progress.counted;
+            *counted.lock().expect("no holder of the lock panics") = Some(workspace.id.clone());
+        }
+        Ok(())
+    }
+
+    /// Returns whether the request was counted towards the grant of its key's present holder, if it needs
+    /// one.
+    fn is_admitted(&self) -> bool {
+        let counted = self.progress.counted.lock().expect("no holder of the lock panics");
+        self.tracker.workspace().is_none_or(|workspace| counted.as_ref() == Some(&workspace.id))
     }
 
     /// Sends the request over a connection to a target.
-    async fn send(&self, slot: Slot, begun: Moment) -> Result<Attempt, Failure> {
+    async fn send(&self, slot: Slot, place: &Place) -> Result<Attempt, Failure> {
         let endpoint = slot.endpoint.clone();
+        let begun = self.gateway.clock.now();
         let lease = match self.connect(endpoint.backend.lease()).await {
             Ok(lease) => lease,
             Err(refusal) => return Ok(Attempt::Refused(refusal)),
@@ -388,7 +439,7 @@
             self.gateway.dispatcher.record_opening(&endpoint, begun, false);
         }
         let lease = lease?;
-        if !self.may_send(&slot) {
+        if !self.may_send(&slot, place) {
             return Err(Failure::Withdrawn);
         }
         let mut is_fresh = lease.is_new();
@@ -396,6 +447,7 @@
         let mut opened = sent.before(lease.age());
         let started = Instant::now();
         self.progress.may_have_run.store(true, Ordering::Relaxed);
+        self.tracker.mark_sent();
         let protocol = self.gateway.dialect.protocol();
         let request = self.target_request(&endpoint).ok_or(Failure::Unsent)?;
         self.gateway.dispatcher.count_send(&endpoint);
@@ -410,7 +462,7 @@
                     return Ok(Attempt::Refused(refusal));
                 }
             };
-            if !self.may_send(&slot) {
+            if !self.may_send(&slot, place) {
                 self.clear_may_have_run();
                 return Err(Failure::Withdrawn);
             }
@@ -433,7 +485,7 @@
                     let now = self.gateway.clock.now();
                     self.gateway.dispatcher.record_loss(
                         &endpoint,
-                        Stage::Request(self.fingerprint),
+                        Stage::Request(self.fingerprint()),
                         opened,
                         now,
                     );
@@ -445,11 +497,14 @@
     }
 
     /// Returns whether the request may still be sent to the target that was chosen for it. The target may
-    /// have withdrawn since, and a stop of the process puts all that was decided before it out of date.
-    fn may_send(&self, slot: &Slot) -> bool {
+    /// have withdrawn since, the configuration may have changed, and a stop of the process puts all that was
+    /// decided before it out of date.
+    fn may_send(&self, slot: &Slot, place: &Place) -> bool {
         let mirror = &self.gateway.mirror;
         !mirror.was_stopped(slot.assigned)
             && mirror.is_reliable()
+            && self.tracker.is_in(place).is_ok_and(|is_in| is_in)
+            && self.is_admitted()
             && !self.gateway.dispatcher.is_withdrawn(&slot.endpoint)
     }
 
@@ -500,7 +555,7 @@
         parts.headers.insert(names.deadline_ms.clone(), HeaderValue::from(time_left));
         let instance = HeaderValue::from_bytes(endpoint.target.name.as_bytes()).ok()?;
         parts.headers.insert(names.instance.clone(), instance);
-        if let Some(workspace) = &self.workspace {
+        if let Some(workspace) = self.tracker.workspace() {
             let name = HeaderValue::from_bytes(workspace.name.as_bytes()).ok()?;
             parts.headers.insert(names.workspace.clone(), name);
         }
@@ -524,17 +579,18 @@
     ) -> Result<Attempt, Failure> {
         let dispatcher = &self.gateway.dispatcher;
         let endpoint = slot.endpoint.clone();
+        let (service, route) = (&endpoint.target.service, self.tracker.route());
         let protocol = self.gateway.dialect.protocol();
-        dispatcher.record_answer(&endpoint, Some(opened), Some(self.fingerprint));
+        dispatcher.record_answer(&endpoint, Some(opened), Some(self.fingerprint()));
         dispatcher.apply_terms(&endpoint, &protocol.terms(answer.status(), answer.headers()), sent);
         let is_failure = is_failure(answer.status());
         let outcome = if is_failure { Outcome::Failed } else { Outcome::Ok };
         if is_failure {
             dispatcher.observe(&endpoint, outcome, sent);
         } else {
-            dispatcher.record_latency(&self.service, &self.route.name, started.elapsed());
+            dispatcher.record_latency(service, &route.name, started.elapsed());
         }
-        dispatcher.record_response(self.fingerprint, &endpoint);
+        dispatcher.record_response(self.fingerprint(), &endpoint);
         let (mut parts, body) = answer.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
         parts.version = Version::HTTP_11;
@@ -545,7 +601,7 @@
         if !is_buffered {
             dispatcher.observe(&endpoint, outcome, sent);
             let (dispatcher, clock) = (dispatcher.clone(), self.gateway.clock.clone());
-            let (service, route) = (self.service.clone(), self.route.name.clone());
+            let (service, route) = (service.clone(), route.name.clone());
             let on_end = move |end| match end {
                 answer::End::Whole { bytes } => {
                     dispatcher.record_end(&service, &route, started.elapsed(), bytes);
@@ -570,7 +626,7 @@
         dispatcher.observe(&endpoint, outcome, sent);
         if !is_failure {
             let (took, bytes) = (started.elapsed(), body.len() as u64);
-            dispatcher.record_end(&self.service, &self.route.name, took, bytes);
+            dispatcher.record_end(service, &route.name, took, bytes);
         }
         drop(slot);
         let response = Response::from_parts(parts, full(body));
@@ -620,7 +676,7 @@
         self.gateway.events.emit_request("attempt", || {
             json!({
                 "id": self.id, "target": endpoint.target.name.as_str(),
-                "service": self.service.as_str(), "failure": failure.to_string(),
+                "service": endpoint.target.service.as_str(), "failure": failure.to_string(),
                 "not_run": failure.is_not_run(),
             })
         });
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -97,6 +97,8 @@
     /// Whether this host has learnt which data centres are evacuated.
     knows_evacuations: AtomicBool,
     catalog: ArcSwapOption<Catalog>,
+    /// Number of configurations that have been in force.
+    catalogs: watch::Sender<u64>,
     dispatcher: Arc<Dispatcher>,
     dialect: Arc<dyn Dialect>,
     clock: Arc<dyn Clock>,
@@ -133,6 +135,7 @@
             has_evacuations,
             knows_evacuations: AtomicBool::new(false),
             catalog: ArcSwapOption::empty(),
+            catalogs: watch::Sender::new(0),
             dispatcher,
             dialect,
             clock,
@@ -163,6 +166,17 @@
         Some(catalog)
     }
 
+    /// Returns how many configurations have been in force. One that is read after this is that of the
+    /// number or a later one.
+    pub(super) fn catalog_number(&self) -> u64 {
+        *self.catalogs.borrow()
+    }
+
+    /// Returns a receiver that is notified when another configuration comes into force.
+    pub(super) fn catalog_changes(&self) -> watch::Receiver<u64> {
+        self.catalogs.subscribe()
+    }
+
     /// Returns the kinds that this host replicates.
     pub(super) fn kinds(&self) -> &'static [Kind] {
         if self.has_evacuations { &Kind::ALL } else { &Kind::COMMON }
@@ -532,7 +546,7 @@
                     self.events.emit("configuration_rejected", fields);
                 }
                 state.rejected = count_by_field(&rejected);
-                self.catalog.store(Some(Arc::new(catalog)));
+                self.put_in_force(Arc::new(catalog));
                 state.first_catalog.get_or_insert(self.clock.now());
             }
             Err(Unusable { error, granted }) => {
@@ -547,12 +561,17 @@
                 self.events.emit("configuration_invalid", fields);
                 state.rejected = count_by_field(&[error]);
                 if let Some(rest) = rest {
-                    self.catalog.store(Some(rest));
+                    self.put_in_force(rest);
                 }
             }
         }
     }
 
+    fn put_in_force(&self, catalog: Arc<Catalog>) {
+        self.catalog.store(Some(catalog));
+        self.catalogs.send_modify(|number| *number += 1);
+    }
+
     fn read_evacuations(&self, state: &State, source: &str) {
         let records = state.replica.records(Kind::Evacuation);
         let evacuated: BTreeSet<_> =
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! hosts ([`fleet`]), and assigns requests to targets ([`dispatcher`], [`job`]).
 
 mod answer;
+mod binding;
 mod dispatcher;
 mod edge;
 pub mod events;
@@ -40,10 +41,10 @@
 use chicoryloom_policy::allowance::Excess;
 use chicoryloom_policy::allowance::Limiter;
 use chicoryloom_policy::catalog::Catalog;
+use chicoryloom_policy::catalog::Limits;
 use chicoryloom_policy::catalog::Repeat;
 use chicoryloom_policy::catalog::Route;
 use chicoryloom_policy::catalog::Workspace;
-use chicoryloom_policy::holdback::Fingerprint;
 use chicoryloom_policy::id;
 use chicoryloom_policy::split::Split;
 use chicoryloom_policy::stop::Demand;
@@ -68,6 +69,9 @@
 pub use host::Host;
 pub use host::Setup;
 
+use self::binding::Binding;
+use self::binding::Claim;
+use self::binding::Tracker;
 use self::dispatcher::Choice;
 use self::dispatcher::Dispatcher;
 use self::events::Events;
@@ -130,14 +134,6 @@
     in_flight: AtomicUsize,
 }
 
-/// Configuration, route and caller that a request resolves to.
-struct Resolved {
-    catalog: Arc<Catalog>,
-    route: Arc<Route>,
-    workspace: Option<Arc<Workspace>>,
-    key: Option<id::Digest>,
-}
-
 /// Facts of a request for its event and metrics.
 #[derive(Default)]
 struct Summary {
@@ -231,11 +227,23 @@
     ) -> Result<Response<Body>, Refusal> {
         let arrived = self.clock.now();
         let started = Instant::now();
-        let resolved = self.resolve(&request).await?;
-        let Resolved { catalog, route, workspace, key } = resolved;
-        summary.route = Some(route.clone());
-        summary.workspace.clone_from(&workspace);
-        summary.version = Some(catalog.version.0);
+        let (tracker, limits) = self.resolve(&request).await?;
+        let response =
+            self.serve_bound(request, limits, &tracker, (arrived, started), summary).await;
+        tracker.summarize(summary);
+        response
+    }
+
+    /// Serves a request that the configuration allows, and that arrived at the given time.
+    async fn serve_bound(
+        &self,
+        request: Request<Incoming>,
+        limits: Limits,
+        tracker: &Tracker<'_>,
+        (arrived, started): (Moment, Instant),
+        summary: &mut Summary,
+    ) -> Result<Response<Body>, Refusal> {
+        let route = tracker.route();
         let timeout = self.timeout(&request, &route);
         let deadline = started + timeout;
         let demand = Demand {
@@ -244,61 +252,47 @@
             is_repeatable: route.repeat == Repeat::Safe,
             is_long: self.is_long(&route),
         };
-        let limits = catalog.limits;
         let (parts, body) = request.into_parts();
         let body = body::bounded(body, limits.body_bytes, limits.idle_timeout);
         let prepare = async {
-            if let Some(workspace) = &workspace {
-                let max_wait = {
-                    let limiter = self.limiter.lock().expect("no holder of the lock panics");
-                    limiter.max_wait(route.target_latency, timeout, arrived)
-                };
-                self.wait_for_grant(workspace, route.priority, max_wait).await?;
-            }
-            match tokio::time::timeout_at(deadline, Payload::read(body)).await {
+            tracker.wait_for_grant(timeout).await?;
+            let read = tokio::select! {
+                read = tokio::time::timeout_at(deadline, Payload::read(body)) => read,
+                refusal = tracker.wait_until_refused() => return Err(refusal),
+            };
+            match read {
                 Ok(Ok(payload)) => Ok(payload),
                 Ok(Err(error)) => Err(Refusal::new(Reason::BodyTooLong, error.to_string())),
                 Err(_) => Err(Refusal::new(Reason::SlowBody, "the body did not come in time")),
             }
         };
         let payload = self.unless_stopped(demand, prepare).await??;
-        let service = self.select_service(&route)?;
-        summary.service = Some(service.clone());
+        tracker.place()?;
         let id = parts.headers.get(&self.dialect.headers().request_id).cloned();
         let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
-        let fingerprint = Fingerprint::of(
-            summary.workspace.as_ref().map_or("", |workspace| workspace.id.as_str()),
-            parts.method.as_str(),
-            parts.uri.path_and_query().map_or("/", PathAndQuery::as_str),
-            payload.start(),
-        );
-        if let Some(wait) = self.dispatcher.try_pass(fingerprint) {
-            let detail = "requests like this one took targets down";
-            return Err(Refusal::new(Reason::HeldBack, detail).retry_after(wait));
-        }
         let job = Job {
             gateway: self,
             id,
-            route,
-            service,
-            workspace,
-            key,
+            tracker,
             parts: self.target_parts(parts)?,
             payload,
-            fingerprint,
+            fingerprint: Mutex::default(),
             arrived,
             deadline,
             demand,
             progress: Progress::default(),
         };
+        if let Some(wait) = self.dispatcher.try_pass(job.fingerprint()) {
+            return Err(Refusal::held_back(wait));
+        }
         let response = job.run().await;
         summary.tried = job.progress.tried();
         summary.repeats = job.progress.repeats();
         response
     }
 
-    /// Checks a request's head, and finds its route and workspace.
-    async fn resolve(&self, request: &Request<Incoming>) -> Result<Resolved, Refusal> {
+    /// Checks a request's head, and finds its route and workspace; returns the limits on it as well.
+    async fn resolve(&self, request: &Request<Incoming>) -> Result<(Tracker<'_>, Limits), Refusal> {
         // A starting host gets its configuration soon, and the request can wait until then.
         let age = self.clock.now().since(self.started);
         let catalog = self.mirror.first_catalog(STARTUP_WAIT.saturating_sub(age)).await;
@@ -314,30 +308,15 @@
                 Refusal::new(Reason::NoConfiguration, detail).retry_after(SHORT_RETRY_AFTER)
             );
         }
+        let number = self.mirror.catalog_number();
         let catalog = self.mirror.catalog().unwrap_or(catalog);
-        let host = check_request(request, &catalog)?;
-        let Some(route) = catalog.route(host, request.uri().path()).cloned() else {
-            return Err(self.refuse_unknown(Reason::NoRoute, "no route takes the request"));
-        };
-        if route.destinations.is_empty() {
-            let detail = format!("route {} can't be taken from the configuration", route.name);
-            return Err(Refusal::new(Reason::Misconfigured, detail));
-        }
-        if route.public || !catalog.needs_keys {
-            return Ok(Resolved { catalog, route, workspace: None, key: None });
-        }
+        let host = check_request(request, &catalog)?.to_owned();
+        let path = request.uri().path().to_owned();
         let key = self.dialect.key(request.headers()).map(id::Digest::of);
-        let workspace = key.as_ref().and_then(|key| catalog.keys.get(key)).cloned();
-        if workspace.is_none() {
-            if key.is_some_and(|key| catalog.unusable_keys.contains(&key)) {
-                let detail = "the key's workspace can't be taken from the configuration";
-                return Err(Refusal::new(Reason::Misconfigured, detail));
-            }
-            return Err(
-                self.refuse_unknown(Reason::Key, "the key is missing, unknown or withdrawn")
-            );
-        }
-        Ok(Resolved { catalog, route, workspace, key })
+        let claim = Claim { host, path, key };
+        let binding = Binding::new(&catalog, &claim);
+        let binding = binding.map_err(|refusal| self.refuse_unknown(refusal))?;
+        Ok((Tracker::new(self, claim, binding, number), catalog.limits))
     }
 
     /// Waits until this host may decide by its copy, if its process was stopped; refuses a request with
@@ -351,13 +330,16 @@
         Err(Refusal::new(Reason::NoConfiguration, detail).retry_after(SHORT_RETRY_AFTER))
     }
 
-    /// Refuses a request with an unknown route or key; if this host's configuration may be out of
-    /// date, the caller is asked to retry instead.
-    fn refuse_unknown(&self, reason: Reason, detail: &str) -> Refusal {
-        if self.mirror.age() < MAX_FRESH_AGE && self.mirror.versions().missing().is_none() {
-            return Refusal::new(reason, detail);
+    /// Asks the caller of a request with an unknown route or key to retry instead, if this host's
+    /// configuration may be out of date.
+    fn refuse_unknown(&self, refusal: Refusal) -> Refusal {
+        let is_unknown = matches!(refusal.reason, Reason::NoRoute | Reason::Key);
+        let is_fresh =
+            || self.mirror.age() < MAX_FRESH_AGE && self.mirror.versions().missing().is_none();
+        if !is_unknown || is_fresh() {
+            return refusal;
         }
-        let detail = format!("{detail}, but this host may have missed a change");
+        let detail = format!("{}, but this host may have missed a change", refusal.detail);
         Refusal::new(Reason::NoConfiguration, detail).retry_after(SHORT_RETRY_AFTER)
     }
 
@@ -377,15 +359,19 @@
         run(orders.entry(workspace.id.clone()).or_default())
     }
 
-    /// Waits until a workspace's grant has room for a request of a route's priority; refuses it once
-    /// that is expected to take longer than `max_wait`.
+    /// Waits until a workspace's grant has room for a request over a route, which has `time` left; refuses
+    /// it once that is expected to take too long.
     async fn wait_for_grant(
         &self,
         workspace: &Workspace,
-        priority: Priority,
-        max_wait: Duration,
+        route: &Route,
+        time: Duration,
     ) -> Result<(), Refusal> {
-        let now = self.clock.now();
+        let (now, priority) = (self.clock.now(), route.priority);
+        let max_wait = {
+            let limiter = self.limiter.lock().expect("no holder of the lock panics");
+            limiter.max_wait(route.target_latency, time, now)
+        };
         self.with_order(workspace, |order| order.record(priority, now));
         let Err(mut excess) = self.check_grant(workspace, priority) else { return Ok(()) };
         let until = now.after(max_wait);
--- a/chicoryloom/src/gateway/refusal.rs
+++ b/chicoryloom/src/gateway/refusal.rs
@@ -107,6 +107,11 @@
         Self { reason, detail: detail.into(), retry_after: None }
     }
 
+    /// Refuses a request that is held back for some time, as equal ones crashed targets.
+    pub(super) fn held_back(wait: Duration) -> Self {
+        Self::new(Reason::HeldBack, "requests like this one took targets down").retry_after(wait)
+    }
+
     pub(super) fn retry_after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait.max(MIN_RETRY_AFTER));
         self
--- a/chicoryloom_policy/src/waiting.rs
+++ b/chicoryloom_policy/src/waiting.rs
@@ -77,6 +77,17 @@
         Ok(ticket)
     }
 
+    /// Queues a request again that had a ticket and has another rank now. It was not rejected before, and goes
+    /// before later ones of its rank.
+    pub fn requeue(&mut self, former: Ticket, rank: Rank, latest: Moment, now: Moment) -> Ticket {
+        if self.waiting.is_empty() {
+            self.last_dispatch = Some(now);
+        }
+        let ticket = Ticket { rank, ..former };
+        self.waiting.insert(ticket, latest);
+        ticket
+    }
+
     /// Returns how many waiting requests go before a new one of `rank`.
     pub fn count_before(&self, rank: Rank) -> usize {
         let end = Ticket { rank, number: u64::MAX };
