--- a/chicoryloom/src/gateway/job.rs
+++ b/chicoryloom/src/gateway/job.rs
@@ -311,7 +311,7 @@
                 Err(refusal) if index == 0 => return Attempt::Refused(refusal),
                 Err(_) => return Attempt::NoResponse(last),
             };
-            if let Err(refusal) = self.gateway.wait_until_reliable(self.time_left()).await {
+            if let Err(refusal) = self.gateway.wait_until_complete(self.time_left()).await {
                 return Attempt::Refused(refusal);
             }
             match self.tracker.is_in(&place) {
@@ -502,7 +502,7 @@
     fn may_send(&self, slot: &Slot, place: &Place) -> bool {
         let mirror = &self.gateway.mirror;
         !mirror.was_stopped(slot.assigned)
-            && mirror.is_reliable()
+            && mirror.is_complete()
             && self.tracker.is_in(place).is_ok_and(|is_in| is_in)
             && self.is_admitted()
             && !self.gateway.dispatcher.is_withdrawn(&slot.endpoint)
--- a/chicoryloom/src/gateway/mirror.rs
+++ b/chicoryloom/src/gateway/mirror.rs
@@ -53,7 +53,7 @@
 const MAX_EVACUATIONS_WAIT: Duration = Duration::from_secs(3);
 
 /// Longest pause between two checks whether the copy counts again after a stop.
-const RELIABILITY_POLL: Duration = Duration::from_millis(20);
+const COMPLETION_POLL: Duration = Duration::from_millis(20);
 
 /// Most parts of one configuration that get an event of their own.
 const MAX_REJECTED_EVENTS: usize = 20;
@@ -238,20 +238,24 @@
         self.latest.send_modify(|_| {});
     }
 
-    /// Waits until this host may decide by its copy, for `wait` at most; returns whether it may.
-    pub(super) async fn wait_until_reliable(&self, wait: Duration) -> bool {
-        if self.is_reliable() {
+    /// Returns whether this host may decide by its copy, and doesn't lack a version that others hold.
+    pub(super) fn is_complete(&self) -> bool {
+        self.is_reliable() && !self.versions.is_behind()
+    }
+
+    /// Waits until [`Self::is_complete`] holds, for `wait` at most; returns whether it does.
+    pub(super) async fn wait_until_complete(&self, wait: Duration) -> bool {
+        if self.is_complete() {
             return true;
         }
         let mut latest = self.latest.subscribe();
-        let reliable = async {
-            // A version that another host announces arrives a little later than its answer.
-            while !self.is_reliable() || self.versions.is_behind() {
+        let complete = async {
+            while !self.is_complete() {
                 // A timeout is no error here, and the mirror owns the sender.
-                let _ = tokio::time::timeout(RELIABILITY_POLL, latest.changed()).await;
+                let _ = tokio::time::timeout(COMPLETION_POLL, latest.changed()).await;
             }
         };
-        tokio::time::timeout(wait, reliable).await.is_ok()
+        tokio::time::timeout(wait, complete).await.is_ok()
     }
 
     /// Returns whether the latest update came from `source`.
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -301,7 +301,10 @@
                 Refusal::new(Reason::NoConfiguration, "this host knows no configuration yet");
             return Err(refusal.retry_after(SHORT_RETRY_AFTER));
         };
-        self.wait_until_reliable(self.asked_time(request).unwrap_or(RESUMPTION_WAIT)).await?;
+        if !self.mirror.is_reliable() {
+            let time = self.asked_time(request).unwrap_or(RESUMPTION_WAIT);
+            self.wait_until_complete(time).await?;
+        }
         if self.mirror.versions().is_behind() {
             let detail = "this host lacks a configuration that others have";
             return Err(
@@ -319,14 +322,14 @@
         Ok((Tracker::new(self, claim, binding, number), catalog.limits))
     }
 
-    /// Waits until this host may decide by its copy, if its process was stopped; refuses a request with
-    /// `time` left if that takes too long.
-    async fn wait_until_reliable(&self, time: Duration) -> Result<(), Refusal> {
+    /// Waits until this host may decide by its copy, as its process may have been stopped or it may lack a
+    /// version; refuses a request with `time` left if that takes too long.
+    async fn wait_until_complete(&self, time: Duration) -> Result<(), Refusal> {
         let wait = RESUMPTION_WAIT.min(time.mul_f64(RESUMPTION_SHARE));
-        if self.mirror.wait_until_reliable(wait).await {
+        if self.mirror.wait_until_complete(wait).await {
             return Ok(());
         }
-        let detail = "this host was stopped and may have missed a change";
+        let detail = "this host may have missed a change";
         Err(Refusal::new(Reason::NoConfiguration, detail).retry_after(SHORT_RETRY_AFTER))
     }
 
