--- a/chicoryloom/src/gateway/binding.rs
+++ b/chicoryloom/src/gateway/binding.rs
@@ -15,6 +15,7 @@
 use chicoryloom_policy::catalog::Workspace;
 use chicoryloom_policy::id;
 use chicoryloom_policy::waiting::Rank;
+use smol_str::SmolStr;
 
 use super::Gateway;
 use super::Summary;
@@ -24,8 +25,9 @@
 /// What a request says of itself, by which any configuration finds its route and workspace.
 #[derive(Debug)]
 pub(super) struct Claim {
-    pub(super) host: String,
-    pub(super) path: String,
+    pub(super) host: SmolStr,
+    pub(super) path: SmolStr,
+    /// Digest of the caller's key.
     pub(super) key: Option<id::Digest>,
 }
 
--- a/chicoryloom/src/gateway/mod.rs
+++ b/chicoryloom/src/gateway/mod.rs
@@ -313,8 +313,8 @@
         }
         let number = self.mirror.catalog_number();
         let catalog = self.mirror.catalog().unwrap_or(catalog);
-        let host = check_request(request, &catalog)?.to_owned();
-        let path = request.uri().path().to_owned();
+        let host = check_request(request, &catalog)?.into();
+        let path = request.uri().path().into();
         let key = self.dialect.key(request.headers()).map(id::Digest::of);
         let claim = Claim { host, path, key };
         let binding = Binding::new(&catalog, &claim);
--- a/chicoryloom/src/gateway/pulse.rs
+++ b/chicoryloom/src/gateway/pulse.rs
@@ -47,7 +47,8 @@
         }
     }
 
-    /// Returns the end of the latest time in which the process was stopped, which may be now.
+    /// Records that the process runs, and returns the end of the latest time in which it was stopped, which
+    /// may be now.
     pub(super) fn resumed(&self) -> Option<Moment> {
         let (stopped_for, resumed) = {
             let mut pulse = self.lock();
