--- a/chicoryloom/src/gateway/dispatcher/mod.rs
+++ b/chicoryloom/src/gateway/dispatcher/mod.rs
@@ -224,16 +224,19 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.estimator.sweep(now);
-        // A host that gets a response to such a request clears it for all hosts, but only if it
-        // knows of the hold; it may have missed the first report.
-        let held: Vec<_> = state.holdback.all_held(now).collect();
-        let report = |(request, crash)| CrashReport { request, crash, answered: false };
-        state.crash_reports.extend(held.into_iter().map(report));
-        let own: Vec<_> = state.own_holdback.all_held(now).collect();
-        let unproved = |(request, crash)| {
-            report((request, Crash { target: id::Target(UNPROVED), born: 0, ..crash }))
-        };
-        state.crash_reports.extend(own.into_iter().map(unproved));
+        // A host may have missed the first reports. It holds the request back only if it knows of all
+        // losses, and clears it for all hosts after a response only if it knows of one.
+        let report = |request, crash| CrashReport { request, crash, answered: false };
+        let held = state.holdback.all_held(now);
+        let mut reports: Vec<_> = held
+            .flat_map(|(request, lost)| lost.iter().map(move |crash| report(request, *crash)))
+            .collect();
+        let own = state.own_holdback.all_held(now);
+        reports.extend(own.filter_map(|(request, lost)| {
+            let crash = *lost.last()?;
+            Some(report(request, Crash { target: id::Target(UNPROVED), born: 0, ..crash }))
+        }));
+        state.crash_reports.extend(reports);
         state.withdrawals.sweep(now);
         state.evacuations.sweep(now);
         let listed = state.listed;
--- a/chicoryloom/src/gateway/dispatcher/peers.rs
+++ b/chicoryloom/src/gateway/dispatcher/peers.rs
@@ -292,8 +292,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         if answered {
-            let was_own = state.own_holdback.clear(request);
-            return state.holdback.clear(request) || was_own;
+            let was_own = state.own_holdback.clear(request, crash.at);
+            return state.holdback.clear(request, crash.at) || was_own;
         }
         let held = state.holdback.record_loss(request, crash, now);
         drop(state);
--- a/chicoryloom/src/proxy/attempt.rs
+++ b/chicoryloom/src/proxy/attempt.rs
@@ -179,7 +179,7 @@
     fn observe_answer(&self, member: &Member, answer: &Answer, took: Duration, late: bool) {
         let slots = member.target.slots.0;
         member.backend.gauge().record_answer(took, late, slots);
-        self.service.record_answer(self.fingerprint, member.target.id);
+        self.service.record_answer(self.fingerprint, member.target.id, self.proxy.clock.now());
         if answer.headers().contains_key(header::DRAINING) {
             self.service.mark_draining(member.target.id, self.proxy.clock.now());
         }
--- a/chicoryloom/src/target/service.rs
+++ b/chicoryloom/src/target/service.rs
@@ -304,8 +304,8 @@
     }
 
     /// Records that a target answered a request.
-    pub(crate) fn record_answer(&self, request: Fingerprint, target: id::Target) {
-        if lock(&self.holdback).clear(request) {
+    pub(crate) fn record_answer(&self, request: Fingerprint, target: id::Target, now: Moment) {
+        if lock(&self.holdback).clear(request, now) {
             self.queue_crash(Crash { request, target, answered: true });
         }
     }
@@ -319,7 +319,7 @@
     pub(super) fn record_crash(&self, crash: Crash, now: Moment) {
         let mut holdback = lock(&self.holdback);
         if crash.answered {
-            holdback.clear(crash.request);
+            holdback.clear(crash.request, now);
             return;
         }
         let loss = holdback::Crash { target: crash.target, born: 0, at: now };
--- a/chicoryloom_policy/src/holdback.rs
+++ b/chicoryloom_policy/src/holdback.rs
@@ -24,7 +24,10 @@
 const IN_FLIGHT_TIME: Duration = Duration::from_secs(2);
 /// Longest time for which equal requests wait for the outcome of the first one after a hold.
 const TRIAL_TIME: Duration = Duration::from_secs(3);
-/// Maximum number of suspected requests.
+/// Time for which losses from before a response are told apart from later ones. Hosts that haven't heard
+/// of the response repeat them until then.
+const RESPONSE_MEMORY: Duration = Duration::from_secs(10);
+/// Maximum number of suspected requests, and of cleared ones.
 const MAX_ENTRIES: usize = 1024;
 
 /// Hash of a request's workspace, method, path and body, by which equal requests are recognized.
@@ -112,6 +115,8 @@
 #[derive(Clone, Debug)]
 pub struct Holdback {
     suspects: HashMap<Fingerprint, Suspect>,
+    /// When targets responded to requests that were suspected until then. Earlier losses don't count.
+    cleared: HashMap<Fingerprint, Moment>,
     /// Number of targets lost at which a request is held back; 1 or more.
     loss_threshold: usize,
 }
@@ -125,13 +130,17 @@
 impl Holdback {
     /// Returns a holdback for requests on which `loss_threshold` targets were lost.
     pub fn new(loss_threshold: usize) -> Self {
-        Self { suspects: HashMap::new(), loss_threshold }
+        Self { suspects: HashMap::new(), cleared: HashMap::new(), loss_threshold }
     }
 
-    /// Returns the requests that are held back, each with the target lost last.
-    pub fn all_held(&self, now: Moment) -> impl Iterator<Item = (Fingerprint, Crash)> {
+    /// Returns the requests that are held back, each with as many of its losses as prove that, the latest
+    /// at the end.
+    pub fn all_held(&self, now: Moment) -> impl Iterator<Item = (Fingerprint, &[Crash])> {
         let held = self.suspects.iter().filter(move |(_, suspect)| suspect.is_held(now));
-        held.filter_map(|(request, suspect)| Some((*request, *suspect.lost.last()?)))
+        held.map(|(request, suspect)| {
+            let first = suspect.lost.len().saturating_sub(self.loss_threshold);
+            (*request, &suspect.lost[first..])
+        })
     }
 
     /// Returns the time for which a request is still held back.
@@ -199,6 +208,9 @@
         crash: Crash,
         now: Moment,
     ) -> Option<Vec<id::Target>> {
+        if self.cleared.get(&request).is_some_and(|at| crash.at < *at) {
+            return None;
+        }
         self.make_room(request, now);
         let suspect = self.suspects.entry(request).or_default();
         suspect.expire(now);
@@ -219,8 +231,15 @@
     }
 
     /// Clears a request since a target answered it; returns whether it was suspected.
-    pub fn clear(&mut self, request: Fingerprint) -> bool {
-        !self.suspects.is_empty() && self.suspects.remove(&request).is_some()
+    pub fn clear(&mut self, request: Fingerprint, at: Moment) -> bool {
+        let was_suspected = !self.suspects.is_empty() && self.suspects.remove(&request).is_some();
+        if was_suspected {
+            self.cleared.retain(|_, known| at.since(*known) < RESPONSE_MEMORY);
+            if self.cleared.len() < MAX_ENTRIES {
+                self.cleared.insert(request, at);
+            }
+        }
+        was_suspected
     }
 
     /// Returns whether no request is suspected.
@@ -293,7 +312,7 @@
         }
         assert_eq!(holdback.len(), MAX_ENTRIES);
         let newest = Fingerprint(10 * MAX_ENTRIES as u128 - 1);
-        assert!(holdback.clear(newest));
-        assert!(!holdback.clear(newest));
+        assert!(holdback.clear(newest, now));
+        assert!(!holdback.clear(newest, now));
     }
 }
--- a/chicoryloom_policy/tests/holdback.rs
+++ b/chicoryloom_policy/tests/holdback.rs
@@ -102,7 +102,7 @@
     let second = holdback.remaining_hold(POISON, lost.at).unwrap();
     assert!(second >= 3 * first, "{second:?}");
     // A target that answers it ends all suspicion.
-    assert!(holdback.clear(POISON));
+    assert!(holdback.clear(POISON, lost.at));
     assert_eq!(holdback.try_pass(POISON, lost.at), None);
 }
 
@@ -137,9 +137,29 @@
     }
     other.record_loss(POISON, crash(LIMIT - 1, 7, 0), at(0));
     for millis in [1_000, 2_000, 3_000] {
-        for (request, crash) in holding.all_held(at(millis)) {
-            other.record_loss(request, crash, at(millis));
+        for (request, lost) in holding.all_held(at(millis)) {
+            for crash in lost {
+                other.record_loss(request, *crash, at(millis));
+            }
         }
     }
     assert!(other.remaining_hold(POISON, at(3_000)).is_some());
 }
+
+/// Guards against a hold that goes on after its end: hosts repeat the losses until they hear of the response.
+#[test]
+fn losses_from_before_a_response_hold_nothing_back() {
+    let mut holdback = Holdback::new(LIMIT);
+    for number in 0..LIMIT {
+        holdback.record_loss(POISON, crash(number, 7, 100), at(100));
+    }
+    assert!(holdback.clear(POISON, at(1_000)));
+    for number in 0..LIMIT {
+        assert_eq!(holdback.record_loss(POISON, crash(number, 7, 100), at(1_050)), None);
+    }
+    assert!(holdback.is_empty());
+    for number in 0..LIMIT {
+        holdback.record_loss(POISON, crash(number, 8, 1_100), at(1_100));
+    }
+    assert!(holdback.remaining_hold(POISON, at(1_100)).is_some());
+}
--- a/chicoryloom_policy/tests/loss.rs
+++ b/chicoryloom_policy/tests/loss.rs
@@ -336,7 +336,7 @@
                 continue;
             }
             host.answer(&mut fleet, target, Some(request), now);
-            fleet.clear(request);
+            fleet.clear(request, after(now));
         }
     }
     (crashes, held)
