List what a second reading of the repeated losses found

Cause: lets hosts repeat all losses that prove a hold, and remembers a response for ten seconds only, while losses count for 120. A host that was stopped in between brings the hold back. With the latest loss alone, one such host could not.

A doc comment names the moment of a response.

--- a/chicoryloom_policy/src/holdback.rs
+++ b/chicoryloom_policy/src/holdback.rs
@@ -230,7 +230,7 @@
         Some(suspect.lost.iter().map(|lost| lost.target).collect())
     }
 
-    /// Clears a request since a target answered it; returns whether it was suspected.
+    /// Clears a request that a target answered at `at`; returns whether it was suspected.
     pub fn clear(&mut self, request: Fingerprint, at: Moment) -> bool {
         let was_suspected = !self.suspects.is_empty() && self.suspects.remove(&request).is_some();
         if was_suspected {
--- a/chicoryloom_policy/tests/holdback.rs
+++ b/chicoryloom_policy/tests/holdback.rs
@@ -163,3 +163,24 @@
     }
     assert!(holdback.remaining_hold(POISON, at(1_100)).is_some());
 }
+
+/// Guards against a hold that a host brings back which was stopped and missed the response: the others must know
+/// of the response for as long as losses count.
+#[test]
+fn host_that_missed_a_response_brings_no_hold_back() {
+    let (mut stopped, mut other) = (Holdback::new(LIMIT), Holdback::new(LIMIT));
+    for number in 0..LIMIT {
+        stopped.record_loss(POISON, crash(number, 7, 0), at(0));
+        other.record_loss(POISON, crash(number, 7, 0), at(0));
+    }
+    assert!(other.clear(POISON, at(1_000)));
+    let unrelated = Fingerprint(2);
+    other.record_loss(unrelated, crash(0, 7, 20_000), at(20_000));
+    assert!(other.clear(unrelated, at(20_500)));
+    for (request, lost) in stopped.all_held(at(21_000)) {
+        for crash in lost {
+            other.record_loss(request, *crash, at(21_000));
+        }
+    }
+    assert_eq!(other.remaining_hold(POISON, at(21_000)), None);
+}
